Claim keys before calls that may run at most once; leases and orders

Cause: calls marked non-idempotent were dispatched without a claim, and nothing brought engines into the state of the sheet.

Ruled out: a lease per claim shard (safety would rest on clocks and pauses; the conditional write alone is enough); leases judged by stored wall time.

Change: claim shards as objects of the platform, granted only by a write known to have taken effect; a control lease per data centre whose expiry the observer judges; reconciliation of engines by fenced orders; all decisions assembled in DecisionCore, without edges.

Conclusion: at most once rests on the store's conditional write alone.

--- a/src/rosemarystream/_internal/backends/poller.py
+++ b/src/rosemarystream/_internal/backends/poller.py
@@ -8,7 +8,6 @@
 from gevent.pool import Pool as GreenletPool
 from logbook import Logger
 
-from rosemarystream._internal.decisions.dispatching import Dispatching
 from rosemarystream._internal.exceptions import RosemarystreamError
 from rosemarystream._internal.kernel.kernel import Kernel
 from rosemarystream._internal.kernel.service import Service
@@ -43,8 +42,8 @@
     ----------
     kernel : Kernel
         Takes the reports.
-    dispatching : Dispatching
-        Says which servers to poll.
+    list_servers : callable
+        Returns the servers to poll at a moment; one may stand there twice.
     interval : float
         Seconds between two polls of a server.
     clock : callable
@@ -57,12 +56,12 @@
         self,
         *,
         kernel: Kernel,
-        dispatching: Dispatching,
+        list_servers: Callable[[float], list[BackendServer]],
         interval: float,
         clock: Callable[[], float],
     ) -> None:
         self._kernel = kernel
-        self._dispatching = dispatching
+        self._list_servers = list_servers
         self._interval = interval
         self._clock = clock
         self._pool = GreenletPool(MAX_PARALLEL_POLLS)
@@ -81,7 +80,7 @@
 
     def _run(self) -> None:
         while True:
-            for server in self._dispatching.servers_to_poll(self._clock()):
+            for server in self._list_servers(self._clock()):
                 if server.name not in self._busy:
                     self._busy.add(server.name)
                     self._pool.spawn(self._poll, server)
--- a/src/rosemarystream/_internal/callers/claiming.py
+++ b/src/rosemarystream/_internal/callers/claiming.py
@@ -1,27 +1,178 @@
 """Calls that may run at most once: claim first, then dispatch."""
 
+import hashlib
+from collections.abc import Callable
+from typing import Any
+
+from gevent import Timeout
+from gevent.event import AsyncResult
+
 from rosemarystream._internal.callers.exchange import EntryExchange
-from rosemarystream._internal.exceptions import ErrorKind, RequestError
+from rosemarystream._internal.decisions.claims import (
+    ClaimRecord,
+    ClaimRequest,
+    Claims,
+    Settlement,
+)
+from rosemarystream._internal.exceptions import (
+    ANSWERS,
+    ErrorKind,
+    Execution,
+    RequestError,
+)
+from rosemarystream._internal.kernel.kernel import Kernel
+from rosemarystream._internal.kernel.service import Service
+from rosemarystream._internal.models.events import ClaimDecided, ClaimOutcome
 from rosemarystream._internal.models.request import CallResult, StreamFailure, Work
 
+KEY_BYTES = 16
+MAX_KEY_CHARACTERS = 200
+DECISION_SLACK_SECONDS = 0.5
+
+
+class ClaimTimes:
+    """Spans of claims, in seconds."""
+
+    def __init__(self, *, wait: float, retain: float) -> None:
+        self.wait = wait
+        self.retain = retain
+
 
-class ClaimedCalls:
+class ClaimedCalls(Service):
     """Runs calls that may not be repeated.
 
     Parameters
     ----------
+    kernel, claims : Kernel and Claims
+        Decide who holds a key.
     exchange : EntryExchange
         Carries the call once it is claimed.
+    times : ClaimTimes
+        How long to wait for a decision and to keep a claim.
+    answer_bytes : int
+        Largest answer that is recorded for repeats.
+    clock : callable
+        Returns the present time in seconds since the epoch.
     """
 
-    def __init__(self, *, exchange: EntryExchange) -> None:
+    name = "claimed_calls"
+    handles = (ClaimDecided,)
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        claims: Claims,
+        exchange: EntryExchange,
+        times: ClaimTimes,
+        answer_bytes: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self._kernel = kernel
+        self._claims = claims
         self._exchange = exchange
+        self._times = times
+        self._answer_bytes = answer_bytes
+        self._clock = clock
+        self._waiters: dict[str, AsyncResult] = {}
+
+    def handle(self, event: ClaimDecided, now: float) -> tuple[()]:
+        """Wake the call whose claim was decided."""
+        waiter = self._waiters.get(event.attempt_id)
+        if waiter is not None:
+            waiter.set(event)
+        return ()
 
     def call(self, work: Work, key: str | None) -> CallResult | StreamFailure:
-        """Claim the key and run the call, or say why not."""
-        if key is None:
-            raise RequestError(
-                "a call that is not idempotent needs an Idempotency-Key header",
-                kind=ErrorKind.BAD_REQUEST,
-            )
-        return self._exchange.call(work)
+        """Claim the key, run the call, and record its answer.
+
+        Raises
+        ------
+        RequestError
+            If there is no usable key; nothing was run.
+        """
+        digest = digest_key(work, key)
+        decision = self._claim(work, digest)
+        if decision.outcome is ClaimOutcome.UNAVAILABLE:
+            return _fail(work, ErrorKind.CLAIM_UNAVAILABLE, "the key is not claimed")
+        if decision.outcome is ClaimOutcome.HELD:
+            return _repeat(work, decision)
+        result = self._exchange.call(work)
+        self._settle(work, digest, result)
+        return result
+
+    def _claim(self, work: Work, digest: str) -> ClaimDecided:
+        now = self._clock()
+        request = ClaimRequest(
+            key=digest,
+            attempt_id=work.request_id,
+            deadline=min(work.deadline, now + self._times.wait),
+            retain_until=now + self._times.retain,
+        )
+        waiter = self._waiters[work.request_id] = AsyncResult()
+        try:
+            for action in self._claims.request(request, now):
+                self._kernel.post(action, now)
+            wait = request.deadline - now + DECISION_SLACK_SECONDS
+            return waiter.get(timeout=wait)
+        except Timeout:
+            # A late grant finds no waiter, so nothing is ever sent for it.
+            return ClaimDecided(work.request_id, ClaimOutcome.UNAVAILABLE, 0, "")
+        finally:
+            del self._waiters[work.request_id]
+
+    def _settle(
+        self, work: Work, digest: str, result: CallResult | StreamFailure
+    ) -> None:
+        record = None
+        if isinstance(result, CallResult):
+            record = self._make_record(work, result)
+        elif ANSWERS[ErrorKind(result.kind)].execution is not Execution.NOT_RUN:
+            return
+        self._claims.settle(
+            Settlement(key=digest, attempt_id=work.request_id, record=record),
+            self._clock(),
+        )
+
+    def _make_record(self, work: Work, result: CallResult) -> ClaimRecord:
+        fits = len(result.body) <= self._answer_bytes
+        return ClaimRecord(
+            attempt_id=work.request_id,
+            retain_until=self._clock() + self._times.retain,
+            status=result.status if fits else 0,
+            body=result.body.decode(errors="replace") if fits else "",
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of undecided claims."""
+        return {"undecided": len(self._waiters)}
+
+
+def digest_key(work: Work, key: str | None) -> str:
+    """Return the digest that names a key in the shards.
+
+    Raises
+    ------
+    RequestError
+        If there is no usable key.
+    """
+    if not key or len(key) > MAX_KEY_CHARACTERS:
+        raise RequestError(
+            "a call that is not idempotent needs an Idempotency-Key header of "
+            f"at most {MAX_KEY_CHARACTERS} characters"
+        )
+    text = "\x00".join((work.workspace, work.pool, key))
+    return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).hexdigest()
+
+
+def _fail(work: Work, kind: ErrorKind, message: str) -> StreamFailure:
+    return StreamFailure(
+        request_id=work.request_id, kind=kind, message=message, retry_after=1.0
+    )
+
+
+def _repeat(work: Work, decision: ClaimDecided) -> CallResult | StreamFailure:
+    if decision.status:
+        return CallResult(work.request_id, decision.status, decision.body.encode())
+    message = "another request holds this key and its answer is not known here"
+    return _fail(work, ErrorKind.ALREADY_CLAIMED, message)
--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/claims.py
@@ -0,0 +1,401 @@
+"""Claims on idempotency keys, so that a request runs at most once.
+
+A claim is an entry of a shard, an object of the platform. It is granted only
+when a conditional write that contains it is known to have taken effect, so two
+hosts can never hold the same key. Nothing rests on a lease or on a clock.
+"""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import msgspec
+
+from rosemarystream._internal.kernel.service import Service
+from rosemarystream._internal.models.events import (
+    CallTag,
+    ClaimDecided,
+    ClaimOutcome,
+    ObjectCallFailed,
+    ObjectConflict,
+    ObjectRead,
+    ObjectWritten,
+    ReadObject,
+    WriteObject,
+)
+
+CLAIMS_KIND = "claims"
+MAX_WAITING = 10_000
+MAX_SHARD_BYTES = 900_000
+RECORD_BYTES = 160
+PRUNE_MARGIN_SECONDS = 60.0
+FIRST_PAUSE_SECONDS = 0.05
+MAX_PAUSE_SECONDS = 1.0
+
+
+class ClaimRecord(NamedTuple):
+    """Entry of a shard.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Attempt that holds the key.
+    retain_until : float
+        Deadline, in seconds since the epoch, until which the entry is kept.
+    status : int
+        HTTP status of the recorded answer; 0 when there is none.
+    body : str
+        Body of the recorded answer.
+    """
+
+    attempt_id: str
+    retain_until: float
+    status: int = 0
+    body: str = ""
+
+
+class ClaimRequest(NamedTuple):
+    """A wish to hold a key.
+
+    Attributes
+    ----------
+    key : str
+        Digest of workspace, pool and idempotency key.
+    attempt_id : str
+        Unique identifier of the attempt.
+    deadline : float
+        Time until which a decision is worth something.
+    retain_until : float
+        Deadline until which the claim is kept.
+    """
+
+    key: str
+    attempt_id: str
+    deadline: float
+    retain_until: float
+
+
+class Settlement(NamedTuple):
+    """What is to become of a claim after its request has ended.
+
+    Attributes
+    ----------
+    key, attempt_id : str
+        The claim.
+    record : ClaimRecord or None
+        Record with the answer, or None to release the key.
+    """
+
+    key: str
+    attempt_id: str
+    record: ClaimRecord | None
+
+
+class _Phase(StrEnum):
+    IDLE = "idle"
+    READING = "reading"
+    WRITING = "writing"
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(dict[str, ClaimRecord])
+
+
+class ClaimShard:
+    """Protocol of one shard at one host; at most one call is under way.
+
+    Parameters
+    ----------
+    name : str
+        Name of the shard's object.
+    group : float
+        Seconds for which claims are gathered before a write.
+    """
+
+    def __init__(self, *, name: str, group: float) -> None:
+        self.name = name
+        self._group = group
+        self._phase = _Phase.IDLE
+        self._number = 0
+        self._version: int | None = None
+        self._records: dict[str, ClaimRecord] = {}
+        self._waiting: dict[str, ClaimRequest] = {}
+        self._settlements: list[Settlement] = []
+        self._written: dict[str, ClaimRecord] = {}
+        self._unconfirmed: list[Settlement] = []
+        self._write_at: float | None = None
+        self._pause = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether there is nothing to do."""
+        return self._phase is _Phase.IDLE and not self._has_work()
+
+    @property
+    def write_at(self) -> float | None:
+        """Time of the next step, or None when none is due."""
+        return self._write_at if self._phase is _Phase.IDLE else None
+
+    @property
+    def waiting_deadline(self) -> float | None:
+        """Earliest deadline of a waiting claim."""
+        return min((r.deadline for r in self._waiting.values()), default=None)
+
+    def _has_work(self) -> bool:
+        return bool(self._waiting or self._settlements)
+
+    def request(self, request: ClaimRequest, now: float) -> list[Any]:
+        """Take a wish to hold a key."""
+        if len(self._waiting) >= MAX_WAITING:
+            return [_decide(request.attempt_id, ClaimOutcome.UNAVAILABLE)]
+        self._waiting[request.attempt_id] = request
+        self._schedule(now)
+        return []
+
+    def settle(self, settlement: Settlement, now: float) -> None:
+        """Take what is to become of a claim."""
+        self._settlements.append(settlement)
+        del self._settlements[:-MAX_WAITING]
+        self._schedule(now)
+
+    def _schedule(self, now: float) -> None:
+        if self._write_at is None:
+            self._write_at = now + max(self._group, self._pause)
+
+    def expire(self, now: float) -> list[Any]:
+        """Give up claims whose deadline has passed, and start what is due."""
+        actions = self._give_up(now)
+        due = self._write_at is not None and now >= self._write_at
+        if due and self._phase is _Phase.IDLE:
+            self._write_at = None
+            actions.extend(self._step(now))
+        return actions
+
+    def _give_up(self, now: float) -> list[Any]:
+        late = [r for r in self._waiting.values() if r.deadline <= now]
+        actions = []
+        for request in late:
+            # A write of unknown outcome may hold the key: release it later.
+            del self._waiting[request.attempt_id]
+            self.settle(Settlement(request.key, request.attempt_id, None), now)
+            actions.append(_decide(request.attempt_id, ClaimOutcome.UNAVAILABLE))
+        return actions
+
+    def _step(self, now: float) -> list[Any]:
+        if not self._has_work():
+            return []
+        if self._version is None:
+            return [self._read()]
+        return self._write(now)
+
+    def _read(self) -> ReadObject:
+        self._phase = _Phase.READING
+        return ReadObject(tag=self._next_tag(), kind=CLAIMS_KIND, name=self.name)
+
+    def _next_tag(self) -> CallTag:
+        self._number += 1
+        return CallTag(service=CLAIMS_KIND, name=self.name, number=self._number)
+
+    def _write(self, now: float) -> list[Any]:
+        actions = self._decide_held()
+        wanted = self._apply(now)
+        if wanted == self._records:
+            return actions
+        assert self._version is not None
+        self._written = wanted
+        self._phase = _Phase.WRITING
+        write = WriteObject(
+            tag=self._next_tag(),
+            kind=CLAIMS_KIND,
+            name=self.name,
+            value=_ENCODER.encode(wanted),
+            expected=self._version,
+        )
+        return [*actions, write]
+
+    def _decide_held(self) -> list[Any]:
+        """Decide every waiting claim whose key has a record in the store."""
+        actions = []
+        for request in list(self._waiting.values()):
+            record = self._records.get(request.key)
+            if record is None:
+                continue
+            del self._waiting[request.attempt_id]
+            if record.attempt_id == request.attempt_id:
+                actions.append(_decide(request.attempt_id, ClaimOutcome.GRANTED))
+            else:
+                actions.append(
+                    ClaimDecided(
+                        attempt_id=request.attempt_id,
+                        outcome=ClaimOutcome.HELD,
+                        status=record.status,
+                        body=record.body,
+                    )
+                )
+        return actions
+
+    def _apply(self, now: float) -> dict[str, ClaimRecord]:
+        horizon = now - PRUNE_MARGIN_SECONDS
+        records = {
+            key: record
+            for key, record in self._records.items()
+            if record.retain_until > horizon
+        }
+        for settlement in self._settlements:
+            held = records.get(settlement.key)
+            if held is None or held.attempt_id != settlement.attempt_id:
+                continue
+            if settlement.record is None:
+                del records[settlement.key]
+            else:
+                records[settlement.key] = settlement.record
+        self._unconfirmed, self._settlements = self._settlements, []
+        for request in self._waiting.values():
+            # Of two attempts on one key the first is written; the other one
+            # finds the record when this write is known.
+            record = ClaimRecord(request.attempt_id, request.retain_until)
+            records.setdefault(request.key, record)
+        return _limit_size(records, keep=self._records)
+
+    def learn_read(self, event: ObjectRead, now: float) -> list[Any]:
+        """Take the content of the shard."""
+        self._phase = _Phase.IDLE
+        self._pause = 0.0
+        self._version = event.version
+        self._records = _DECODER.decode(event.value) if event.value else {}
+        return self._decide_held() + self._step(now)
+
+    def learn_written(self, event: ObjectWritten, now: float) -> list[Any]:
+        """Take that the last write took effect."""
+        self._phase = _Phase.IDLE
+        self._unconfirmed = []
+        self._pause = 0.0
+        self._version = event.version
+        self._records = self._written
+        actions = self._decide_held()
+        if self._has_work():
+            self._schedule(now)
+        return actions
+
+    def _reopen(self) -> None:
+        self._phase = _Phase.IDLE
+        self._settlements = self._unconfirmed + self._settlements
+        self._unconfirmed = []
+
+    def learn_conflict(self, now: float) -> list[Any]:
+        """Take that another host wrote first: read, then try again."""
+        self._reopen()
+        self._version = None
+        return self._step(now)
+
+    def learn_failure(self, now: float) -> list[Any]:
+        """Take that the outcome is unknown: read before anything else."""
+        self._reopen()
+        self._version = None
+        self._pause = min(MAX_PAUSE_SECONDS, max(FIRST_PAUSE_SECONDS, 2 * self._pause))
+        self._write_at = None
+        if self._has_work():
+            self._schedule(now)
+        return []
+
+    def is_current(self, tag: CallTag) -> bool:
+        """Tell whether a result belongs to the call under way."""
+        return self._phase is not _Phase.IDLE and tag.number == self._number
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the protocol."""
+        return {
+            "phase": self._phase,
+            "waiting": len(self._waiting),
+            "records": len(self._records),
+            "version": self._version,
+        }
+
+
+def _decide(attempt_id: str, outcome: ClaimOutcome) -> ClaimDecided:
+    return ClaimDecided(attempt_id=attempt_id, outcome=outcome, status=0, body="")
+
+
+def _limit_size(
+    records: dict[str, ClaimRecord], *, keep: dict[str, ClaimRecord]
+) -> dict[str, ClaimRecord]:
+    """Forget answers, then refuse new claims, so that the value fits."""
+    size = sum(RECORD_BYTES + len(record.body) for record in records.values())
+    if size <= MAX_SHARD_BYTES:
+        return records
+    bare = {key: record._replace(status=0, body="") for key, record in records.items()}
+    if len(bare) * RECORD_BYTES <= MAX_SHARD_BYTES:
+        return bare
+    return {key: record for key, record in bare.items() if key in keep}
+
+
+class Claims(Service):
+    """All shards of the key space, each with its own protocol.
+
+    Parameters
+    ----------
+    shards : int
+        Number of shards; the same on all hosts.
+    group : float
+        Seconds for which claims are gathered before a write.
+    """
+
+    name = "claims"
+    handles = (ObjectRead, ObjectWritten, ObjectConflict, ObjectCallFailed)
+
+    def __init__(self, *, shards: int, group: float) -> None:
+        self._shards = shards
+        self._group = group
+        self._open: dict[str, ClaimShard] = {}
+
+    def find_shard(self, key: str) -> ClaimShard:
+        """Return the shard of a key."""
+        name = f"{int(key[:8], 16) % self._shards:04d}"
+        if name not in self._open:
+            self._open[name] = ClaimShard(name=name, group=self._group)
+        return self._open[name]
+
+    def request(self, request: ClaimRequest, now: float) -> list[Any]:
+        """Take a wish to hold a key; the decision comes as `ClaimDecided`."""
+        return self.find_shard(request.key).request(request, now)
+
+    def settle(self, settlement: Settlement, now: float) -> None:
+        """Take what is to become of a claim."""
+        self.find_shard(settlement.key).settle(settlement, now)
+
+    def handle(self, event: Any, now: float) -> Iterable[Any]:
+        """Take the result of a call to the platform."""
+        if event.tag.service != CLAIMS_KIND:
+            return ()
+        shard = self._open.get(event.tag.name)
+        if shard is None or not shard.is_current(event.tag):
+            return ()
+        if isinstance(event, ObjectRead):
+            return shard.learn_read(event, now)
+        if isinstance(event, ObjectWritten):
+            return shard.learn_written(event, now)
+        if isinstance(event, ObjectConflict):
+            return shard.learn_conflict(now)
+        return shard.learn_failure(now)
+
+    def expire(self, now: float) -> Iterable[Any]:
+        """Give up late claims and start the writes that are due."""
+        return [a for shard in self._open.values() for a in shard.expire(now)]
+
+    def next_deadline(self) -> float | None:
+        """Earliest write or deadline of a claim."""
+        deadlines = [
+            deadline
+            for shard in self._open.values()
+            for deadline in (shard.write_at, shard.waiting_deadline)
+            if deadline is not None
+        ]
+        return min(deadlines, default=None)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the shards that are not idle."""
+        return {
+            name: shard.dump()
+            for name, shard in self._open.items()
+            if not shard.is_idle
+        }
--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/core.py
@@ -0,0 +1,146 @@
+"""All decision services of one host, wired to each other and to a kernel."""
+
+from typing import NamedTuple
+
+from rosemarystream._internal.decisions.claims import Claims
+from rosemarystream._internal.decisions.configuration import Configuration
+from rosemarystream._internal.decisions.dispatching import Dispatching
+from rosemarystream._internal.decisions.leases import Lease
+from rosemarystream._internal.decisions.loads import GroupLoads
+from rosemarystream._internal.decisions.membership import (
+    Membership,
+    MembershipTimes,
+)
+from rosemarystream._internal.decisions.ownership import Ownership
+from rosemarystream._internal.decisions.recalls import Recalls
+from rosemarystream._internal.decisions.reconciliation import Reconciliation
+from rosemarystream._internal.decisions.replication import Replication
+from rosemarystream._internal.decisions.routing import Routing
+from rosemarystream._internal.kernel.kernel import Kernel
+from rosemarystream._internal.models.messages import Heartbeat
+from rosemarystream._internal.models.server import EntryHost
+
+LEASE_CANDIDATES = 2
+
+
+class CoreOptions(NamedTuple):
+    """Bounds and spans of the decisions.
+
+    Attributes
+    ----------
+    seeds : tuple of str
+        Control addresses of other hosts.
+    times : MembershipTimes
+        Spans of the failure detector.
+    remote_bytes : int
+        Bytes a second for heartbeats to other data centres.
+    queue_limit : int
+        Requests of one rank that may wait at one group.
+    claim_shards : int
+        Shards of the key space.
+    claim_group : float
+        Seconds for which claims are gathered.
+    lease_span : float
+        Seconds after the last renewal when the control lease lapses.
+    order_flight : float
+        Seconds after which an order can no longer arrive.
+    """
+
+    seeds: tuple[str, ...]
+    times: MembershipTimes
+    remote_bytes: int
+    queue_limit: int
+    claim_shards: int
+    claim_group: float
+    lease_span: float
+    order_flight: float
+
+
+class DecisionCore:
+    """The decisions of one host, without any edge.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Routes the events; edges are registered with it afterwards.
+    me : EntryHost
+        This host.
+    options : CoreOptions
+        Bounds and spans.
+    """
+
+    def __init__(self, *, kernel: Kernel, me: EntryHost, options: CoreOptions) -> None:
+        self.membership = Membership(
+            me=me,
+            seeds=options.seeds,
+            times=options.times,
+            budget=options.remote_bytes,
+            fill=self._fill_heartbeat,
+        )
+        self.ownership = Ownership(membership=self.membership)
+        self.configuration = Configuration()
+        self.recalls = Recalls()
+        self.loads = GroupLoads()
+        self.routing = Routing(
+            me=me,
+            configuration=self.configuration,
+            recalls=self.recalls,
+            ownership=self.ownership,
+            loads=self.loads,
+        )
+        self.dispatching = Dispatching(
+            me=me,
+            configuration=self.configuration,
+            routing=self.routing,
+            ownership=self.ownership,
+            loads=self.loads,
+            queue_limit=options.queue_limit,
+        )
+        self.replication = Replication(
+            address=me.peer_address,
+            configuration=self.configuration,
+            recalls=self.recalls,
+        )
+        self.claims = Claims(shards=options.claim_shards, group=options.claim_group)
+        self.lease = Lease(
+            lease_name=f"control-{me.data_centre}",
+            holder=f"{me.name}/{me.incarnation}",
+            span=options.lease_span,
+            is_candidate=lambda: self.membership.is_delegate(
+                "control", LEASE_CANDIDATES
+            ),
+        )
+        self.reconciliation = Reconciliation(
+            data_centre=me.data_centre,
+            lease=self.lease,
+            configuration=self.configuration,
+            recalls=self.recalls,
+            routing=self.routing,
+            flight=options.order_flight,
+        )
+        self._register(kernel)
+
+    def _fill_heartbeat(self, heartbeat: Heartbeat, remote: bool) -> Heartbeat:
+        return heartbeat._replace(
+            generation=self.configuration.generation,
+            recalls_digest=self.recalls.digest,
+            hosts_version=self.configuration.hosts.version,
+            loads=self.dispatching.report_loads(remote=remote),
+        )
+
+    def _register(self, kernel: Kernel) -> None:
+        # Order matters: who learns an event first decides on fresh state.
+        for service in (
+            self.membership,
+            self.ownership,
+            self.configuration,
+            self.recalls,
+            self.loads,
+            self.routing,
+            self.dispatching,
+            self.replication,
+            self.claims,
+            self.lease,
+            self.reconciliation,
+        ):
+            kernel.register(service)
--- a/src/rosemarystream/_internal/decisions/membership.py
+++ b/src/rosemarystream/_internal/decisions/membership.py
@@ -8,7 +8,10 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from rosemarystream._internal.decisions.hashing import shorten_name
+from rosemarystream._internal.decisions.hashing import (
+    order_candidates,
+    shorten_name,
+)
 from rosemarystream._internal.kernel.service import Service
 from rosemarystream._internal.models.events import (
     OwnersChanged,
@@ -75,17 +78,6 @@
         return self.heartbeat.host
 
 
-class HeartbeatSource:
-    """Parts of a heartbeat that other services fill in."""
-
-    def __init__(self) -> None:
-        self.fill: Callable[[Heartbeat, bool], Heartbeat] = _keep
-
-
-def _keep(heartbeat: Heartbeat, remote: bool) -> Heartbeat:
-    return heartbeat
-
-
 class Membership(Service):
     """Keeps the list of live entry hosts.
 
@@ -99,6 +91,9 @@
         Spans of the failure detector.
     budget : int
         Bytes a second that heartbeats to other data centres may take.
+    fill : callable
+        Completes a heartbeat; its second argument tells whether it goes to
+        other data centres.
     """
 
     name = "membership"
@@ -111,10 +106,11 @@
         seeds: tuple[str, ...],
         times: MembershipTimes,
         budget: int,
+        fill: Callable[[Heartbeat, bool], Heartbeat],
     ) -> None:
         self.me = me
         self.leaving = False
-        self.source = HeartbeatSource()
+        self._fill = fill
         self.times = times
         self._seeds = seeds
         self._budget = budget
@@ -249,7 +245,7 @@
             hosts_version=0,
             loads=(),
         )
-        message = self.source.fill(heartbeat, remote)
+        message = self._fill(heartbeat, remote)
         return [SendMessage(address=a, message=message) for a in addresses]
 
     def note_size(self, size: int) -> None:
@@ -270,6 +266,18 @@
             if record.host.data_centre == centre
         ]
 
+    def is_delegate(self, duty: str, count: int) -> bool:
+        """Tell whether this host is among the few that do a duty.
+
+        Hosts whose lists differ may choose more than `count`; a duty must
+        bear that.
+        """
+        if self.leaving:
+            return False
+        names = [record.host.name for record in self.local_peers() if record.alive]
+        key = f"{duty}:{self.me.data_centre}"
+        return self.me.name in order_candidates(key, [*names, self.me.name])[:count]
+
     def next_deadline(self) -> float | None:
         """Time of the next heartbeat; judgements ride on it."""
         return min(self._local_due, self._remote_due)
--- a/src/rosemarystream/_internal/host.py
+++ b/src/rosemarystream/_internal/host.py
@@ -12,33 +12,25 @@
 from logbook import Logger
 
 from rosemarystream._internal.backends.engine import EngineTimes
+from rosemarystream._internal.backends.orders import OrderSender
 from rosemarystream._internal.backends.poller import ServerPoller
 from rosemarystream._internal.backends.runner import WorkRunner
 from rosemarystream._internal.callers.app import CallerGate, make_caller_app
-from rosemarystream._internal.callers.claiming import ClaimedCalls
+from rosemarystream._internal.callers.claiming import ClaimedCalls, ClaimTimes
 from rosemarystream._internal.callers.exchange import EntryExchange
 from rosemarystream._internal.callers.parsing import CallerLimits, RequestParser
-from rosemarystream._internal.decisions.configuration import Configuration
-from rosemarystream._internal.decisions.dispatching import Dispatching
-from rosemarystream._internal.decisions.loads import GroupLoads
-from rosemarystream._internal.decisions.membership import (
-    Membership,
-    MembershipTimes,
-)
-from rosemarystream._internal.decisions.ownership import Ownership
-from rosemarystream._internal.decisions.recalls import Recalls
-from rosemarystream._internal.decisions.replication import Replication
+from rosemarystream._internal.decisions.core import CoreOptions, DecisionCore
+from rosemarystream._internal.decisions.membership import MembershipTimes
 from rosemarystream._internal.decisions.retries import RetryBudget
-from rosemarystream._internal.decisions.routing import Routing
 from rosemarystream._internal.kernel.kernel import Kernel
 from rosemarystream._internal.metrics import Metrics
-from rosemarystream._internal.models.messages import Heartbeat
-from rosemarystream._internal.models.server import EntryHost
+from rosemarystream._internal.models.server import BackendServer, EntryHost
 from rosemarystream._internal.operators.administration import Administration
 from rosemarystream._internal.operators.app import Operators, make_operator_app
 from rosemarystream._internal.operators.publishing import Publisher
 from rosemarystream._internal.peers.hop import make_hop_app
 from rosemarystream._internal.peers.transport import PeerTransport
+from rosemarystream._internal.platform.caller import PlatformCaller
 from rosemarystream._internal.platform.client import PlatformClient
 from rosemarystream._internal.platform.watcher import PlatformWatcher
 from rosemarystream._internal.server import make_server
@@ -81,16 +73,18 @@
         self.metrics = Metrics(
             address=split_address(statsd) if statsd else None, host=self.me.name
         )
-        self._build_decisions()
+        self.core = DecisionCore(
+            kernel=self.kernel, me=self.me, options=self._make_options()
+        )
         self._build_edges()
         self._servers: list[WSGIServer] = []
         self._loop: gevent.Greenlet | None = None
         self._stopped = gevent.event.Event()
 
-    def _build_decisions(self) -> None:
-        peers = self._settings.peers
-        self.membership = Membership(
-            me=self.me,
+    def _make_options(self) -> CoreOptions:
+        settings = self._settings
+        peers = settings.peers
+        return CoreOptions(
             seeds=tuple(peers["seeds"]),
             times=MembershipTimes(
                 heartbeat=peers["heartbeat_ms"] / 1000,
@@ -98,40 +92,12 @@
                 takeover=peers["takeover_ms"] / 1000,
                 remove=peers["remove_ms"] / 1000,
             ),
-            budget=peers["remote_bytes_per_second"],
-        )
-        self.ownership = Ownership(membership=self.membership)
-        self.configuration = Configuration()
-        self.recalls = Recalls()
-        self.loads = GroupLoads()
-        self.routing = Routing(
-            me=self.me,
-            configuration=self.configuration,
-            recalls=self.recalls,
-            ownership=self.ownership,
-            loads=self.loads,
-        )
-        self.dispatching = Dispatching(
-            me=self.me,
-            configuration=self.configuration,
-            routing=self.routing,
-            ownership=self.ownership,
-            loads=self.loads,
-            queue_limit=self._settings.limits["queue_requests"],
-        )
-        self.replication = Replication(
-            address=self.me.peer_address,
-            configuration=self.configuration,
-            recalls=self.recalls,
-        )
-        self.membership.source.fill = self._fill_heartbeat
-
-    def _fill_heartbeat(self, heartbeat: Heartbeat, remote: bool) -> Heartbeat:
-        return heartbeat._replace(
-            generation=self.configuration.generation,
-            recalls_digest=self.recalls.digest,
-            hosts_version=self.configuration.hosts.version,
-            loads=self.dispatching.report_loads(remote=remote),
+            remote_bytes=peers["remote_bytes_per_second"],
+            queue_limit=settings.limits["queue_requests"],
+            claim_shards=settings.claims["shards"],
+            claim_group=settings.claims["group_ms"] / 1000,
+            lease_span=settings.control["lease_ms"] / 1000,
+            order_flight=settings.control["order_flight_ms"] / 1000,
         )
 
     def _build_edges(self) -> None:
@@ -150,8 +116,8 @@
         self.watcher = PlatformWatcher(
             kernel=self.kernel,
             client=self.client,
-            membership=self.membership,
-            configuration=self.configuration,
+            membership=self.core.membership,
+            configuration=self.core.configuration,
             watchers=settings.platform["watchers"],
             wait=settings.platform["watch_ms"] / 1000,
             hosts_interval=settings.platform["hosts_interval_ms"] / 1000,
@@ -159,50 +125,70 @@
         )
         self.transport = PeerTransport(
             kernel=self.kernel,
-            membership=self.membership,
+            membership=self.core.membership,
             bind_address=settings.host["peer_address"],
             metrics=self.metrics,
             clock=now,
         )
         self.runner = WorkRunner(
             kernel=self.kernel,
-            dispatching=self.dispatching,
-            routing=self.routing,
-            configuration=self.configuration,
+            dispatching=self.core.dispatching,
+            routing=self.core.routing,
+            configuration=self.core.configuration,
             times=times,
             clock=now,
         )
+        self.orders = OrderSender(
+            kernel=self.kernel,
+            reconciliation=self.core.reconciliation,
+            routing=self.core.routing,
+            flight=settings.control["order_flight_ms"] / 1000,
+            clock=now,
+        )
         self.poller = ServerPoller(
             kernel=self.kernel,
-            dispatching=self.dispatching,
+            list_servers=self._list_polled,
             interval=limits["poll_ms"] / 1000,
             clock=now,
         )
         self.exchange = EntryExchange(
-            membership=self.membership,
-            routing=self.routing,
-            loads=self.loads,
+            membership=self.core.membership,
+            routing=self.core.routing,
+            loads=self.core.loads,
             runner=self.runner,
             budget=RetryBudget(ratio=limits["retry_ratio"]),
             times=times,
             metrics=self.metrics,
             clock=now,
         )
+        self.claimed_calls = ClaimedCalls(
+            kernel=self.kernel,
+            claims=self.core.claims,
+            exchange=self.exchange,
+            times=ClaimTimes(
+                wait=settings.claims["wait_ms"] / 1000,
+                retain=settings.claims["retain_ms"] / 1000,
+            ),
+            answer_bytes=settings.claims["answer_bytes"],
+            clock=now,
+        )
+        self.platform_caller = PlatformCaller(
+            kernel=self.kernel, client=self.client, clock=now
+        )
         self._register_services()
         self._build_gate()
 
+    def _list_polled(self, now: float) -> list[BackendServer]:
+        owned = self.core.dispatching.servers_to_poll(now)
+        return owned + self.core.reconciliation.servers_to_poll(now)
+
     def _register_services(self) -> None:
         for service in (
-            self.membership,
-            self.ownership,
-            self.configuration,
-            self.recalls,
-            self.loads,
-            self.routing,
-            self.dispatching,
-            self.replication,
             self.runner,
             self.exchange,
+            self.claimed_calls,
+            self.platform_caller,
+            self.orders,
             self.transport,
             self.poller,
             self.watcher,
@@ -220,14 +206,14 @@
             open_requests=limits["open_requests"],
         )
         parser = RequestParser(
-            configuration=self.configuration,
+            configuration=self.core.configuration,
             limits=caller_limits,
             clock=self._clock.now,
         )
         self.administration = Administration(
             kernel=self.kernel,
-            configuration=self.configuration,
-            recalls=self.recalls,
+            configuration=self.core.configuration,
+            recalls=self.core.recalls,
             publisher=Publisher(client=self.client, make_id=_make_id),
             make_id=_make_id,
             clock=self._clock.now,
@@ -235,7 +221,7 @@
         self.gate = CallerGate(
             parser=parser,
             exchange=self.exchange,
-            claimed_calls=ClaimedCalls(exchange=self.exchange),
+            claimed_calls=self.claimed_calls,
             limits=caller_limits,
             metrics=self.metrics,
             clock=self._clock.now,
@@ -248,9 +234,9 @@
         who owns what.
         """
         return (
-            self.configuration.generation > 0
-            and self.configuration.hosts.version > 0
-            and self.ownership.has_settled(self._clock.now())
+            self.core.configuration.generation > 0
+            and self.core.configuration.hosts.version > 0
+            and self.core.ownership.has_settled(self._clock.now())
         )
 
     def run(self) -> int:
@@ -300,7 +286,7 @@
             return
         log.info("leaving")
         self.gate.leaving = True
-        self.kernel.post(self.membership.set_leaving(), self._clock.now())
+        self.kernel.post(self.core.membership.set_leaving(), self._clock.now())
         gevent.spawn(self._wait_for_work)
 
     def _wait_for_work(self) -> None:
--- a/src/rosemarystream/_internal/models/events.py
+++ b/src/rosemarystream/_internal/models/events.py
@@ -1,10 +1,12 @@
 """Events and actions that the kernel routes between the services."""
 
+from enum import StrEnum
 from typing import Any, NamedTuple
 
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.models.configuration import Manifest
 from rosemarystream._internal.models.messages import RecallSets
+from rosemarystream._internal.models.order import EngineOrder
 from rosemarystream._internal.models.server import HostList, ServerReport
 
 
@@ -109,3 +111,90 @@
     kind: ErrorKind
     message: str
     retry_after: float
+
+
+class CallTag(NamedTuple):
+    """Identifies one call to the platform; its result carries the same tag."""
+
+    service: str
+    name: str
+    number: int
+
+
+class ReadObject(NamedTuple):
+    """Read an object of the platform."""
+
+    tag: CallTag
+    kind: str
+    name: str
+
+
+class WriteObject(NamedTuple):
+    """Write an object of the platform if it has the expected version."""
+
+    tag: CallTag
+    kind: str
+    name: str
+    value: bytes
+    expected: int
+
+
+class ObjectRead(NamedTuple):
+    """An object was read; version 0 and no value if there is none."""
+
+    tag: CallTag
+    version: int
+    value: bytes
+
+
+class ObjectWritten(NamedTuple):
+    """A conditional write took effect."""
+
+    tag: CallTag
+    version: int
+
+
+class ObjectConflict(NamedTuple):
+    """A conditional write named another version; nothing was written."""
+
+    tag: CallTag
+
+
+class ObjectCallFailed(NamedTuple):
+    """A call had no answer; a write may have taken effect."""
+
+    tag: CallTag
+
+
+class ClaimOutcome(StrEnum):
+    """What became of a claim on an idempotency key."""
+
+    GRANTED = "granted"
+    HELD = "held"
+    UNAVAILABLE = "unavailable"
+
+
+class ClaimDecided(NamedTuple):
+    """A claim was decided.
+
+    `status` and `body` are the recorded answer of the request that holds the
+    key; `status` is 0 when there is none.
+    """
+
+    attempt_id: str
+    outcome: ClaimOutcome
+    status: int
+    body: str
+
+
+class SendOrder(NamedTuple):
+    """Send an order to an engine; see `EngineOrder`."""
+
+    server: str
+    order: EngineOrder
+
+
+class OrderRefused(NamedTuple):
+    """An engine refused an order because of its fencing number."""
+
+    server: str
--- /dev/null
+++ b/src/rosemarystream/_internal/platform/caller.py
@@ -0,0 +1,79 @@
+"""Carries out the platform calls that decisions ask for."""
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from rosemarystream._internal.exceptions import PlatformError, VersionConflictError
+from rosemarystream._internal.kernel.kernel import Kernel
+from rosemarystream._internal.kernel.service import Service
+from rosemarystream._internal.models.events import (
+    ObjectCallFailed,
+    ObjectConflict,
+    ObjectRead,
+    ObjectWritten,
+    ReadObject,
+    WriteObject,
+)
+from rosemarystream._internal.platform.client import PlatformClient
+
+
+class PlatformCaller(Service):
+    """Runs each call in a greenlet and posts its one result.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Takes the results.
+    client : PlatformClient
+        Makes the calls.
+    clock : callable
+        Returns the present time in seconds since the epoch.
+    """
+
+    name = "platform_caller"
+    handles = (ReadObject, WriteObject)
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        client: PlatformClient,
+        clock: Callable[[], float],
+    ) -> None:
+        self._kernel = kernel
+        self._client = client
+        self._clock = clock
+        self._running = 0
+
+    def handle(self, event: ReadObject | WriteObject, now: float) -> tuple[()]:
+        """Start a call."""
+        gevent.spawn(self._call, event)
+        return ()
+
+    def _call(self, event: ReadObject | WriteObject) -> None:
+        self._running += 1
+        try:
+            result = self._exchange(event)
+        finally:
+            self._running -= 1
+        self._kernel.post(result, self._clock())
+
+    def _exchange(self, event: ReadObject | WriteObject) -> Any:
+        try:
+            if isinstance(event, ReadObject):
+                stored = self._client.read(event.kind, event.name)
+                return ObjectRead(event.tag, stored.version, stored.value)
+            version = self._client.write(
+                event.kind, event.name, event.value, expected=event.expected
+            )
+            return ObjectWritten(event.tag, version)
+        except VersionConflictError:
+            return ObjectConflict(event.tag)
+        except PlatformError:
+            return ObjectCallFailed(event.tag)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of calls under way."""
+        return {"running": self._running}
--- a/src/rosemarystream/_internal/platform/watcher.py
+++ b/src/rosemarystream/_internal/platform/watcher.py
@@ -8,7 +8,6 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.configuration import Configuration
-from rosemarystream._internal.decisions.hashing import order_candidates
 from rosemarystream._internal.decisions.membership import Membership
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.kernel.kernel import Kernel
@@ -104,10 +103,7 @@
         return ()
 
     def _is_watcher(self) -> bool:
-        me = self._membership.me
-        names = [r.host.name for r in self._membership.local_peers() if r.alive]
-        order = order_candidates(f"watch:{me.data_centre}", [*names, me.name])
-        return me.name in order[: self._watchers]
+        return self._membership.is_delegate("watch", self._watchers)
 
     def _repeat(self, step: Callable[[], float]) -> None:
         while True:
--- a/src/rosemarystream/_internal/settings.py
+++ b/src/rosemarystream/_internal/settings.py
@@ -81,6 +81,7 @@
     shards: NotRequired[Annotated[int, Field(ge=1, le=4096)]]
     retain_ms: NotRequired[Milliseconds]
     group_ms: NotRequired[Milliseconds]
+    wait_ms: NotRequired[Milliseconds]
     answer_bytes: NotRequired[Annotated[int, Field(ge=0, le=65_536)]]
 
 
@@ -156,6 +157,7 @@
         "shards": 16,
         "retain_ms": 3_600_000,
         "group_ms": 10,
+        "wait_ms": 5_000,
         "answer_bytes": 2_048,
     },
     "control": {"lease_ms": 6_000, "order_flight_ms": 2_000, "interval_ms": 1_000},
