Bound every engine's load against its pool's mean, disputes included

Cause: the owner's bound had no property test; written, it failed: reports that lag hid a predecessor's work, shares that round down to nothing held requests for the whole removal span, early heartbeats were missing so that the mean was believed seconds late, and an estimate of the service rate taken while nothing waited refused work that there was room for.

Ruled out: a kinder bound for disputes (one request per disputing host).

Change: others' work on a server is taken at its highest possible count while contested; a new owner trusts only reports newer than others' admissions; heartbeats leave early when loads moved by a quarter; a plan passes over groups that failed before it waits.

--- /dev/null
+++ b/bench/engines.py
@@ -0,0 +1,123 @@
+"""Small fakes of backend servers for the experiments."""
+
+from collections import OrderedDict, deque
+from heapq import heapify, heappop, heappush
+from itertools import count
+from typing import NamedTuple
+
+PREFILL_TOKENS_PER_SECOND = 8_000.0
+SECONDS_PER_TOKEN = 0.04
+REPORT_LAG_SECONDS = 0.3
+
+
+class Job(NamedTuple):
+    """A request as an engine sees it.
+
+    Attributes
+    ----------
+    request_id, chat : str
+        Identity and cache key.
+    prompt_tokens, answer_tokens : int
+        Work to do.
+    priority : int
+        1 is served first.
+    """
+
+    request_id: str
+    chat: str
+    prompt_tokens: int
+    answer_tokens: int
+    priority: int
+
+
+class PrefixCache:
+    """Prompts by chat, least recently used out first; sizes in tokens."""
+
+    def __init__(self, *, limit: int) -> None:
+        self._limit = limit
+        self._sizes: OrderedDict[str, int] = OrderedDict()
+        self._used = 0
+
+    def match(self, chat: str) -> int:
+        """Return how many tokens of a chat are cached."""
+        if chat in self._sizes:
+            self._sizes.move_to_end(chat)
+        return self._sizes.get(chat, 0)
+
+    def store(self, chat: str, tokens: int) -> None:
+        """Remember a chat's tokens and push others out."""
+        self._used += tokens - self._sizes.pop(chat, 0)
+        self._sizes[chat] = tokens
+        while self._used > self._limit and len(self._sizes) > 1:
+            _, size = self._sizes.popitem(last=False)
+            self._used -= size
+
+
+class FakeEngine:
+    """Slots, a limited prefix cache, priorities, and a late load report."""
+
+    def __init__(self, *, name: str, slots: int, cache_tokens: int) -> None:
+        self.name = name
+        self.slots = slots
+        self.cache = PrefixCache(limit=cache_tokens)
+        self.carried = 0
+        self.peak = 0
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self._busy = 0
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._numbers = count()
+        self._history: deque[tuple[float, int]] = deque([(0.0, 0)])
+
+    def take(self, job: Job, now: float) -> Job | None:
+        """Take a job; return it if it starts now, None if it waits."""
+        self._note(1, now)
+        if self._busy < self.slots:
+            self._busy += 1
+            return job
+        heappush(self._waiting, (job.priority, next(self._numbers), job))
+        return None
+
+    def run(self, job: Job) -> tuple[float, float]:
+        """Return seconds to the first token and to the end of a started job."""
+        cached = min(self.cache.match(job.chat), job.prompt_tokens)
+        self.prompt_tokens += job.prompt_tokens
+        self.cached_tokens += cached
+        prefill = (job.prompt_tokens - cached) / PREFILL_TOKENS_PER_SECOND
+        first = prefill + SECONDS_PER_TOKEN
+        return first, prefill + job.answer_tokens * SECONDS_PER_TOKEN
+
+    def finish(self, job: Job, now: float) -> Job | None:
+        """End a job; return the waiting one that starts now, if any."""
+        self.cache.store(job.chat, job.prompt_tokens + job.answer_tokens)
+        self._note(-1, now)
+        return self._start_next()
+
+    def _start_next(self) -> Job | None:
+        self._busy -= 1
+        if not self._waiting:
+            return None
+        self._busy += 1
+        return heappop(self._waiting)[2]
+
+    def abort(self, job: Job, now: float) -> Job | None:
+        """Cancel a job; return the waiting one that starts now, if any."""
+        self._note(-1, now)
+        waiting = [entry for entry in self._waiting if entry[2] == job]
+        if waiting:
+            self._waiting.remove(waiting[0])
+            heapify(self._waiting)
+            return None
+        return self._start_next()
+
+    def _note(self, change: int, now: float) -> None:
+        self.carried += change
+        self.peak = max(self.peak, self.carried)
+        self._history.append((now, self.carried))
+
+    def reported(self, now: float) -> int:
+        """Return the load as it was some moments ago."""
+        horizon = now - REPORT_LAG_SECONDS
+        while len(self._history) > 1 and self._history[1][0] <= horizon:
+            self._history.popleft()
+        return self._history[0][1]
--- a/src/rosemarystream/_internal/backends/engine.py
+++ b/src/rosemarystream/_internal/backends/engine.py
@@ -112,10 +112,7 @@
     while True:
         deadline = min(work.deadline, clock() + wait)
         event = _read_event(exchange, deadline)
-        if event["request_id"] != work.request_id or event["sequence"] != sequence:
-            raise StreamInterruptedError(
-                f"engine {server.name} sent an event of another place or request"
-            )
+        check_place(event, work.request_id, sequence)
         if event.get("end"):
             yield StreamEnd(
                 request_id=work.request_id,
@@ -131,6 +128,18 @@
         wait = times.between_tokens
 
 
+def check_place(event: EngineEvent, request_id: str, sequence: int) -> None:
+    """Refuse an event of another request, or one that is late or too early.
+
+    Raises
+    ------
+    StreamInterruptedError
+        If the event does not continue the stream.
+    """
+    if event["request_id"] != request_id or event["sequence"] != sequence:
+        raise StreamInterruptedError("event of another request or place")
+
+
 def _read_event(exchange: Exchange, deadline: float) -> EngineEvent:
     try:
         line = exchange.read_line(EVENT_SEPARATOR, deadline)
--- a/src/rosemarystream/_internal/decisions/admission.py
+++ b/src/rosemarystream/_internal/decisions/admission.py
@@ -1,5 +1,6 @@
 """Admission at the owner of a server group: bounds, slots, ranks, fairness."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -18,7 +19,9 @@
 from rosemarystream._internal.models.server import ServerReport
 
 RETRY_SECONDS = 1.0
-RATE_SMOOTHING = 0.1
+RATE_INTERVAL_SECONDS = 1.0
+RATE_INTERVALS = 5
+MIN_RATE_INTERVALS = 3
 REPORT_LAG_SECONDS = 1.0
 
 
@@ -33,41 +36,57 @@
         Load of the pool's servers outside this group.
     share : float
         Part of the bounds that this owner may use; below 1 in a dispute.
+    contested : bool
+        Whether another host may be sending work to the group's servers.
     """
 
     pool: Pool
     elsewhere: PoolLoad
     share: float
+    contested: bool
 
 
 class ServerLoad:
-    """Load of one server as its owner sees it."""
+    """Load of one server as its owner sees it.
+
+    A server's own count is late by up to `REPORT_LAG_SECONDS`, so what others
+    run there is known only within limits.
+    """
 
     def __init__(self, *, name: str) -> None:
         self.name = name
         self.running: dict[str, Work] = {}
         self.reported = False
         self.silent = False
-        self.foreign = 0
-        self._peaks: list[tuple[float, int]] = []
+        self.foreign_low = 0
+        self.foreign_high = 0
+        self._counts: list[tuple[float, int]] = [(0.0, 0)]
 
-    @property
-    def carried(self) -> int:
-        """Own requests in progress plus those of other hosts."""
-        return len(self.running) + self.foreign
+    def carried(self, *, contested: bool) -> int:
+        """Return own requests plus those of others.
+
+        When others may be sending work too, the highest possible count of
+        theirs is taken, otherwise the lowest.
+        """
+        foreign = self.foreign_high if contested else self.foreign_low
+        return len(self.running) + foreign
 
     def note_change(self, now: float) -> None:
         """Remember the own count, to tell it from others' in a late report."""
-        horizon = now - REPORT_LAG_SECONDS
-        self._peaks = [peak for peak in self._peaks if peak[0] >= horizon]
-        self._peaks.append((now, len(self.running)))
+        self._counts.append((now, len(self.running)))
+        self._forget_before(now - REPORT_LAG_SECONDS)
+
+    def _forget_before(self, horizon: float) -> None:
+        later = [i for i, (time, _) in enumerate(self._counts) if time > horizon]
+        first = later[0] if later else len(self._counts)
+        del self._counts[: max(0, first - 1)]
 
     def learn(self, report: ServerReport, asked_at: float) -> None:
         """Take the server's own count, which is some moments old."""
-        horizon = asked_at - REPORT_LAG_SECONDS
-        own = [count for time, count in self._peaks if time >= horizon]
-        own.append(len(self.running))
-        self.foreign = max(0, report.running - max(own))
+        self._forget_before(asked_at - REPORT_LAG_SECONDS)
+        own = [count for _, count in self._counts]
+        self.foreign_low = max(0, report.running - max(own))
+        self.foreign_high = max(0, report.running - min(own))
         self.reported = True
         self.silent = False
 
@@ -96,8 +115,8 @@
         weigh: Callable[[str], float],
     ) -> None:
         self.name = name
-        self.local_floor = FloorTracker()
-        self.remote_floor = FloorTracker()
+        self._local_floor = FloorTracker()
+        self._remote_floor = FloorTracker()
         self._loads: dict[str, ServerLoad] = {}
         self._serving: tuple[str, ...] = ()
         self._places: dict[str, str] = {}
@@ -105,7 +124,8 @@
         self._weigh = weigh
         self._ranks = ranks
         self._queue = RankScheduler(ranks=ranks, limit=queue_limit, weigh=weigh)
-        self._cost_rate = 0.0
+        self._trust_after = 0.0
+        self._rates: deque[float] = deque(maxlen=RATE_INTERVALS)
         self._rate_since: float | None = None
         self._rate_cost = 0.0
 
@@ -119,6 +139,11 @@
         """Serving servers that answer polls; all of them before the first."""
         return sum(1 for name in self._serving if not self._loads[name].silent)
 
+    @property
+    def sees_others(self) -> bool:
+        """Whether a server reports work that is certainly not this host's."""
+        return any(self._loads[name].foreign_low > 0 for name in self._serving)
+
     @property
     def queued(self) -> int:
         """Requests that wait."""
@@ -129,6 +154,10 @@
         """Names of the servers that take new work."""
         return self._serving
 
+    def tracker(self, *, remote: bool) -> FloorTracker:
+        """Return the tracker of the floor for one audience."""
+        return self._remote_floor if remote else self._local_floor
+
     def set_ranks(self, ranks: tuple[Rank, ...]) -> None:
         """Put other ranks in force; waiting requests keep their order."""
         if ranks == self._ranks:
@@ -150,9 +179,15 @@
             if name not in self._serving and not self._loads[name].running:
                 del self._loads[name]
 
+    def take_over(self, now: float) -> None:
+        """Start as the owner: reports have to be newer than others' work."""
+        self._trust_after = now + REPORT_LAG_SECONDS
+        for load in self._loads.values():
+            load.reported = False
+
     def learn_report(self, server: str, report: ServerReport, asked_at: float) -> None:
         """Take what a server says of its load."""
-        if server in self._loads:
+        if server in self._loads and asked_at >= self._trust_after:
             self._loads[server].learn(report, asked_at)
 
     def learn_silence(self, server: str) -> None:
@@ -172,7 +207,7 @@
         """
         if work.deadline <= now:
             return [self._refuse(work, ErrorKind.DEADLINE, "deadline has passed")]
-        if not self._serving or context.share <= 0:
+        if not self._may_serve(context):
             return [self._refuse(work, ErrorKind.NO_BACKEND, "no serving server")]
         if not self._queue:
             server = self._pick_server(work, context)
@@ -182,6 +217,10 @@
             return [self._refuse(work, ErrorKind.OVERLOADED, "group is busy")]
         return self._enqueue(work, now)
 
+    def _may_serve(self, context: AdmissionContext) -> bool:
+        # A share that rounds down to nothing is no reason to wait here.
+        return bool(self._serving) and self._limit_server(context) > 0
+
     def _enqueue(self, work: Work, now: float) -> list[Any]:
         wait = self.expected_wait(work.rank)
         if now + wait >= work.deadline:
@@ -194,9 +233,9 @@
 
     def expected_wait(self, rank: str) -> float:
         """Return the seconds that a new request of a rank is likely to wait."""
-        if self._cost_rate <= 0:
+        if len(self._rates) < MIN_RATE_INTERVALS:
             return 0.0
-        return self._queue.cost_ahead(rank) / self._cost_rate
+        return self._queue.cost_ahead(rank) / max(self._rates)
 
     def _refuse(
         self, work: Work, kind: ErrorKind, message: str, wait: float = RETRY_SECONDS
@@ -217,21 +256,24 @@
 
     def _note_change(self, load: ServerLoad, now: float) -> None:
         load.note_change(now)
-        self.local_floor.update(self.running)
-        self.remote_floor.update(self.running)
+        self._local_floor.update(self.running)
+        self._remote_floor.update(self.running)
 
     def _pick_server(self, work: Work, context: AdmissionContext) -> str | None:
         limit = self._limit_server(context)
         usable = [
             name
             for name in self._serving
-            if self._loads[name].reported and self._loads[name].carried < limit
+            if self._is_free(self._loads[name], limit, context.contested)
         ]
         if not usable:
             return None
         heard = [name for name in usable if not self._loads[name].silent]
         return self._prefer_server(work, heard or usable)
 
+    def _is_free(self, load: ServerLoad, limit: int, contested: bool) -> bool:
+        return load.reported and load.carried(contested=contested) < limit
+
     def _prefer_server(self, work: Work, usable: list[str]) -> str:
         if work.hint is not None and work.hint.server in usable:
             return work.hint.server
@@ -265,17 +307,20 @@
             del self._loads[server]
 
     def _measure_rate(self, cost: int, now: float) -> None:
+        # Only while requests wait does the throughput show the capacity.
+        if not self._queue:
+            self._rate_since = None
+            return
         if self._rate_since is None:
             self._rate_since = now
+            self._rate_cost = 0.0
+            return
         self._rate_cost += cost
         elapsed = now - self._rate_since
-        if elapsed < RETRY_SECONDS:
-            return
-        rate = self._rate_cost / elapsed
-        weight = RATE_SMOOTHING if self._cost_rate else 1.0
-        self._cost_rate += weight * (rate - self._cost_rate)
-        self._rate_since = now
-        self._rate_cost = 0.0
+        if elapsed >= RATE_INTERVAL_SECONDS:
+            self._rates.append(self._rate_cost / elapsed)
+            self._rate_since = now
+            self._rate_cost = 0.0
 
     def cancel(self, request_id: str, now: float) -> None:
         """Forget a request, whether it waits or runs."""
@@ -290,7 +335,7 @@
             self._refuse(work, ErrorKind.DEADLINE, "waited until the deadline")
             for work in self._queue.remove_expired(now)
         ]
-        if not self._serving or context.share <= 0:
+        if not self._may_serve(context):
             actions.extend(self.refuse_waiting())
             return actions
         while len(self._queue):
@@ -314,8 +359,8 @@
         return {
             "serving": list(self._serving),
             "running": {n: len(load.running) for n, load in self._loads.items()},
-            "foreign": {n: load.foreign for n, load in self._loads.items()},
+            "foreign": {n: load.foreign_high for n, load in self._loads.items()},
             "silent": [n for n, load in self._loads.items() if load.silent],
             "queued": self._queue.dump(),
-            "cost_rate": round(self._cost_rate, 1),
+            "cost_rate": round(max(self._rates, default=0.0), 1),
         }
--- a/src/rosemarystream/_internal/decisions/balance.py
+++ b/src/rosemarystream/_internal/decisions/balance.py
@@ -6,6 +6,7 @@
 
 MIN_BOUND = 1
 FLOOR_SAMPLES = 2
+NEWS_CHANGE = 0.25
 _ROUNDING_SLACK = 1e-9
 
 
@@ -48,6 +49,13 @@
     def __init__(self) -> None:
         self._current = 0
         self._floor = 0
+        self._taken = 0
+
+    @property
+    def has_moved(self) -> bool:
+        """Whether the value has changed much since it was last read."""
+        change = abs(self._current - self._taken)
+        return change >= max(1, self._taken * NEWS_CHANGE)
 
     def update(self, value: int) -> None:
         """Record a new value of the counter."""
@@ -56,9 +64,9 @@
 
     def take(self) -> int:
         """Return the floor and start anew from the present value."""
-        taken = self._floor
-        self._floor = self._current
-        return taken
+        floor = self._floor
+        self._floor = self._taken = self._current
+        return floor
 
 
 class BelievedCount:
--- a/src/rosemarystream/_internal/decisions/core.py
+++ b/src/rosemarystream/_internal/decisions/core.py
@@ -76,6 +76,7 @@
             times=options.times,
             budget=options.remote_bytes,
             fill=self._fill_heartbeat,
+            has_news=self._has_news,
         )
         self.ownership = Ownership(membership=self.membership)
         self.configuration = Configuration()
@@ -128,6 +129,9 @@
             loads=self.dispatching.report_loads(remote=remote),
         )
 
+    def _has_news(self, remote: bool) -> bool:
+        return self.dispatching.has_news(remote=remote)
+
     def _register(self, kernel: Kernel) -> None:
         # Order matters: who learns an event first decides on fresh state.
         for service in (
--- a/src/rosemarystream/_internal/decisions/dispatching.py
+++ b/src/rosemarystream/_internal/decisions/dispatching.py
@@ -31,6 +31,8 @@
 from rosemarystream._internal.models.server import BackendServer, EntryHost
 
 RETRY_INTERVAL_SECONDS = 0.05
+TAKE_OVER_SECONDS = 0.5
+NEVER = float("-inf")
 
 
 class Dispatching(Service):
@@ -76,6 +78,7 @@
         self._groups: dict[GroupName, GroupAdmission] = {}
         self._places: dict[str, GroupName] = {}
         self._due = 0.0
+        self._idle_since: dict[GroupName, float] = {}
 
     def handle(self, event: Any, now: float) -> Iterable[Any]:
         """Follow changes and grant what has become possible."""
@@ -83,8 +86,13 @@
             return self._learn_server(event, now)
         if not isinstance(event, Heartbeat):
             self._update_groups()
+            self._note_shares(now)
         return self._dispatch_all(now)
 
+    def _note_shares(self, now: float) -> None:
+        for name in self._groups:
+            self._note_share(name, self._ownership.share(str(name), now), now)
+
     def _learn_server(
         self, event: ServerReported | ServerSilent, now: float
     ) -> Iterable[Any]:
@@ -108,6 +116,7 @@
             group = self._groups.get(name)
             if group is None:
                 group = self._groups[name] = self._make_group(name)
+                self._idle_since[name] = NEVER
             group.set_ranks(self._configuration.ranks)
             group.set_serving(
                 server.name for server in members if self._routing.is_serving(server)
@@ -118,6 +127,7 @@
             group.set_serving(())
             if not group.running and not group.queued:
                 del self._groups[name]
+                self._idle_since.pop(name, None)
 
     def _make_group(self, name: GroupName) -> GroupAdmission:
         return GroupAdmission(
@@ -186,12 +196,28 @@
         return actions
 
     def _context(self, group: GroupName, pool: Pool, now: float) -> AdmissionContext:
+        share = self._ownership.share(str(group), now)
+        self._note_share(group, share, now)
         return AdmissionContext(
             pool=pool,
             elsewhere=self._elsewhere(group, now),
-            share=self._ownership.share(str(group), now),
+            share=share,
+            contested=share < 1 or self._is_contested(group, now),
         )
 
+    def _note_share(self, group: GroupName, share: float, now: float) -> None:
+        # Whoever was no owner for a while does not know what others sent.
+        if share <= 0:
+            self._idle_since.setdefault(group, now)
+            return
+        since = self._idle_since.pop(group, now)
+        if now - since >= TAKE_OVER_SECONDS:
+            self._groups[group].take_over(now)
+
+    def _is_contested(self, group: GroupName, now: float) -> bool:
+        reported = self._loads.pressure(group, now).running > 0
+        return reported or self._groups[group].sees_others
+
     def _elsewhere(self, group: GroupName, now: float) -> PoolLoad:
         # Servers of a data centre with no live host are out of reach, so
         # neither their load nor their number belongs to the mean.
@@ -243,6 +269,12 @@
             if self._is_reported(name, group)
         )
 
+    def has_news(self, *, remote: bool) -> bool:
+        """Tell whether a load has changed much since it was last reported."""
+        return any(
+            group.tracker(remote=remote).has_moved for group in self._groups.values()
+        )
+
     def _is_reported(self, name: GroupName, group: GroupAdmission) -> bool:
         is_owner = self._routing.find_owner(name) == self._me.name
         return is_owner or group.running > 0
@@ -250,11 +282,10 @@
     def _report(
         self, name: GroupName, group: GroupAdmission, *, remote: bool
     ) -> GroupLoad:
-        tracker = group.remote_floor if remote else group.local_floor
         return GroupLoad(
             group=str(name),
             servers=group.answering,
-            running_floor=tracker.take(),
+            running_floor=group.tracker(remote=remote).take(),
             running=group.running,
             queued=group.queued,
         )
--- a/src/rosemarystream/_internal/decisions/membership.py
+++ b/src/rosemarystream/_internal/decisions/membership.py
@@ -22,6 +22,8 @@
 from rosemarystream._internal.models.server import EntryHost
 
 MAX_HOSTS = 4096
+NEWS_FRACTION = 0.2
+LOOK_SECONDS = 0.05
 
 
 class HostState(StrEnum):
@@ -94,6 +96,9 @@
     fill : callable
         Completes a heartbeat; its second argument tells whether it goes to
         other data centres.
+    has_news : callable
+        Tells whether loads have changed much since the last heartbeat to this
+        data centre, or to others when its argument is true.
     """
 
     name = "membership"
@@ -107,10 +112,12 @@
         times: MembershipTimes,
         budget: int,
         fill: Callable[[Heartbeat, bool], Heartbeat],
+        has_news: Callable[[bool], bool],
     ) -> None:
         self.me = me
         self.leaving = False
         self._fill = fill
+        self._has_news = has_news
         self.times = times
         self._seeds = seeds
         self._budget = budget
@@ -118,6 +125,9 @@
         self._sequence = 0
         self._local_due = 0.0
         self._remote_due = 0.0
+        self._local_soonest = 0.0
+        self._remote_soonest = 0.0
+        self._looked_at = 0.0
         self._last_size = 0
         self.started_at: float | None = None
 
@@ -165,16 +175,26 @@
         actions: list[Any] = []
         if self._judge(now):
             actions.append(self._change_owners())
+        self._looked_at = now
         actions.extend(self._redial_silent(now))
-        if now >= self._local_due:
+        if self._is_due(self._local_due, self._local_soonest, now, remote=False):
             self._local_due = now + self.times.heartbeat
+            self._local_soonest = now + self.times.heartbeat * NEWS_FRACTION
             actions.extend(self._beat(self._local_addresses(), remote=False))
-        if now >= self._remote_due:
+        if self._is_due(self._remote_due, self._remote_soonest, now, remote=True):
             addresses = self._remote_addresses()
+            spending = self._spending(len(addresses))
+            self._remote_due = now + max(self.times.heartbeat, spending)
+            shortest = self.times.heartbeat * NEWS_FRACTION
+            self._remote_soonest = now + max(shortest, spending)
             actions.extend(self._beat(addresses, remote=True))
-            self._remote_due = now + self._remote_interval(len(addresses))
         return actions
 
+    def _is_due(self, due: float, soonest: float, now: float, *, remote: bool) -> bool:
+        # Loads that have changed much are told early: others' bounds rest on
+        # them, and a load that has fallen must not be believed for long.
+        return now >= due or (now >= soonest and self._has_news(remote))
+
     def _redial_silent(self, now: float) -> list[Redial]:
         # A connection can go silent while new ones work: the peer does not
         # hear this host although messages leave without an error.
@@ -224,15 +244,15 @@
             if record.host.data_centre != self.me.data_centre
         ]
 
-    def _remote_interval(self, hosts: int) -> float:
-        spending = hosts * self._last_size / max(1, self._budget)
-        return max(self.times.heartbeat, spending)
+    def _spending(self, hosts: int) -> float:
+        """Return the seconds of budget that one heartbeat to hosts costs."""
+        return hosts * self._last_size / max(1, self._budget)
 
     def _beat(self, addresses: list[str], *, remote: bool) -> list[SendMessage]:
         self._sequence += 1
         interval = self.times.heartbeat
         if remote:
-            interval = self._remote_interval(len(addresses))
+            interval = max(interval, self._spending(len(addresses)))
         span = interval * self.times.suspect / self.times.heartbeat
         heartbeat = Heartbeat(
             host=self.me,
@@ -279,8 +299,12 @@
         return self.me.name in order_candidates(key, [*names, self.me.name])[:count]
 
     def next_deadline(self) -> float | None:
-        """Time of the next heartbeat; judgements ride on it."""
-        return min(self._local_due, self._remote_due)
+        """Time of the next look at loads and silent hosts."""
+        return min(
+            self._local_due,
+            self._remote_due,
+            max(self._local_soonest, self._looked_at + LOOK_SECONDS),
+        )
 
     def peers(self) -> list[PeerRecord]:
         """Return what is known of all other hosts."""
--- a/src/rosemarystream/_internal/decisions/offering.py
+++ b/src/rosemarystream/_internal/decisions/offering.py
@@ -75,9 +75,10 @@
         self._order = order
         self._is_waiting = is_waiting
         self._spend = spend
-        self._refused: set[GroupName] = set()
+        self._busy: set[GroupName] = set()
+        self._failed: set[GroupName] = set()
         self._tries = 0
-        self._pause = 0.0
+        self._rounds = 0
 
     def next_offer(self, now: float) -> Offer | None:
         """Return the next offer, or None when there is nowhere to go."""
@@ -86,42 +87,47 @@
         groups = self._order()
         if not groups:
             return None
-        pause, self._pause = self._pause, 0.0
+        pause = 0.0
+        if self._failed.issuperset(groups):
+            pause = self._start_round()
         group = self._pick_spill(groups)
         if group is not None:
             return Offer(group=group, may_queue=False, pause=pause)
         return Offer(group=self._pick_queue(groups), may_queue=True, pause=pause)
 
+    def _start_round(self) -> float:
+        # Every group failed: wait a little, longer each time, and start anew.
+        self._busy.clear()
+        self._failed.clear()
+        self._rounds += 1
+        pause = FIRST_PAUSE_SECONDS * 2 ** (self._rounds - 1)
+        return min(MAX_PAUSE_SECONDS, pause)
+
     def _pick_spill(self, groups: list[GroupName]) -> GroupName | None:
         if len(groups) == 1:
             return None
+        passed_over = self._busy | self._failed
         for group in groups[:SPILL_GROUPS]:
-            if group not in self._refused and not self._is_waiting(group):
+            if group not in passed_over and not self._is_waiting(group):
                 return group
         return None
 
     def _pick_queue(self, groups: list[GroupName]) -> GroupName:
-        idle = (group for group in groups if not self._is_waiting(group))
-        return next(idle, groups[0])
+        usable = [group for group in groups if group not in self._failed]
+        idle = (group for group in usable if not self._is_waiting(group))
+        return next(idle, usable[0])
 
     def note_failure(self, offer: Offer, kind: ErrorKind, now: float) -> bool:
         """Take that an offer failed; return whether to make another one."""
         if kind is ErrorKind.OVERLOADED and not offer.may_queue:
-            self._refused.add(offer.group)
+            self._busy.add(offer.group)
             return True
         if kind not in _ELSEWHERE_KINDS or not self._is_safe(kind):
             return False
         self._tries += 1
-        if self._tries > 1 or kind is not ErrorKind.NOT_OWNER:
-            self._pause = self._next_pause()
-        self._refused.clear()
-        if now + self._pause >= self._deadline:
-            return False
+        self._failed.add(offer.group)
         return self._ran_nothing(kind) or self._spend()
 
-    def _next_pause(self) -> float:
-        return min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** (self._tries - 1))
-
     def _is_safe(self, kind: ErrorKind) -> bool:
         return self._idempotent or self._ran_nothing(kind)
 
--- a/src/rosemarystream/_internal/settings.py
+++ b/src/rosemarystream/_internal/settings.py
@@ -136,7 +136,7 @@
         "heartbeat_ms": 1_000,
         "suspect_ms": 2_500,
         "takeover_ms": 500,
-        "remove_ms": 10_000,
+        "remove_ms": 3_000,
         "remote_bytes_per_second": 1_500,
     },
     "limits": {
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,9 @@
 _FIRST_PORT = 20_000 + (os.getpid() % 200) * 200
 _PORTS = itertools.count(_FIRST_PORT)
 
+HOST_PROGRAM = os.environ.get(
+    "ROSEMARYSTREAM_PROGRAM", f"{sys.executable} -m rosemarystream"
+).split()
 FAST_TIMES = {
     "peers": {
         "heartbeat_ms": 200,
@@ -127,7 +130,7 @@
 
     def __init__(self, *, settings: dict[str, Any], log: Path, file: Path):
         address = settings["host"]["caller_address"]
-        arguments = [sys.executable, "-m", "rosemarystream", "serve"]
+        arguments = [*HOST_PROGRAM, "serve"]
         super().__init__(
             name=settings["host"]["name"],
             arguments=[*arguments, "--settings", str(file)],
@@ -237,6 +240,13 @@
         )
         return ProxyHandle(process, f"127.0.0.1:{control_port}")
 
+    def proxy_server(self, name: str) -> "ProxyHandle":
+        """Put a fault proxy before a server on the host list."""
+        row = self.servers[name]
+        proxy = self.add_proxy(f"proxy-{name}", row["address"])
+        row["address"] = proxy.address
+        return proxy
+
     def publish_hosts(self, lag_ms: int = 0) -> None:
         """Put the listed servers on the platform's host list."""
         self.platform.wait_open()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 from hypothesis import HealthCheck, settings
 
+from tests.lib.switches import apply_switch
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 settings.register_profile(
@@ -14,6 +16,7 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile("ci")
+apply_switch()
 
 
 def pytest_collection_modifyitems(config, items):
--- /dev/null
+++ b/tests/lib/switches.py
@@ -0,0 +1,172 @@
+"""Switches mechanisms off, to show that the tests need them.
+
+``SWITCH_OFF=NAME`` in the environment takes effect in pytest and, through
+``python -m tests.lib.switched_host``, in host processes.
+"""
+
+import os
+import sys
+
+
+def ignore_bound():
+    from rosemarystream._internal.decisions.admission import GroupAdmission
+
+    GroupAdmission._limit_server = lambda self, context: context.pool.slots
+
+
+def ignore_disputes():
+    from rosemarystream._internal.decisions.ownership import Ownership
+
+    def share(self, group, now):
+        me = self._membership.me
+        return float(self.owner(group, me.data_centre) == me.name)
+
+    Ownership.share = share
+
+
+def resume_from_start():
+    from rosemarystream._internal.callers import exchange
+
+    def number(work, attempt, turn, generated):
+        return work._replace(request_id=f"{work.request_id}.{attempt}")
+
+    exchange._number_attempt = number
+
+
+def accept_any_frame():
+    from rosemarystream._internal.backends import engine
+
+    def check(*args):
+        return None
+
+    engine.check_place = check
+
+
+def call_everything_not_run():
+    from rosemarystream._internal.exceptions import ErrorKind
+    from rosemarystream._internal.utils.http import ExchangeError
+
+    ExchangeError.default_kind = ErrorKind.BACKEND_REFUSED
+
+
+def skip_claims():
+    from rosemarystream._internal.callers.claiming import ClaimedCalls
+
+    ClaimedCalls.call = lambda self, work, key: self._exchange.call(work)
+
+
+def believe_unanswered_writes():
+    from rosemarystream._internal.decisions.claims import ClaimShard
+    from rosemarystream._internal.models.events import ObjectWritten
+
+    def believe(self, now):
+        if not self._written:
+            return []
+        event = ObjectWritten(None, (self._version or 0) + 1)
+        return self.learn_written(event, now)
+
+    ClaimShard.learn_failure = believe
+
+
+def forget_recalls():
+    from rosemarystream._internal.decisions.recalls import Recalls
+
+    Recalls.find_recall = lambda self, server: None
+
+
+def keep_recalls_local():
+    from rosemarystream._internal.decisions.recalls import Recalls
+
+    Recalls.digest = property(lambda self: 0)
+
+
+def stop_at_once():
+    from rosemarystream._internal.host import HostProcess
+
+    HostProcess.leave = lambda self: self._stopped.set()
+
+
+def accept_older_configuration():
+    from rosemarystream._internal.decisions.configuration import Configuration
+
+    def learn(self, manifest):
+        if manifest.generation == self.manifest.generation:
+            return []
+        self._pending = manifest
+        return self._advance()
+
+    Configuration._learn_manifest = learn
+
+
+def write_unconditionally():
+    from rosemarystream._internal.platform.client import PlatformClient
+
+    write = PlatformClient.write
+
+    def overwrite(self, kind, name, value, *, expected):
+        current = self.read(kind, name).version
+        return write(self, kind, name, value, expected=current)
+
+    PlatformClient.write = overwrite
+
+
+def act_without_lease():
+    from rosemarystream._internal.decisions.leases import Lease
+
+    Lease.holds = lambda self, now: True
+    Lease.fence = property(lambda self: 1)
+
+
+def serve_first_come():
+    from rosemarystream._internal.decisions.queueing import RankScheduler
+
+    def pick(self):
+        heads = [q.peek() for q in self._queues.values() if len(q)]
+        first = min(heads, key=lambda work: work.request_id, default=None)
+        return None if first is None else first.rank
+
+    RankScheduler._pick_rank = pick
+
+
+def ignore_costs():
+    from rosemarystream._internal.decisions.queueing import FairQueue
+
+    def push_first(self, work):
+        self._append(work._replace(workspace="everybody"))
+        if self._size <= self._limit:
+            return None
+        from rosemarystream._internal.decisions.queueing import Dropped
+
+        return Dropped(work=self._drop_from_largest())
+
+    FairQueue.push = push_first
+
+
+SWITCHES = {
+    function.__name__: function
+    for function in (
+        ignore_bound,
+        ignore_disputes,
+        resume_from_start,
+        accept_any_frame,
+        call_everything_not_run,
+        skip_claims,
+        believe_unanswered_writes,
+        forget_recalls,
+        keep_recalls_local,
+        stop_at_once,
+        accept_older_configuration,
+        write_unconditionally,
+        act_without_lease,
+        serve_first_come,
+        ignore_costs,
+    )
+}
+
+
+def apply_switch():
+    """Switch off what the environment names."""
+    name = os.environ.get("SWITCH_OFF")
+    if name:
+        SWITCHES[name]()
+        print(f"switched off: {name}", file=sys.stderr)
