Prove the guarantees with real processes behind fault proxies

Writing the features found: a lift at a host that has not heard of the recall was refused; recalls given in an outage were never stored; a host that could be heard but not reached was offered the same request again until the budget ran out; a disputed owner was never passed over by its own entry side; the operator address opened after the caller address.

Ruled out: the ledger stand-in's six runs with a cut head were its server library taking a cut request for a whole one; the stand-in refuses them now, and its fault proxy can spare the polls, so that the cuts hit the calls.

--- a/bench/world.py
+++ b/bench/world.py
@@ -349,14 +349,16 @@
         self.schedule.after(pause, lambda: self._arrive(attempt))
 
     def _hop_delay(self, entry: DrivenHost, group: GroupName) -> float:
-        owner = entry.core.routing.find_owner(group)
+        owner = entry.core.routing.pick_owner(group, self.now)
         return 0.0 if owner == entry.me.name else self.delay
 
     def _arrive(self, attempt: Attempt) -> None:
         group = attempt.offer.group
-        name = attempt.entry.core.routing.find_owner(group)
+        routing = attempt.entry.core.routing
+        name = routing.pick_owner(group, self.now)
         owner = None if name is None else self.hosts.get(name)
         if owner is None:
+            routing.avoidance.note_unreachable(name or "", self.now)
             self._fail(attempt, ErrorKind.NO_BACKEND)
             return
         number = next(self._numbers)
@@ -374,6 +376,10 @@
         if attempt is None or not owner.alive:
             return
         if isinstance(event, WorkRefused):
+            if event.kind is ErrorKind.NOT_OWNER:
+                attempt.entry.core.routing.avoidance.note_not_owner(
+                    str(attempt.offer.group), owner.me.name, self.now
+                )
             self._fail(attempt, event.kind)
             return
         engine = self.engines[event.server]
--- a/src/rosemarystream/_internal/callers/exchange.py
+++ b/src/rosemarystream/_internal/callers/exchange.py
@@ -27,6 +27,7 @@
     TurnBody,
     Work,
 )
+from rosemarystream._internal.models.server import EntryHost
 from rosemarystream._internal.peers.hop import forward_work
 
 log = Logger(__name__)
@@ -138,33 +139,42 @@
 
     def _offer(self, work: Work, offer: Offer) -> Iterator[Any]:
         """Yield the frames of one offer; return its failure, or None."""
+        name = self._routing.pick_owner(offer.group, self._clock())
+        owner = None if name is None else self._membership.find_host(name)
+        if owner is None:
+            return _no_backend(work)
         try:
-            for frame in self._send(work, offer):
+            for frame in self._send(work, offer, owner):
                 if isinstance(frame, StreamFailure):
+                    self._note_refusal(frame, offer, owner)
                     return frame
                 if isinstance(frame, Token | StreamEnd | CallResult):
                     yield frame
             return None
         except RosemarystreamError as error:
-            log.notice("offer failed: {}", error)
+            log.notice("offer failed: {}", error, extra={"owner": owner.name})
+            now = self._clock()
+            self._routing.avoidance.note_unreachable(owner.name, now)
             return describe_failure(work.request_id, error)
 
-    def _send(self, work: Work, offer: Offer) -> Iterator[Any]:
-        name = self._routing.find_owner(offer.group)
-        owner = None if name is None else self._membership.find_host(name)
-        if owner is None:
-            yield _no_backend(work)
-            return
+    def _note_refusal(
+        self, failure: StreamFailure, offer: Offer, owner: EntryHost
+    ) -> None:
+        if failure.kind == ErrorKind.NOT_OWNER:
+            self._routing.avoidance.note_not_owner(
+                str(offer.group), owner.name, self._clock()
+            )
+
+    def _send(self, work: Work, offer: Offer, owner: EntryHost) -> Iterator[Any]:
         if owner == self._membership.me:
-            yield from self._runner.run(work, offer.group, may_queue=offer.may_queue)
-            return
+            return self._runner.run(work, offer.group, may_queue=offer.may_queue)
         hop = Hop(
             work=work,
             group=str(offer.group),
             may_queue=offer.may_queue,
             remaining_ms=int((work.deadline - self._clock()) * 1000),
         )
-        yield from forward_work(
+        return forward_work(
             hop, address=owner.hop_address, times=self._times, clock=self._clock
         )
 
--- a/src/rosemarystream/_internal/decisions/ownership.py
+++ b/src/rosemarystream/_internal/decisions/ownership.py
@@ -63,12 +63,14 @@
             names.append(membership.me.name)
         return names
 
+    def live_order(self, group: str, data_centre: str) -> list[str]:
+        """Return the live candidates of a group, the owner first."""
+        order = self.order(group, data_centre)
+        return [name for name in order if self._membership.is_alive(name)]
+
     def owner(self, group: str, data_centre: str) -> str | None:
         """Return the first live candidate of a group, or None."""
-        for name in self.order(group, data_centre):
-            if self._membership.is_alive(name):
-                return name
-        return None
+        return next(iter(self.live_order(group, data_centre)), None)
 
     def share(self, group: str, now: float) -> float:
         """Return the part of a local group's bounds that this host may use.
--- a/src/rosemarystream/_internal/decisions/routing.py
+++ b/src/rosemarystream/_internal/decisions/routing.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from rosemarystream._internal.decisions.avoidance import Avoidance
 from rosemarystream._internal.decisions.configuration import Configuration
 from rosemarystream._internal.decisions.grouping import GroupName, group_servers
 from rosemarystream._internal.decisions.hashing import pick_candidate
@@ -48,6 +49,7 @@
         self._recalls = recalls
         self._ownership = ownership
         self._loads = loads
+        self.avoidance = Avoidance()
         self._groups: dict[GroupName, tuple[BackendServer, ...]] = {}
         self._group_of: dict[str, GroupName] = {}
         self._servers: dict[str, BackendServer] = {}
@@ -127,9 +129,18 @@
         preferred = hint.server if hint else pick_candidate(work.affinity, names)
         first = None if preferred is None else self._group_of[preferred]
         return sorted(
-            reachable, key=lambda group: (group != first, *self._rank(group, now))
+            reachable,
+            key=lambda group: (
+                self._is_avoided(group, now),
+                group != first,
+                *self._rank(group, now),
+            ),
         )
 
+    def _is_avoided(self, group: GroupName, now: float) -> bool:
+        owner = self.pick_owner(group, now)
+        return owner is None or self.avoidance.avoids(str(group), owner, now)
+
     def _rank(self, group: GroupName, now: float) -> tuple[Any, ...]:
         pressure = self._loads.pressure(group, now)
         is_remote = group.data_centre != self._me.data_centre
@@ -139,6 +150,13 @@
         """Return the live host that owns a group, or None."""
         return self._ownership.owner(str(group), group.data_centre)
 
+    def pick_owner(self, group: GroupName, now: float) -> str | None:
+        """Return the host to send to: the owner, unless it failed just now."""
+        name = str(group)
+        live = self._ownership.live_order(name, group.data_centre)
+        usable = (host for host in live if not self.avoidance.avoids(name, host, now))
+        return next(usable, live[0] if live else None)
+
     def dump(self) -> dict[str, Any]:
         """Return the groups with their servers and owners."""
         return {
--- a/src/rosemarystream/_internal/host.py
+++ b/src/rosemarystream/_internal/host.py
@@ -32,6 +32,7 @@
 from rosemarystream._internal.peers.transport import PeerTransport
 from rosemarystream._internal.platform.caller import PlatformCaller
 from rosemarystream._internal.platform.client import PlatformClient
+from rosemarystream._internal.platform.recall_keeper import RecallKeeper
 from rosemarystream._internal.platform.watcher import PlatformWatcher
 from rosemarystream._internal.server import make_server
 from rosemarystream._internal.settings import Settings
@@ -175,6 +176,14 @@
         self.platform_caller = PlatformCaller(
             kernel=self.kernel, client=self.client, clock=now
         )
+        self.publisher = Publisher(client=self.client, make_id=_make_id)
+        self.recall_keeper = RecallKeeper(
+            kernel=self.kernel,
+            membership=self.core.membership,
+            recalls=self.core.recalls,
+            publisher=self.publisher,
+            clock=now,
+        )
         self._register_services()
         self._build_gate()
 
@@ -192,6 +201,7 @@
             self.transport,
             self.poller,
             self.watcher,
+            self.recall_keeper,
         ):
             self.kernel.register(service)
 
@@ -214,7 +224,7 @@
             kernel=self.kernel,
             configuration=self.core.configuration,
             recalls=self.core.recalls,
-            publisher=Publisher(client=self.client, make_id=_make_id),
+            publisher=self.publisher,
             make_id=_make_id,
             clock=self._clock.now,
         )
@@ -248,12 +258,13 @@
     def _start(self) -> None:
         host = self._settings.host
         now = self._clock.now
+        # Callers come last: who reaches that address finds all others open.
         self._servers = [
+            make_server(host["operator_address"], self._make_operator_app()),
+            make_server(host["hop_address"], make_hop_app(self.runner, now)),
             make_server(
                 host["caller_address"], make_caller_app(self.gate, self.is_ready)
             ),
-            make_server(host["hop_address"], make_hop_app(self.runner, now)),
-            make_server(host["operator_address"], self._make_operator_app()),
         ]
         self.kernel.start()
         for server in self._servers:
--- a/src/rosemarystream/_internal/operators/administration.py
+++ b/src/rosemarystream/_internal/operators/administration.py
@@ -194,6 +194,8 @@
         PlatformError
             If the platform does not answer; the recall may stay in force.
         """
+        # This host may not have heard of a recall that was given elsewhere.
+        self._post(RecallSetsLearned(sets=self._publisher.read_recalls()[1]))
         if recall_id not in {r.recall_id for r in self._recalls.sets.added}:
             raise RequestError("no recall of that id", kind=ErrorKind.NOT_FOUND)
         sets = RecallSets(added=(), lifted=(recall_id,))
--- /dev/null
+++ b/src/rosemarystream/_internal/platform/recall_keeper.py
@@ -0,0 +1,83 @@
+"""Stores recalls that were given while the platform was down."""
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from logbook import Logger
+
+from rosemarystream._internal.decisions.membership import Membership
+from rosemarystream._internal.decisions.recalls import Recalls
+from rosemarystream._internal.exceptions import PlatformError
+from rosemarystream._internal.kernel.kernel import Kernel
+from rosemarystream._internal.kernel.service import Service
+from rosemarystream._internal.models.events import RecallSetsLearned
+from rosemarystream._internal.operators.publishing import Publisher
+
+log = Logger(__name__)
+
+CHECK_SECONDS = 1.0
+KEEPERS = 1
+
+
+class RecallKeeper(Service):
+    """Writes recalls to the platform until it is known to hold them.
+
+    Parameters
+    ----------
+    kernel, membership, recalls : Kernel and Service
+        Recalls in force and who looks after them.
+    publisher : Publisher
+        Writes to the platform.
+    clock : callable
+        Returns the present time in seconds since the epoch.
+    """
+
+    name = "recall_keeper"
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        membership: Membership,
+        recalls: Recalls,
+        publisher: Publisher,
+        clock: Callable[[], float],
+    ) -> None:
+        self._kernel = kernel
+        self._membership = membership
+        self._recalls = recalls
+        self._publisher = publisher
+        self._clock = clock
+        self._stored_digest = recalls.digest
+        self._loop: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start looking after the recalls."""
+        self._loop = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop."""
+        if self._loop is not None:
+            self._loop.kill()
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(CHECK_SECONDS)
+            is_stored = self._recalls.digest == self._stored_digest
+            if not is_stored and self._membership.is_delegate("recalls", KEEPERS):
+                self._store()
+
+    def _store(self) -> None:
+        digest = self._recalls.digest
+        try:
+            stored = self._publisher.merge_recalls(self._recalls.sets)
+        except PlatformError as error:
+            log.notice("recalls are not stored yet: {}", error)
+            return
+        self._stored_digest = digest
+        self._kernel.post(RecallSetsLearned(sets=stored), self._clock())
+
+    def dump(self) -> dict[str, Any]:
+        """Tell whether the platform holds all recalls."""
+        return {"stored": self._recalls.digest == self._stored_digest}
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -81,11 +81,13 @@
         self.models = list(options.get("models", ["lm@1"]))
         self.adapters = list(options.get("adapters", []))
         self.leaving = False
+        self.deaf = options.get("deaf", False)
         self.dies_after: int | None = None
         self.frozen = False
         self.running = 0
         self.peak = 0
         self.started: list[str] = []
+        self.started_with: list[str] = []
         self.fence = 0
         self.orders: list[dict[str, Any]] = []
         self.cache = PrefixCache(options.get("cache_bytes", CACHE_BYTES))
@@ -128,6 +130,7 @@
         """Stream the answer to a prompt."""
         body = read_json(req)
         self._engine.started.append(body["request_id"])
+        self._engine.started_with.extend(self._engine.models)
         resp.content_type = "text/event-stream"
         resp.stream = self._stream(body)
 
@@ -209,6 +212,9 @@
             return
         engine.fence = max(engine.fence, order["fence"])
         engine.orders.append(order)
+        if engine.deaf:
+            resp.media = {}
+            return
         loaded = engine.models if order["what"] == "model" else engine.adapters
         if order["action"] == "load" and order["target"] not in loaded:
             loaded.append(order["target"])
@@ -243,6 +249,7 @@
             "running": engine.running,
             "peak": engine.peak,
             "started": engine.started,
+            "started_with": engine.started_with,
             "orders": engine.orders,
             "models": engine.models,
         }
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -151,6 +151,12 @@
             headers={"Authorization": f"Bearer root:{OPERATOR_KEY}"},
         )
 
+    @property
+    def peer_address(self) -> str:
+        """Control address that others use."""
+        section = self.settings["host"]
+        return section.get("advertised_peer_address", section["peer_address"])
+
     def is_ready(self) -> bool:
         """Tell whether the host wants callers."""
         return request_json("GET", self.address, "/health/ready")["state"] == "ready"
@@ -178,6 +184,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         self.processes: dict[str, Process] = {}
         self.servers: dict[str, dict[str, Any]] = {}
+        self.proxies: dict[str, ProxyHandle] = {}
         self.platform = self._add_standin("platform", "platform")
 
     def __enter__(self) -> "Fleet":
@@ -235,15 +242,16 @@
     def add_proxy(self, name: str, target: str) -> "ProxyHandle":
         """Start a fault proxy before an address."""
         control_port = take_port()
-        process = self._add_standin(
-            "proxy", name, {"control_port": control_port, "target": target}
-        )
-        return ProxyHandle(process, f"127.0.0.1:{control_port}")
+        options = {"control_port": control_port, "target": target}
+        process = self._add_standin("proxy", f"proxy-{name}", options)
+        handle = ProxyHandle(process, f"127.0.0.1:{control_port}")
+        self.proxies[name] = handle
+        return handle
 
     def proxy_server(self, name: str) -> "ProxyHandle":
         """Put a fault proxy before a server on the host list."""
         row = self.servers[name]
-        proxy = self.add_proxy(f"proxy-{name}", row["address"])
+        proxy = self.add_proxy(name, row["address"])
         row["address"] = proxy.address
         return proxy
 
@@ -289,13 +297,35 @@
         self.processes[name] = host
         return host
 
-    def add_hosts(self, names: dict[str, str], **changes: dict[str, Any]) -> list[Host]:
+    def add_hosts(
+        self,
+        names: dict[str, str],
+        *,
+        proxy_hops: bool = False,
+        proxy_peers: bool = False,
+        proxy_platform: bool = False,
+        **changes: dict[str, Any],
+    ) -> list[Host]:
         """Start hosts, given their data centre by name, that seed each other."""
         hosts = [self.make_host(name, dc, [], **changes) for name, dc in names.items()]
-        seeds = [host.settings["host"]["peer_address"] for host in hosts]
+        for host in hosts:
+            section = host.settings["host"]
+            if proxy_hops:
+                proxy = self.add_proxy(f"hop-{host.name}", section["hop_address"])
+                section["advertised_hop_address"] = proxy.address
+            if proxy_peers:
+                proxy = self.add_proxy(f"peer-{host.name}", section["peer_address"])
+                section["advertised_peer_address"] = proxy.address
+            if proxy_platform:
+                proxy = self.add_proxy(f"platform-{host.name}", self.platform.address)
+                host.settings["platform"]["address"] = proxy.address
+        seeds = [host.peer_address for host in hosts]
         for host in hosts:
             host.settings["peers"]["seeds"] = seeds
             host.file.write_text(write_toml(host.settings))
+        for proxy in self.proxies.values():
+            proxy.process.wait_open()
+        for host in hosts:
             host.start()
         return hosts
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -4,7 +4,8 @@
 "cut" | "freeze" | "delay" | "refuse", "delay_ms", "after_up_bytes",
 "after_down_bytes"}``. ``cut`` closes and ``freeze`` silences every connection,
 open ones too when ``"open": true``; with a byte count they wait until so much
-has passed on a new connection.
+has passed on a new connection. ``"only": "POST"`` spares connections whose
+first bytes are others.
 """
 
 import contextlib
@@ -25,6 +26,7 @@
 
     def __init__(self, body: dict[str, Any]) -> None:
         self.mode = body.get("mode", "pass")
+        self.only = body.get("only", "").encode()
         self.delay = body.get("delay_ms", 0) / 1000
         self.limits = {
             "up": body.get("after_up_bytes"),
@@ -76,6 +78,8 @@
                 data = source.recv(BLOCK_BYTES)
             except OSError:
                 return
+            if direction == "up" and not passed:
+                self._spare(data)
             if self._strike(direction, passed):
                 return
             if not data:
@@ -92,6 +96,10 @@
             if self._strike(direction, passed):
                 return
 
+    def _spare(self, data: bytes) -> None:
+        if not data.startswith(self.fault.only):
+            self.fault = Fault({})
+
     def _strike(self, direction: str, passed: int) -> bool:
         if not self.fault.triggers(direction, passed):
             return False
--- a/standins/service.py
+++ b/standins/service.py
@@ -50,18 +50,21 @@
         ledger = self._ledger
         resp.set_header("X-Request-Id", req.get_header("X-Request-Id") or "")
         body = read_json(req)
+        if "id" not in body:
+            # The server library takes a cut request for a whole one.
+            raise falcon.HTTPBadRequest(description="the request is not whole")
         if ledger.refuse:
             resp.status = 503
             resp.set_header("X-Not-Run", "1")
             resp.media = {}
             return
         ledger.note(1)
-        ledger.runs[body.get("id", "")] += 1
+        ledger.runs[body["id"]] += 1
         try:
             gevent.sleep(body.get("work_ms", ledger.work_ms) / 1000)
         finally:
             ledger.note(-1)
-        resp.media = {"id": body.get("id"), "by": ledger.name}
+        resp.media = {"id": body["id"], "by": ledger.name}
 
 
 class StateResource:
--- a/tests/lib/callers.py
+++ b/tests/lib/callers.py
@@ -33,6 +33,11 @@
             self._histories[chat] = prompt + "".join(reply.tokens)
         return reply
 
+    def forget_last(self):
+        """Leave out the last turn, which was refused or told as broken."""
+        self.replies.pop()
+        self._prompts.pop()
+
     def check_answers(self):
         """Check that every answer is whole and the caller's own."""
         for (prompt, count), reply in zip(self._prompts, self.replies, strict=True):
--- a/tests/lib/fleets.py
+++ b/tests/lib/fleets.py
@@ -25,9 +25,18 @@
     engines: dict[str, str] | None = None,
     sheet: str | None = None,
     engine_options: dict | None = None,
+    proxied: tuple[str, ...] = (),
+    proxy_hops: bool = False,
+    proxy_peers: bool = False,
+    proxy_platform: bool = False,
     **changes: dict,
 ) -> Fleet:
-    """Start stand-ins and hosts, apply a sheet and wait until all are ready."""
+    """Start stand-ins and hosts, apply a sheet and wait until all are ready.
+
+    Fault proxies stand before the servers named in `proxied`, before the hop
+    and control addresses of every host with `proxy_hops` and `proxy_peers`, and
+    before the platform for each host on its own with `proxy_platform`.
+    """
     fleet = Fleet()
     try:
         for name, centre in (
@@ -35,8 +44,16 @@
         ).items():
             fleet.add_engine(name, centre, **(engine_options or {}))
         fleet.add_service("ledger1", "dc1")
+        for name in proxied:
+            fleet.proxy_server(name)
         fleet.publish_hosts()
-        first = fleet.add_hosts(hosts, **changes)[0]
+        first = fleet.add_hosts(
+            hosts,
+            proxy_hops=proxy_hops,
+            proxy_peers=proxy_peers,
+            proxy_platform=proxy_platform,
+            **changes,
+        )[0]
         first.wait_open()
         for process in fleet.processes.values():
             process.wait_open()
