Let a long chat wait a moment for the engine that holds its context

Change: a request with a hint waits for its engine for as long as reading its context again would take, while nothing waits in fair order; once something does, all waiting is in fair order.

--- a/src/rosemarystream/_internal/callers/parsing.py
+++ b/src/rosemarystream/_internal/callers/parsing.py
@@ -112,6 +112,7 @@
                 f"max_tokens is over {self._limits.max_tokens}; ask for fewer",
                 kind=ErrorKind.TOO_LARGE,
             )
+        context_tokens = len(turn.prompt) // CHARACTERS_PER_TOKEN
         body = TurnBody(prompt=turn.prompt, max_tokens=turn.max_tokens)
         work = Work(
             request_id=request_id,
@@ -119,7 +120,8 @@
             pool=pool.name,
             rank=rank.name,
             affinity=f"{workspace.name}/{chat}",
-            cost=len(turn.prompt) // CHARACTERS_PER_TOKEN + turn.max_tokens,
+            cost=context_tokens + turn.max_tokens,
+            context_tokens=context_tokens,
             deadline=deadline,
             idempotent=True,
             hint=decode_hint(req.get_header("X-Context-Hint")),
@@ -140,6 +142,7 @@
             rank=rank.name,
             affinity=request_id,
             cost=CALL_COST_TOKENS,
+            context_tokens=0,
             deadline=deadline,
             idempotent=call.idempotent,
             hint=None,
--- a/src/rosemarystream/_internal/decisions/admission.py
+++ b/src/rosemarystream/_internal/decisions/admission.py
@@ -11,6 +11,7 @@
     limit_share,
 )
 from rosemarystream._internal.decisions.hashing import order_candidates
+from rosemarystream._internal.decisions.parking import Parked, ParkedWork
 from rosemarystream._internal.decisions.queueing import RankScheduler
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.models.configuration import Pool, Rank
@@ -23,6 +24,8 @@
 RATE_INTERVALS = 5
 MIN_RATE_INTERVALS = 3
 REPORT_LAG_SECONDS = 1.0
+PREFILL_SECONDS_PER_TOKEN = 125e-6
+PATIENCE = 1.0
 
 
 class AdmissionContext(NamedTuple):
@@ -120,6 +123,7 @@
         self._loads: dict[str, ServerLoad] = {}
         self._serving: tuple[str, ...] = ()
         self._places: dict[str, str] = {}
+        self._parked = ParkedWork()
         self._queue_limit = queue_limit
         self._weigh = weigh
         self._ranks = ranks
@@ -146,9 +150,14 @@
 
     @property
     def queued(self) -> int:
-        """Requests that wait."""
+        """Requests that wait in fair order."""
         return len(self._queue)
 
+    @property
+    def waiting(self) -> int:
+        """All requests that wait, those for one engine included."""
+        return len(self._queue) + len(self._parked)
+
     @property
     def serving(self) -> tuple[str, ...]:
         """Names of the servers that take new work."""
@@ -212,7 +221,7 @@
         if not self._queue:
             server = self._pick_server(work, context)
             if server is not None:
-                return [self._grant(work, server, now)]
+                return self._place(work, server, may_queue=may_queue, now=now)
         if not may_queue:
             return [self._refuse(work, ErrorKind.OVERLOADED, "group is busy")]
         return self._enqueue(work, now)
@@ -221,11 +230,35 @@
         # A share that rounds down to nothing is no reason to wait here.
         return bool(self._serving) and self._limit_server(context) > 0
 
+    def _place(
+        self, work: Work, server: str, *, may_queue: bool, now: float
+    ) -> list[Any]:
+        # Waiting a moment for the engine that holds a long context is better
+        # than reading the context again elsewhere.
+        holder = self._find_holder(work)
+        if holder in (None, server) or not self._parked.has_room(
+            holder, len(self._loads[holder].running)
+        ):
+            return [self._grant(work, server, now)]
+        wait = work.context_tokens * PREFILL_SECONDS_PER_TOKEN * PATIENCE
+        deadline = min(now + wait, work.deadline)
+        self._parked.add(holder, Parked(work, may_queue, deadline))
+        return []
+
+    def _find_holder(self, work: Work) -> str | None:
+        if work.hint is None or work.hint.server not in self._serving:
+            return None
+        load = self._loads[work.hint.server]
+        return load.name if load.reported and not load.silent else None
+
     def _enqueue(self, work: Work, now: float) -> list[Any]:
         wait = self.expected_wait(work.rank)
         if now + wait >= work.deadline:
             message = "the request would wait past its deadline"
             return [self._refuse(work, ErrorKind.OVERLOADED, message, wait)]
+        # Once requests wait in fair order, all of them do.
+        for parked in self._parked.drain():
+            self._queue.push(parked.work)
         dropped = self._queue.push(work)
         if dropped is None:
             return []
@@ -326,7 +359,7 @@
         """Forget a request, whether it waits or runs."""
         if request_id in self._places:
             self.release(request_id, now)
-        else:
+        elif not self._parked.remove(request_id):
             self._queue.remove(request_id)
 
     def dispatch(self, *, context: AdmissionContext, now: float) -> list[Any]:
@@ -338,6 +371,7 @@
         if not self._may_serve(context):
             actions.extend(self.refuse_waiting())
             return actions
+        actions.extend(self._dispatch_parked(context, now))
         while len(self._queue):
             work = self._queue.peek()
             server = None if work is None else self._pick_server(work, context)
@@ -347,11 +381,30 @@
             actions.append(self._grant(work, server, now))
         return actions
 
+    def _dispatch_parked(self, context: AdmissionContext, now: float) -> list[Any]:
+        actions: list[Any] = []
+        limit = self._limit_server(context)
+        for server in self._parked.servers():
+            load = self._loads.get(server)
+            if load is None or not self._is_free(load, limit, context.contested):
+                continue
+            parked = self._parked.take(server)
+            actions.append(self._grant(parked.work, server, now))
+        for parked in self._parked.take_late(now, set(self._serving)):
+            work = parked.work._replace(hint=None)
+            actions.extend(
+                self.submit(work, context=context, may_queue=parked.may_queue, now=now)
+            )
+        return actions
+
     def refuse_waiting(self) -> list[Any]:
         """Refuse everything that waits, so that it can be sent elsewhere."""
         return [
             self._refuse(work, ErrorKind.NO_BACKEND, "group has no serving server")
-            for work in self._queue.drain()
+            for work in [
+                *self._queue.drain(),
+                *(parked.work for parked in self._parked.drain()),
+            ]
         ]
 
     def dump(self) -> dict[str, Any]:
@@ -362,5 +415,6 @@
             "foreign": {n: load.foreign_high for n, load in self._loads.items()},
             "silent": [n for n, load in self._loads.items() if load.silent],
             "queued": self._queue.dump(),
+            "parked": len(self._parked),
             "cost_rate": round(max(self._rates, default=0.0), 1),
         }
--- a/src/rosemarystream/_internal/decisions/dispatching.py
+++ b/src/rosemarystream/_internal/decisions/dispatching.py
@@ -125,7 +125,7 @@
             if name in local:
                 continue
             group.set_serving(())
-            if not group.running and not group.queued:
+            if not group.running and not group.waiting:
                 del self._groups[name]
                 self._idle_since.pop(name, None)
 
@@ -177,14 +177,14 @@
         return [
             action
             for name, group in list(self._groups.items())
-            if group.queued
+            if group.waiting
             for action in self._dispatch(name, group, now)
         ]
 
     def _dispatch(
         self, name: GroupName, group: GroupAdmission, now: float
     ) -> list[Any]:
-        if not group.queued:
+        if not group.waiting:
             return []
         pool = self._configuration.find_pool(name.pool)
         if pool is None:
@@ -244,7 +244,7 @@
 
     def next_deadline(self) -> float | None:
         """Time of the next look at the queues; None while nothing waits."""
-        waiting = any(group.queued for group in self._groups.values())
+        waiting = any(group.waiting for group in self._groups.values())
         return self._due if waiting else None
 
     def servers_to_poll(self, now: float) -> list[BackendServer]:
--- a/src/rosemarystream/_internal/models/request.py
+++ b/src/rosemarystream/_internal/models/request.py
@@ -31,6 +31,8 @@
         Key of the request for consistent hashing: the chat, or the request id.
     cost : int
         Expected work in tokens, used for fairness.
+    context_tokens : int
+        Tokens that an engine without the context would have to read again.
     deadline : float
         Time in seconds since the epoch after which the answer is worth nothing.
     idempotent : bool
@@ -47,6 +49,7 @@
     rank: str
     affinity: str
     cost: int
+    context_tokens: int
     deadline: float
     idempotent: bool
     hint: ContextHint | None
--- a/tests/properties/test_load_bound.py
+++ b/tests/properties/test_load_bound.py
@@ -17,8 +17,8 @@
 
 from bench.engines import Job
 from bench.world import World
-from rosemarystream._internal.models.request import Work
 from tests.lib.sheets import make_sheet
+from tests.lib.works import make_work
 
 MULTIPLE = 1.5
 WINDOW = 6.0
@@ -76,18 +76,7 @@
         if alive:
             entry = world.hosts[random.choice(alive)]
             chat = f"chat-{random.randrange(40)}"
-            work = Work(
-                request_id=f"r{number}",
-                workspace="w1",
-                pool="lm",
-                rank="standard",
-                affinity=chat,
-                cost=100,
-                deadline=world.now + 20.0,
-                idempotent=True,
-                hint=None,
-                body=b"",
-            )
+            work = make_work(number, affinity=chat, deadline=world.now + 20.0)
             job = Job(work.request_id, chat, 100, random.randrange(5, 100), 2)
             world.request(entry, work, job)
 
--- a/tests/properties/test_queueing.py
+++ b/tests/properties/test_queueing.py
@@ -6,27 +6,12 @@
 
 from rosemarystream._internal.decisions.queueing import FairQueue, RankScheduler
 from rosemarystream._internal.models.configuration import Rank
-from rosemarystream._internal.models.request import Work
 from tests.lib.sheets import RANKS
+from tests.lib.works import make_work
 
 LARGEST_COST = 1_000
 
 
-def make_work(number, *, workspace="w", rank="standard", cost=100, deadline=1e9):
-    return Work(
-        request_id=f"r{number:06d}",
-        workspace=workspace,
-        pool="lm",
-        rank=rank,
-        affinity="c",
-        cost=cost,
-        deadline=deadline,
-        idempotent=True,
-        hint=None,
-        body=b"",
-    )
-
-
 def weigh_all_alike(workspace):
     return 1.0
 
