--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -16,7 +16,7 @@
 from rosemarystream._internal.models.request import ContextHint, Work
 
 RANKS = (
-    Rank("urgent", 1, 0.0, 330, 10.0),
+    Rank("urgent", 1, 0.0, 330, 10.0, 0.1),
     Rank("standard", 2, 0.2, 1_000, 3.0),
     Rank("routine", 3, 0.1, 5_000, 1.0),
 )
--- a/src/rosemarystream/_internal/decisions/admission.py
+++ b/src/rosemarystream/_internal/decisions/admission.py
@@ -94,6 +94,16 @@
         self.silent = False
 
 
+def sum_reserves(ranks: tuple[Rank, ...]) -> dict[str, float]:
+    """Return, for each rank, what more urgent ranks have reserved together."""
+    reserved = 0.0
+    reserves = {}
+    for rank in sorted(ranks, key=lambda rank: rank.order):
+        reserves[rank.name] = reserved
+        reserved += rank.reserve
+    return reserves
+
+
 class GroupAdmission:
     """Decides which waiting request goes to which server of one group.
 
@@ -127,6 +137,7 @@
         self._queue_limit = queue_limit
         self._weigh = weigh
         self._ranks = ranks
+        self._reserves = sum_reserves(ranks)
         self._queue = RankScheduler(ranks=ranks, limit=queue_limit, weigh=weigh)
         self._trust_after = 0.0
         self._rates: deque[float] = deque(maxlen=RATE_INTERVALS)
@@ -173,6 +184,7 @@
             return
         waiting = self._queue.drain()
         self._ranks = ranks
+        self._reserves = sum_reserves(ranks)
         self._queue = RankScheduler(
             ranks=ranks, limit=self._queue_limit, weigh=self._weigh
         )
@@ -293,7 +305,7 @@
         self._remote_floor.update(self.running)
 
     def _pick_server(self, work: Work, context: AdmissionContext) -> str | None:
-        limit = self._limit_server(context)
+        limit = self._limit_rank(work.rank, self._limit_server(context))
         usable = [
             name
             for name in self._serving
@@ -312,6 +324,10 @@
             return work.hint.server
         return order_candidates(work.affinity, usable)[0]
 
+    def _limit_rank(self, rank: str, limit: int) -> int:
+        reserved = self._reserves.get(rank, 0.0)
+        return max(min(1, limit), limit - round(limit * reserved))
+
     def _limit_server(self, context: AdmissionContext) -> int:
         pool_load = PoolLoad(
             running=context.elsewhere.running + self.certain_running(),
@@ -372,21 +388,28 @@
             actions.extend(self.refuse_waiting())
             return actions
         actions.extend(self._dispatch_parked(context, now))
-        while len(self._queue):
-            work = self._queue.peek()
-            server = None if work is None else self._pick_server(work, context)
-            if work is None or server is None:
-                break
-            self._queue.pop()
-            actions.append(self._grant(work, server, now))
+        while (granted := self._grant_next(context, now)) is not None:
+            actions.append(granted)
         return actions
 
+    def _grant_next(self, context: AdmissionContext, now: float) -> WorkGranted | None:
+        # A rank may have to leave the last room free while a more urgent one
+        # can use it, so every rank is tried.
+        for rank in self._queue.order_ranks():
+            work = self._queue.peek(rank)
+            server = None if work is None else self._pick_server(work, context)
+            if work is not None and server is not None:
+                self._queue.pop(rank)
+                return self._grant(work, server, now)
+        return None
+
     def _dispatch_parked(self, context: AdmissionContext, now: float) -> list[Any]:
         actions: list[Any] = []
         limit = self._limit_server(context)
         for server in self._parked.servers():
             load = self._loads.get(server)
-            if load is None or not self._is_free(load, limit, context.contested):
+            rank_limit = self._limit_rank(self._parked.peek(server).work.rank, limit)
+            if load is None or not self._is_free(load, rank_limit, context.contested):
                 continue
             parked = self._parked.take(server)
             actions.append(self._grant(parked.work, server, now))
--- a/src/rosemarystream/_internal/decisions/parking.py
+++ b/src/rosemarystream/_internal/decisions/parking.py
@@ -47,6 +47,10 @@
         """Return the engines that requests wait for."""
         return [server for server, parked in self._by_server.items() if parked]
 
+    def peek(self, server: str) -> Parked:
+        """Return the first request that waits for an engine."""
+        return self._by_server[server][0]
+
     def take(self, server: str) -> Parked:
         """Remove and return the first request that waits for an engine."""
         return self._by_server[server].pop(0)
--- a/src/rosemarystream/_internal/decisions/queueing.py
+++ b/src/rosemarystream/_internal/decisions/queueing.py
@@ -136,6 +136,14 @@
                 if tag > self._virtual_time
             }
 
+    def clear(self) -> None:
+        """Forget everything that waits."""
+        self._waiting.clear()
+        self._active.clear()
+        self._costs.clear()
+        self._size = 0
+        self._prune_tags()
+
     def remove(self, request_id: str) -> Work | None:
         """Remove a waiting request, for example one that was cancelled."""
         for works in self._waiting.values():
@@ -202,30 +210,27 @@
                 break
         return ahead
 
-    def peek(self) -> Work | None:
-        """Return the request to dispatch next."""
-        rank = self._pick_rank()
-        return None if rank is None else self._queues[rank].peek()
+    def order_ranks(self) -> list[str]:
+        """Return the ranks with waiting requests, the next to serve first.
 
-    def pop(self) -> Work | None:
-        """Remove and return the request to dispatch next."""
-        rank = self._pick_rank()
-        if rank is None:
-            return None
+        Ranks that are owed their minimum share come before more urgent ones.
+        """
+        waiting = [rank.name for rank in self._ranks if len(self._queues[rank.name])]
+        owed = [name for name in waiting if self._is_owed(name)]
+        owed.sort(key=lambda name: -self._credits[name])
+        return owed + [name for name in waiting if name not in owed]
+
+    def peek(self, rank: str) -> Work | None:
+        """Return the request of a rank that `pop` would return."""
+        return self._queues[rank].peek()
+
+    def pop(self, rank: str) -> Work | None:
+        """Remove and return the next request of a rank, and settle credits."""
         work = self._queues[rank].pop()
         if work is not None:
             self._settle(rank, work.cost)
         return work
 
-    def _pick_rank(self) -> str | None:
-        waiting = [rank.name for rank in self._ranks if len(self._queues[rank.name])]
-        if not waiting:
-            return None
-        owed = [name for name in waiting if self._is_owed(name)]
-        if owed:
-            return max(owed, key=lambda name: self._credits[name])
-        return waiting[0]
-
     def _is_owed(self, name: str) -> bool:
         head = self._queues[name].peek()
         return head is not None and self._credits[name] >= head.cost
@@ -256,9 +261,9 @@
 
     def drain(self) -> list[Work]:
         """Remove and return everything that waits."""
-        works = []
-        while (work := self.pop()) is not None:
-            works.append(work)
+        works = [work for queue in self._queues.values() for work in queue]
+        for queue in self._queues.values():
+            queue.clear()
         return works
 
     def dump(self) -> dict[str, int]:
--- a/src/rosemarystream/_internal/models/configuration.py
+++ b/src/rosemarystream/_internal/models/configuration.py
@@ -26,6 +26,8 @@
         Wait that the operators aim for, in milliseconds.
     worth : float
         Value of one request served in time, for reports.
+    reserve : float
+        Fraction of a server's load limit that less urgent ranks leave free.
     """
 
     name: str
@@ -33,6 +35,7 @@
     minimum_share: float
     target_ms: int
     worth: float
+    reserve: float = 0.0
 
 
 class Pool(NamedTuple):
--- a/src/rosemarystream/_internal/operators/sheet.py
+++ b/src/rosemarystream/_internal/operators/sheet.py
@@ -117,6 +117,7 @@
             "minimum_share": _make_number_reader(0, 1),
             "target_ms": _read_count,
             "worth": _make_number_reader(0, 1e9),
+            "reserve": _make_number_reader(0, 0.5),
         },
         Rank,
     ),
--- a/standins/sheets.py
+++ b/standins/sheets.py
@@ -3,10 +3,10 @@
 from standins.fleet import WORKSPACE_KEY, hash_key
 
 RANKS = """[ranks]
-name,order,minimum_share,target_ms,worth
-urgent,1,0,330,10
-standard,2,0.2,1000,3
-routine,3,0.1,5000,1
+name,order,minimum_share,target_ms,worth,reserve
+urgent,1,0,330,10,0.1
+standard,2,0.2,1000,3,0
+routine,3,0.1,5000,1,0
 """
 
 
--- a/tests/lib/sheets.py
+++ b/tests/lib/sheets.py
@@ -9,7 +9,7 @@
 )
 
 RANKS = (
-    Rank("urgent", 1, 0.0, 330, 10.0),
+    Rank("urgent", 1, 0.0, 330, 10.0, 0.1),
     Rank("standard", 2, 0.2, 1000, 3.0),
     Rank("routine", 3, 0.1, 5000, 1.0),
 )
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -120,12 +120,11 @@
 def serve_first_come():
     from rosemarystream._internal.decisions.queueing import RankScheduler
 
-    def pick(self):
-        heads = [q.peek() for q in self._queues.values() if len(q)]
-        first = min(heads, key=lambda work: work.request_id, default=None)
-        return None if first is None else first.rank
+    def order(self):
+        queues = {name: q for name, q in self._queues.items() if len(q)}
+        return sorted(queues, key=lambda name: queues[name].peek().request_id)
 
-    RankScheduler._pick_rank = pick
+    RankScheduler.order_ranks = order
 
 
 def ignore_costs():
--- a/tests/properties/test_queueing.py
+++ b/tests/properties/test_queueing.py
@@ -16,6 +16,12 @@
     return 1.0
 
 
+def serve(scheduler):
+    """Return the request that is served next, None without any."""
+    ranks = scheduler.order_ranks()
+    return scheduler.pop(ranks[0]) if ranks else None
+
+
 costs = st.integers(1, LARGEST_COST)
 
 
@@ -67,7 +73,7 @@
     served = dict.fromkeys((rank.name for rank in RANKS), 0)
     total = 0
     while scheduler.length("urgent"):
-        work = scheduler.pop()
+        work = serve(scheduler)
         served[work.rank] += work.cost
         total += work.cost
         for rank in RANKS[1:]:
@@ -81,7 +87,7 @@
     scheduler = RankScheduler(ranks=ranks, limit=100, weigh=weigh_all_alike)
     for number, name in enumerate(["routine", "standard", "urgent", "routine"]):
         scheduler.push(make_work(number, rank=name))
-    order = [scheduler.pop().rank for _ in range(4)]
+    order = [serve(scheduler).rank for _ in range(4)]
     assert order == ["urgent", "standard", "routine", "routine"]
 
 
@@ -114,5 +120,5 @@
         "r000001",
     ]
     assert scheduler.remove("r000002") is not None
-    assert scheduler.pop().request_id == "r000003"
-    assert scheduler.pop() is None
+    assert serve(scheduler).request_id == "r000003"
+    assert serve(scheduler) is None
