Bound control traffic: polls at leisure, changes of the host list, fewer looks

Ruled out: the kernel's loop as the main cause (a profile showed address resolution in a thread for every poll, and polls twice over).

Change: groups indexed by pool, serving servers kept as they change; polls within a byte budget unless decisions wait for them; the host list travels as changes since a version; connections without a resolver; the deadline loop sleeps until something is due.

--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,173 @@
+"""Processor time of one decision and memory of the state, by size."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from bench.workloads import RANKS
+from bench.world import World
+from rosemarystream._internal.decisions.queueing import FairQueue
+from rosemarystream._internal.models.configuration import (
+    Pool,
+    PoolKind,
+    Sheet,
+    Workspace,
+)
+from rosemarystream._internal.models.request import Work
+
+ENGINES = (6, 700, 5_600)
+WORKSPACES = (10, 47_000)
+MODELS = 8
+REPEATS = 2_000
+QUEUE_REQUESTS = 2_000
+
+
+def _make_work(number: int, *, pool: str, workspace: str) -> Work:
+    return Work(
+        request_id=f"r{number}",
+        workspace=workspace,
+        pool=pool,
+        rank="standard",
+        affinity=f"chat-{number}",
+        cost=500,
+        context_tokens=400,
+        deadline=1e12,
+        idempotent=True,
+        hint=None,
+        body=b"",
+    )
+
+
+def _make_sheet(workspaces: int) -> Sheet:
+    pools = tuple(
+        Pool(f"lm{number}", PoolKind.MODEL, "lm", "1", 1.5, 200, True)
+        for number in range(MODELS)
+    )
+    spaces = tuple(
+        Workspace(f"workspace-{number}", "0" * 64, "urgent", 1.0)
+        for number in range(workspaces)
+    )
+    return Sheet(ranks=RANKS, pools=pools, workspaces=spaces)
+
+
+def _make_world(engines: int, workspaces: int) -> tuple[World, int]:
+    """Return a settled world of one region and the bytes of one host's state."""
+    world = World()
+    for number in range(engines):
+        region = f"r{number % 7}"
+        centre = f"dc{number % 7}"
+        pool = f"lm{number // 7 % MODELS if engines > MODELS else 0}"
+        world.add_engine(f"e{number:04d}", centre, pool=pool, slots=200, region=region)
+    world.publish(_make_sheet(workspaces))
+    gc.collect()
+    tracemalloc.start()
+    world.add_host("h0", "dc0", "r0")
+    world.run(5.0)
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return world, size
+
+
+def _measure(act: Callable[[int], Any]) -> float:
+    gc.collect()
+    gc.disable()
+    try:
+        started = time.perf_counter()
+        for number in range(REPEATS):
+            act(number)
+        return (time.perf_counter() - started) / REPEATS * 1e6
+    finally:
+        gc.enable()
+
+
+def _measure_world(engines: int, workspaces: int) -> dict[str, Any]:
+    world, size = _make_world(engines, workspaces)
+    core = next(iter(world.hosts.values())).core
+    group = next(name for name in core.routing.groups if name.data_centre == "dc0")
+
+    def make(number: int) -> Work:
+        name = f"workspace-{number % workspaces}"
+        return _make_work(number, pool=group.pool, workspace=name)
+
+    works = [make(number) for number in range(REPEATS)]
+    route = _measure(lambda n: core.routing.order_groups(works[n], world.now))
+
+    def admit(number: int) -> None:
+        core.dispatching.submit(works[number], group, may_queue=False, now=world.now)
+        core.dispatching.finish(works[number].request_id, world.now)
+
+    return {
+        "engines": engines,
+        "workspaces": workspaces,
+        "route, us": route,
+        "admit and finish, us": _measure(admit),
+        "state of a host, MB": size / 1e6,
+    }
+
+
+def _measure_queue(workspaces: int) -> dict[str, Any]:
+    queue = FairQueue(limit=10**9, weigh=lambda name: 1.0)
+    random = Random(1)
+    works = [
+        _make_work(n, pool="lm", workspace=f"w{random.randrange(workspaces)}")
+        for n in range(QUEUE_REQUESTS + REPEATS)
+    ]
+    for work in works[:QUEUE_REQUESTS]:
+        queue.push(work)
+
+    def turn(number: int) -> None:
+        queue.push(works[QUEUE_REQUESTS + number])
+        queue.pop()
+
+    return {
+        "workspaces": workspaces,
+        "waiting": QUEUE_REQUESTS,
+        "push and pop, us": _measure(turn),
+    }
+
+
+def _measure_claims() -> list[dict[str, Any]]:
+    """Encoding of a shard is what a claim costs a host beside its calls."""
+    import msgspec
+
+    from rosemarystream._internal.decisions.claims import ClaimRecord
+
+    rows = []
+    for records in (10, 100, 1_000, 5_000):
+        shard = {
+            f"{number:032x}": ClaimRecord(f"{number:032x}", 1.8e9)
+            for number in range(records)
+        }
+        data = msgspec.json.encode(shard)
+        started = time.perf_counter()
+        for _ in range(20):
+            msgspec.json.encode(shard)
+            msgspec.json.decode(data, type=dict[str, ClaimRecord])
+        elapsed = (time.perf_counter() - started) / 20
+        rows.append(
+            {
+                "claims in a shard": records,
+                "bytes a claim": len(data) / records,
+                "encode and decode, ms": elapsed * 1e3,
+            }
+        )
+    return rows
+
+
+def run(seed: int) -> dict[str, list[dict[str, Any]]]:
+    """Return the tables of this experiment; times are of this machine."""
+    decisions = [
+        _measure_world(engines, workspaces)
+        for engines in ENGINES
+        for workspaces in WORKSPACES
+    ]
+    queues = [_measure_queue(workspaces) for workspaces in (10, 47_000)]
+    return {
+        "cost of a decision and size of a host's state": decisions,
+        "cost of a fair queue": queues,
+        "cost of a claim shard": _measure_claims(),
+    }
--- a/bench/world.py
+++ b/bench/world.py
@@ -33,7 +33,7 @@
 from rosemarystream._internal.models.server import (
     BackendServer,
     EntryHost,
-    HostList,
+    HostChanges,
     ServerReport,
 )
 
@@ -260,24 +260,34 @@
         """Make engines, and a sheet if given, known to all hosts."""
         self._hosts_version += 1
         if sheet is not None:
-            documents = encode_documents(sheet)
-            self._documents = {digest_document(c): c for c in documents.values()}
-            self._manifest = Manifest(
-                generation=self._manifest.generation + 1,
-                change_id=f"change-{next(self._numbers)}",
-                operator="bench",
-                documents={n: digest_document(c) for n, c in documents.items()},
-            )
+            self._accept(sheet)
         for host in list(self.hosts.values()):
             self.configure(host)
 
+    def publish_to(self, hosts: list[DrivenHost], sheet: Sheet) -> None:
+        """Make a sheet known to some hosts only."""
+        self._accept(sheet)
+        for host in hosts:
+            self.configure(host)
+
+    def _accept(self, sheet: Sheet) -> None:
+        documents = encode_documents(sheet)
+        self._documents = {digest_document(c): c for c in documents.values()}
+        self._manifest = Manifest(
+            generation=self._manifest.generation + 1,
+            change_id=f"change-{next(self._numbers)}",
+            operator="bench",
+            documents={n: digest_document(c) for n, c in documents.items()},
+        )
+
     def configure(self, host: DrivenHost) -> None:
         """Tell one host what is published."""
         if self._manifest.generation:
             host.kernel.post(ManifestLearned(self._manifest), self.now)
             for digest, content in self._documents.items():
                 host.kernel.post(DocumentLearned(digest, content), self.now)
-        hosts = HostList(self._hosts_version, tuple(self.servers.values()))
+        version = self._hosts_version
+        hosts = HostChanges(0, version, tuple(self.servers.values()), ())
         host.kernel.post(HostListLearned(hosts), self.now)
 
     def _tick(self, host: DrivenHost) -> None:
@@ -289,7 +299,7 @@
     def _poll(self, host: DrivenHost) -> None:
         if not host.alive:
             return
-        for server in host.core.dispatching.servers_to_poll(self.now):
+        for server, _ in host.core.dispatching.servers_to_poll(self.now):
             engine = self.engines.get(server.name)
             if engine is None or server.name in self.reports_lost:
                 continue
--- a/src/rosemarystream/_internal/backends/poller.py
+++ b/src/rosemarystream/_internal/backends/poller.py
@@ -12,13 +12,18 @@
 from rosemarystream._internal.kernel.kernel import Kernel
 from rosemarystream._internal.kernel.service import Service
 from rosemarystream._internal.models.events import ServerReported, ServerSilent
-from rosemarystream._internal.models.server import BackendServer, ServerReport
+from rosemarystream._internal.models.server import (
+    BackendServer,
+    PollWish,
+    ServerReport,
+)
 from rosemarystream._internal.utils.http import Exchange
 
 log = Logger(__name__)
 
 POLL_TIMEOUT_SECONDS = 1.0
 MAX_PARALLEL_POLLS = 32
+POLL_BYTES = 400
 HTTP_OK = 200
 
 
@@ -36,16 +41,20 @@
 
 
 class ServerPoller(Service):
-    """Asks each owned server for its state at a fixed interval.
+    """Asks servers for their state, at leisure or soon.
+
+    Polls at leisure are spread so that they stay within a budget of bytes.
 
     Parameters
     ----------
     kernel : Kernel
         Takes the reports.
     list_servers : callable
-        Returns the servers to poll at a moment; one may stand there twice.
+        Returns the servers to poll at a moment.
     interval : float
-        Seconds between two polls of a server.
+        Shortest time, in seconds, between two polls of a server.
+    budget : int
+        Bytes a second for polls at leisure.
     clock : callable
         Returns the present time in seconds since the epoch.
     """
@@ -56,13 +65,16 @@
         self,
         *,
         kernel: Kernel,
-        list_servers: Callable[[float], list[BackendServer]],
+        list_servers: Callable[[float], list[PollWish]],
         interval: float,
+        budget: int,
         clock: Callable[[], float],
     ) -> None:
         self._kernel = kernel
         self._list_servers = list_servers
         self._interval = interval
+        self._budget = budget
+        self._polled_at: dict[str, float] = {}
         self._clock = clock
         self._pool = GreenletPool(MAX_PARALLEL_POLLS)
         self._busy: set[str] = set()
@@ -80,12 +92,28 @@
 
     def _run(self) -> None:
         while True:
-            for server in self._list_servers(self._clock()):
+            now = self._clock()
+            for server in self._pick_due(now):
                 if server.name not in self._busy:
                     self._busy.add(server.name)
+                    self._polled_at[server.name] = now
                     self._pool.spawn(self._poll, server)
             gevent.sleep(self._interval)
 
+    def _pick_due(self, now: float) -> list[BackendServer]:
+        wishes: dict[str, PollWish] = {}
+        for wish in self._list_servers(now):
+            known = wishes.get(wish.server.name, wish)
+            is_urgent = wish.is_urgent or known.is_urgent
+            wishes[wish.server.name] = PollWish(wish.server, is_urgent)
+        self._polled_at = {n: t for n, t in self._polled_at.items() if n in wishes}
+        leisure = max(self._interval, len(wishes) * POLL_BYTES / self._budget)
+        return [
+            wish.server
+            for name, wish in wishes.items()
+            if wish.is_urgent or now - self._polled_at.get(name, 0.0) >= leisure
+        ]
+
     def _poll(self, server: BackendServer) -> None:
         asked_at = self._clock()
         try:
--- a/src/rosemarystream/_internal/callers/claiming.py
+++ b/src/rosemarystream/_internal/callers/claiming.py
@@ -113,6 +113,7 @@
         try:
             for action in self._claims.request(request, now):
                 self._kernel.post(action, now)
+            self._kernel.notify()
             wait = request.deadline - now + DECISION_SLACK_SECONDS
             return waiter.get(timeout=wait)
         except Timeout:
@@ -133,6 +134,7 @@
             Settlement(key=digest, attempt_id=work.request_id, record=record),
             self._clock(),
         )
+        self._kernel.notify()
 
     def _make_record(self, work: Work, result: CallResult) -> ClaimRecord:
         fits = len(result.body) <= self._answer_bytes
--- a/src/rosemarystream/_internal/decisions/admission.py
+++ b/src/rosemarystream/_internal/decisions/admission.py
@@ -165,9 +165,9 @@
         return len(self._queue)
 
     @property
-    def waiting(self) -> int:
-        """All requests that wait, those for one engine included."""
-        return len(self._queue) + len(self._parked)
+    def is_waiting(self) -> bool:
+        """Whether requests wait, in fair order or for one engine."""
+        return bool(self._queue or self._parked)
 
     @property
     def serving(self) -> tuple[str, ...]:
@@ -206,6 +206,11 @@
         for load in self._loads.values():
             load.reported = False
 
+    def is_known(self, server: str) -> bool:
+        """Tell whether a server's last poll was answered and is trusted."""
+        load = self._loads.get(server)
+        return load is not None and load.reported and not load.silent
+
     def learn_report(self, server: str, report: ServerReport, asked_at: float) -> None:
         """Take what a server says of its load."""
         if server in self._loads and asked_at >= self._trust_after:
--- a/src/rosemarystream/_internal/decisions/configuration.py
+++ b/src/rosemarystream/_internal/decisions/configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 from xxhash import xxh3_128_hexdigest
 
+from rosemarystream._internal.decisions.host_list import HostList
 from rosemarystream._internal.kernel.service import Service
 from rosemarystream._internal.models.configuration import (
     EMPTY_MANIFEST,
@@ -23,7 +24,7 @@
     HostListLearned,
     ManifestLearned,
 )
-from rosemarystream._internal.models.server import BackendServer, HostList
+from rosemarystream._internal.models.server import BackendServer, HostChanges
 
 RANKS_DOCUMENT = "ranks"
 POOLS_DOCUMENT = "pools"
@@ -89,7 +90,7 @@
 
     def __init__(self) -> None:
         self.manifest = EMPTY_MANIFEST
-        self.hosts = HostList(version=0, servers=())
+        self.host_list = HostList()
         self._pending: Manifest | None = None
         self._documents: dict[str, bytes] = {}
         self._pools: dict[str, Pool] = {}
@@ -104,11 +105,15 @@
             return self._learn_document(event)
         return self._learn_hosts(event.hosts)
 
-    def _learn_hosts(self, hosts: HostList) -> list[Any]:
-        if hosts.version <= self.hosts.version:
+    def _learn_hosts(self, changes: HostChanges) -> list[Any]:
+        if not self.host_list.apply(changes):
             return []
-        self.hosts = hosts
-        return [HostListChanged(version=hosts.version)]
+        return [HostListChanged(version=self.host_list.version)]
+
+    @property
+    def hosts_version(self) -> int:
+        """Version of the host list in force; 0 before the first."""
+        return self.host_list.version
 
     def _learn_manifest(self, manifest: Manifest) -> list[Any]:
         newest = self._pending or self.manifest
@@ -205,7 +210,7 @@
 
     def servers(self) -> tuple[BackendServer, ...]:
         """Return all servers of the host list that belong to a known pool."""
-        return tuple(s for s in self.hosts.servers if s.pool in self._pools)
+        return tuple(s for s in self.host_list.servers() if s.pool in self._pools)
 
     def dump(self) -> dict[str, Any]:
         """Return versions and sizes."""
@@ -213,7 +218,7 @@
             "generation": self.generation,
             "known_generation": self.known_generation,
             "change_id": self.manifest.change_id,
-            "hosts_version": self.hosts.version,
+            "hosts_version": self.host_list.version,
             "pools": sorted(self._pools),
             "workspaces": len(self._workspaces),
             "ranks": [rank.name for rank in self._ranks],
--- a/src/rosemarystream/_internal/decisions/core.py
+++ b/src/rosemarystream/_internal/decisions/core.py
@@ -125,7 +125,7 @@
         return heartbeat._replace(
             generation=self.configuration.generation,
             recalls_digest=self.recalls.digest,
-            hosts_version=self.configuration.hosts.version,
+            hosts_version=self.configuration.hosts_version,
             loads=self.dispatching.report_loads(remote=remote),
         )
 
--- a/src/rosemarystream/_internal/decisions/dispatching.py
+++ b/src/rosemarystream/_internal/decisions/dispatching.py
@@ -28,7 +28,11 @@
 )
 from rosemarystream._internal.models.messages import GroupLoad, Heartbeat
 from rosemarystream._internal.models.request import Work
-from rosemarystream._internal.models.server import BackendServer, EntryHost
+from rosemarystream._internal.models.server import (
+    BackendServer,
+    EntryHost,
+    PollWish,
+)
 
 RETRY_INTERVAL_SECONDS = 0.05
 TAKE_OVER_SECONDS = 0.5
@@ -84,11 +88,26 @@
         """Follow changes and grant what has become possible."""
         if isinstance(event, ServerReported | ServerSilent):
             return self._learn_server(event, now)
-        if not isinstance(event, Heartbeat):
+        if isinstance(event, ServingChanged) and event.server:
+            self._update_server(event.server)
+        elif not isinstance(event, Heartbeat):
             self._update_groups()
             self._note_shares(now)
         return self._dispatch_all(now)
 
+    def _update_server(self, server: str) -> None:
+        name = self._routing.find_group(server)
+        group = None if name is None else self._groups.get(name)
+        if name is not None and group is not None:
+            self._set_serving(group, self._routing.groups[name])
+
+    def _set_serving(
+        self, group: GroupAdmission, members: tuple[BackendServer, ...]
+    ) -> None:
+        group.set_serving(
+            server.name for server in members if self._routing.is_serving(server)
+        )
+
     def _note_shares(self, now: float) -> None:
         for name in self._groups:
             self._note_share(name, self._ownership.share(str(name), now), now)
@@ -118,14 +137,12 @@
                 group = self._groups[name] = self._make_group(name)
                 self._idle_since[name] = NEVER
             group.set_ranks(self._configuration.ranks)
-            group.set_serving(
-                server.name for server in members if self._routing.is_serving(server)
-            )
+            self._set_serving(group, members)
         for name, group in list(self._groups.items()):
             if name in local:
                 continue
             group.set_serving(())
-            if not group.running and not group.waiting:
+            if not group.running and not group.is_waiting:
                 del self._groups[name]
                 self._idle_since.pop(name, None)
 
@@ -177,14 +194,14 @@
         return [
             action
             for name, group in list(self._groups.items())
-            if group.waiting
+            if group.is_waiting
             for action in self._dispatch(name, group, now)
         ]
 
     def _dispatch(
         self, name: GroupName, group: GroupAdmission, now: float
     ) -> list[Any]:
-        if not group.waiting:
+        if not group.is_waiting:
             return []
         pool = self._configuration.find_pool(name.pool)
         if pool is None:
@@ -223,18 +240,19 @@
         # neither their load nor their number belongs to the mean.
         running = 0
         servers = 0
-        for name, members in self._routing.groups.items():
-            if name.pool != group.pool or name == group:
-                continue
-            if self._routing.find_owner(name) is None:
+        for name in self._routing.pool_groups(group.pool):
+            if name == group or self._routing.find_owner(name) is None:
                 continue
             load = self._loads.believe(name, now)
             own = self._groups.get(name)
-            own_running = own.certain_running() if own else 0
-            listed = sum(1 for server in members if self._routing.is_serving(server))
-            believed = load or PoolLoad(running=0, servers=listed)
-            running += believed.running + own_running
-            servers += listed if own_running else believed.servers
+            if own is not None and own.running:
+                running += own.certain_running()
+                servers += self._routing.count_serving(name)
+            elif load is None:
+                servers += self._routing.count_serving(name)
+            else:
+                servers += load.servers
+            running += load.running if load is not None else 0
         return PoolLoad(running=running, servers=servers)
 
     def expire(self, now: float) -> Iterable[Any]:
@@ -244,23 +262,29 @@
 
     def next_deadline(self) -> float | None:
         """Time of the next look at the queues; None while nothing waits."""
-        waiting = any(group.waiting for group in self._groups.values())
+        waiting = any(group.is_waiting for group in self._groups.values())
         return self._due if waiting else None
 
-    def servers_to_poll(self, now: float) -> list[BackendServer]:
+    def servers_to_poll(self, now: float) -> list[PollWish]:
         """Return the servers whose state this host has to know."""
         return [
-            server
-            for name, members in self._routing.groups.items()
-            if name in self._groups and self._needs_reports(name, now)
-            for server in members
+            PollWish(server, is_urgent=self._is_urgent(name, server, now))
+            for name in self._groups
+            if self._needs_reports(name)
+            for server in self._routing.groups.get(name, ())
         ]
 
-    def _needs_reports(self, name: GroupName, now: float) -> bool:
+    def _needs_reports(self, name: GroupName) -> bool:
         if self._routing.find_owner(name) == self._me.name:
             return True
         return self._groups[name].running > 0
 
+    def _is_urgent(self, name: GroupName, server: BackendServer, now: float) -> bool:
+        if not self._groups[name].is_known(server.name):
+            return True
+        share = self._ownership.share(str(name), now)
+        return 0 < share < 1 or self._is_contested(name, now)
+
     def report_loads(self, *, remote: bool) -> tuple[GroupLoad, ...]:
         """Return the loads that the next heartbeat carries."""
         return tuple(
--- a/src/rosemarystream/_internal/decisions/loads.py
+++ b/src/rosemarystream/_internal/decisions/loads.py
@@ -9,6 +9,7 @@
 from rosemarystream._internal.models.messages import GroupLoad, Heartbeat
 
 MAX_GROUPS = 65_536
+FORGET_SECONDS = 1.0
 
 
 class GroupReport:
@@ -56,6 +57,7 @@
 
     def __init__(self) -> None:
         self._reports: dict[GroupName, dict[str, GroupReport]] = {}
+        self._due = 0.0
 
     def handle(self, event: Any, now: float) -> Iterable[Any]:
         """Take the loads that a heartbeat carries."""
@@ -75,6 +77,7 @@
 
     def expire(self, now: float) -> Iterable[Any]:
         """Forget reports whose deadline has passed."""
+        self._due = now + FORGET_SECONDS
         for group, reports in list(self._reports.items()):
             fresh = {host: r for host, r in reports.items() if r.deadline > now}
             if fresh:
@@ -84,13 +87,8 @@
         return ()
 
     def next_deadline(self) -> float | None:
-        """Earliest deadline of a report."""
-        deadlines = (
-            report.deadline
-            for reports in self._reports.values()
-            for report in reports.values()
-        )
-        return min(deadlines, default=None)
+        """Time of the next look for old reports."""
+        return self._due
 
     def _fresh(self, group: GroupName, now: float) -> list[GroupReport]:
         reports = self._reports.get(group, {}).values()
--- a/src/rosemarystream/_internal/decisions/membership.py
+++ b/src/rosemarystream/_internal/decisions/membership.py
@@ -23,7 +23,7 @@
 
 MAX_HOSTS = 4096
 NEWS_FRACTION = 0.2
-LOOK_SECONDS = 0.05
+LOOK_FRACTION = 0.1
 
 
 class HostState(StrEnum):
@@ -128,6 +128,8 @@
         self._local_soonest = 0.0
         self._remote_soonest = 0.0
         self._looked_at = 0.0
+        self._judge_due = 0.0
+        self._heard: tuple[int, ...] | None = None
         self._last_size = 0
         self.started_at: float | None = None
 
@@ -160,6 +162,7 @@
     def _change_owners(self) -> OwnersChanged:
         # Peers that see the change soon dispute the ownership less long.
         self._local_due = 0.0
+        self._heard = None
         return OwnersChanged()
 
     def set_leaving(self) -> OwnersChanged:
@@ -173,10 +176,12 @@
         if self.started_at is None:
             self.started_at = now
         actions: list[Any] = []
-        if self._judge(now):
-            actions.append(self._change_owners())
         self._looked_at = now
-        actions.extend(self._redial_silent(now))
+        if now >= self._judge_due:
+            self._judge_due = now + self.times.heartbeat * NEWS_FRACTION
+            if self._judge(now):
+                actions.append(self._change_owners())
+            actions.extend(self._redial_silent(now))
         if self._is_due(self._local_due, self._local_soonest, now, remote=False):
             self._local_due = now + self.times.heartbeat
             self._local_soonest = now + self.times.heartbeat * NEWS_FRACTION
@@ -272,10 +277,17 @@
         """Take the encoded size of a heartbeat, for the byte budget."""
         self._last_size = size
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Name other control addresses to try."""
+        self._seeds = seeds
+
     def heard(self) -> tuple[int, ...]:
         """Return the short hashes of the live hosts of the data centre."""
-        names = [record.host.name for record in self.local_peers() if record.alive]
-        return tuple(sorted(shorten_name(name) for name in [*names, self.me.name]))
+        if self._heard is None:
+            names = [r.host.name for r in self.local_peers() if r.alive]
+            hashes = [shorten_name(name) for name in [*names, self.me.name]]
+            self._heard = tuple(sorted(hashes))
+        return self._heard
 
     def local_peers(self) -> list[PeerRecord]:
         """Return the other hosts of this host's data centre."""
@@ -303,7 +315,10 @@
         return min(
             self._local_due,
             self._remote_due,
-            max(self._local_soonest, self._looked_at + LOOK_SECONDS),
+            max(
+                self._local_soonest,
+                self._looked_at + self.times.heartbeat * LOOK_FRACTION,
+            ),
         )
 
     def peers(self) -> list[PeerRecord]:
--- a/src/rosemarystream/_internal/decisions/parking.py
+++ b/src/rosemarystream/_internal/decisions/parking.py
@@ -35,6 +35,9 @@
     def __len__(self) -> int:
         return sum(len(parked) for parked in self._by_server.values())
 
+    def __bool__(self) -> bool:
+        return any(self._by_server.values())
+
     def has_room(self, server: str, running: int) -> bool:
         """Tell whether one more may wait for an engine with so much running."""
         return len(self._by_server.get(server, ())) * RUNNING_PER_PARKED < running
--- a/src/rosemarystream/_internal/decisions/queueing.py
+++ b/src/rosemarystream/_internal/decisions/queueing.py
@@ -187,6 +187,9 @@
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
+    def __bool__(self) -> bool:
+        return any(map(len, self._queues.values()))
+
     @property
     def least_urgent(self) -> str:
         """Name of the rank that is served last."""
--- a/src/rosemarystream/_internal/decisions/recalls.py
+++ b/src/rosemarystream/_internal/decisions/recalls.py
@@ -73,17 +73,17 @@
         self._active = {kind: {} for kind in RecallKind}
         for recall in self.active():
             self._active[recall.kind][recall.target] = recall.recall_id
-        return [ServingChanged()]
+        return [ServingChanged(server="")]
 
     def _learn_report(self, event: ServerReported) -> list[Any]:
         before = self._reports.get(event.server)
         self._reports[event.server] = event.report
         if before is None:
-            return [ServingChanged()]
+            return [ServingChanged(server=event.server)]
         loaded = event.report.models, event.report.adapters, event.report.leaving
         if loaded == (before.models, before.adapters, before.leaving):
             return []
-        return [ServingChanged()]
+        return [ServingChanged(server=event.server)]
 
     def forget_servers(self, kept: set[str]) -> None:
         """Drop the reports of servers that are on no list any more."""
--- a/src/rosemarystream/_internal/decisions/reconciliation.py
+++ b/src/rosemarystream/_internal/decisions/reconciliation.py
@@ -19,7 +19,11 @@
     OrderAction,
     OrderSubject,
 )
-from rosemarystream._internal.models.server import BackendServer, ServerReport
+from rosemarystream._internal.models.server import (
+    BackendServer,
+    PollWish,
+    ServerReport,
+)
 
 MAX_LOADS_AT_ONCE = 2
 
@@ -92,6 +96,8 @@
             return []
         self._note_loaded(event)
         need = self._find_need(server, pool, event.report)
+        if need is None:
+            self._settled_at.pop(server.name, None)
         if need is None or self._must_wait(need):
             return []
         return [self._give_order(server.name, need, now)]
@@ -155,12 +161,12 @@
         """Tell, right before an order leaves, whether it still may."""
         return self._lease.holds(now) and order.fence == self._lease.fence
 
-    def servers_to_poll(self, now: float) -> list[BackendServer]:
+    def servers_to_poll(self, now: float) -> list[PollWish]:
         """Return the engines whose state decides on orders."""
         if not self._lease.holds(now):
             return []
         return [
-            server
+            PollWish(server, is_urgent=server.name in self._settled_at)
             for group, members in self._routing.groups.items()
             if group.data_centre == self._data_centre
             for server in members
--- a/src/rosemarystream/_internal/decisions/replication.py
+++ b/src/rosemarystream/_internal/decisions/replication.py
@@ -71,7 +71,7 @@
         configuration = self._configuration
         lacks = (
             heartbeat.generation > configuration.generation
-            or heartbeat.hosts_version > configuration.hosts.version
+            or heartbeat.hosts_version > configuration.hosts_version
             or heartbeat.recalls_digest != self._recalls.digest
         )
         asked_at = self._asked_at.get(heartbeat.host.name, 0.0)
@@ -84,7 +84,7 @@
         request = StateRequest(
             address=self._address,
             generation=self._configuration.known_generation,
-            hosts_version=self._configuration.hosts.version,
+            hosts_version=self._configuration.hosts_version,
             recalls_digest=self._recalls.digest,
             documents=self._configuration.missing_documents(),
         )
@@ -93,12 +93,11 @@
     def _answer(self, request: StateRequest) -> list[Any]:
         configuration = self._configuration
         manifest = configuration.manifest
-        hosts = configuration.hosts
         answer = StateAnswer(
             address=self._address,
             manifest=manifest if manifest.generation > request.generation else None,
             documents=self._collect_documents(request.documents),
-            hosts=hosts if hosts.version > request.hosts_version else None,
+            hosts=configuration.host_list.changes_since(request.hosts_version),
             recalls=(
                 self._recalls.sets
                 if self._recalls.digest != request.recalls_digest
--- a/src/rosemarystream/_internal/decisions/routing.py
+++ b/src/rosemarystream/_internal/decisions/routing.py
@@ -1,8 +1,7 @@
 """Choice of the server groups that a request is offered to, best first."""
 
-from collections import defaultdict
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from rosemarystream._internal.decisions.avoidance import Avoidance
 from rosemarystream._internal.decisions.configuration import Configuration
@@ -21,6 +20,24 @@
 from rosemarystream._internal.models.server import BackendServer, EntryHost
 
 
+class ServingNames(NamedTuple):
+    """Names of a pool's serving servers, as ordered sets.
+
+    Attributes
+    ----------
+    near : dict
+        Those in this host's region.
+    everywhere : dict
+        All of them.
+    """
+
+    near: dict[str, None]
+    everywhere: dict[str, None]
+
+
+NOTHING_SERVES = ServingNames(near={}, everywhere={})
+
+
 class Routing(Service):
     """Maps a request to server groups.
 
@@ -53,14 +70,23 @@
         self._groups: dict[GroupName, tuple[BackendServer, ...]] = {}
         self._group_of: dict[str, GroupName] = {}
         self._servers: dict[str, BackendServer] = {}
-        self._names: dict[str, tuple[list[str], list[str]]] = {}
+        self._by_pool: dict[str, list[BackendServer]] = {}
+        self._names: dict[str, ServingNames] = {}
+        self._pool_groups: dict[str, list[GroupName]] = {}
+        self._near_groups: dict[str, list[GroupName]] = {}
 
     def handle(self, event: Any, now: float) -> Iterable[Any]:
-        """Divide the servers into groups anew."""
-        self._rebuild()
+        """Follow changes of the servers and of what they may do."""
+        if not isinstance(event, ServingChanged):
+            self._regroup()
+        elif event.server:
+            self._update_serving(event.server)
+            return ()
+        for pool in self._by_pool:
+            self._list_serving(pool)
         return ()
 
-    def _rebuild(self) -> None:
+    def _regroup(self) -> None:
         servers = self._configuration.servers()
         self._groups = group_servers(servers)
         self._group_of = {
@@ -69,23 +95,51 @@
             for server in members
         }
         self._servers = {server.name: server for server in servers}
-        near: dict[str, list[str]] = defaultdict(list)
-        everywhere: dict[str, list[str]] = defaultdict(list)
+        self._by_pool = {}
+        self._names = {}
         for server in servers:
-            if not self.is_serving(server):
-                continue
-            everywhere[server.pool].append(server.name)
-            if server.region == self._me.region:
-                near[server.pool].append(server.name)
-        self._names = {
-            pool: (near.get(pool, []), names) for pool, names in everywhere.items()
-        }
+            self._by_pool.setdefault(server.pool, []).append(server)
+        self._pool_groups = {pool: [] for pool in self._by_pool}
+        self._near_groups = {pool: [] for pool in self._by_pool}
+        for name, members in self._groups.items():
+            self._pool_groups[name.pool].append(name)
+            if members[0].region == self._me.region:
+                self._near_groups[name.pool].append(name)
+
+    def _list_serving(self, pool: str) -> None:
+        serving = [s for s in self._by_pool[pool] if self.is_serving(s)]
+        self._names[pool] = ServingNames(
+            near={s.name: None for s in serving if s.region == self._me.region},
+            everywhere={s.name: None for s in serving},
+        )
+
+    def _update_serving(self, name: str) -> None:
+        server = self._servers.get(name)
+        if server is None:
+            return
+        names = self._names[server.pool]
+        if not self.is_serving(server):
+            names.near.pop(name, None)
+            names.everywhere.pop(name, None)
+            return
+        names.everywhere[name] = None
+        if server.region == self._me.region:
+            names.near[name] = None
 
     @property
     def groups(self) -> dict[GroupName, tuple[BackendServer, ...]]:
         """All groups of the listed servers, recalled ones included."""
         return self._groups
 
+    def pool_groups(self, pool: str) -> list[GroupName]:
+        """Return the groups of a pool."""
+        return self._pool_groups.get(pool, [])
+
+    def count_serving(self, group: GroupName) -> int:
+        """Return how many servers of a group may take new work."""
+        names = self._names.get(group.pool, NOTHING_SERVES).everywhere
+        return sum(server.name in names for server in self._groups[group])
+
     def find_server(self, name: str) -> BackendServer | None:
         """Return a listed server by name."""
         return self._servers.get(name)
@@ -117,17 +171,26 @@
         The group of the preferred server comes first: the one named by the
         hint, else the one that rendezvous hashing picks in this region. The
         others follow from least to most busy, those of this data centre
-        before others that are as busy.
+        before others that are as busy. Groups of other regions follow only
+        when requests wait at all groups of this one.
         """
-        near, everywhere = self._names.get(work.pool, ([], []))
-        names = near or everywhere
-        groups = {self._group_of[name] for name in everywhere}
-        reachable = [group for group in groups if self.find_owner(group)]
-        if not reachable:
-            return []
+        serving = self._names.get(work.pool, NOTHING_SERVES)
         hint = self.check_hint(work.hint, work.pool)
+        names = serving.near or serving.everywhere
         preferred = hint.server if hint else pick_candidate(work.affinity, names)
-        first = None if preferred is None else self._group_of[preferred]
+        if preferred is None:
+            return []
+        first = self._group_of[preferred]
+        near = self._sort_groups(self._near_groups[work.pool], first, now)
+        if near and not self._are_all_busy(near, now):
+            return near
+        far = set(self._pool_groups[work.pool]) - set(near)
+        return near + self._sort_groups(far, first, now)
+
+    def _sort_groups(
+        self, groups: Iterable[GroupName], first: GroupName, now: float
+    ) -> list[GroupName]:
+        reachable = [group for group in groups if self.find_owner(group)]
         return sorted(
             reachable,
             key=lambda group: (
@@ -137,6 +200,12 @@
             ),
         )
 
+    def _are_all_busy(self, groups: list[GroupName], now: float) -> bool:
+        return all(
+            self._loads.pressure(group, now).queued > 0 or self._is_avoided(group, now)
+            for group in groups
+        )
+
     def _is_avoided(self, group: GroupName, now: float) -> bool:
         owner = self.pick_owner(group, now)
         return owner is None or self.avoidance.avoids(str(group), owner, now)
--- a/src/rosemarystream/_internal/host.py
+++ b/src/rosemarystream/_internal/host.py
@@ -24,7 +24,7 @@
 from rosemarystream._internal.decisions.retries import RetryBudget
 from rosemarystream._internal.kernel.kernel import Kernel
 from rosemarystream._internal.metrics import Metrics
-from rosemarystream._internal.models.server import BackendServer, EntryHost
+from rosemarystream._internal.models.server import EntryHost, PollWish
 from rosemarystream._internal.operators.administration import Administration
 from rosemarystream._internal.operators.app import Operators, make_operator_app
 from rosemarystream._internal.operators.publishing import Publisher
@@ -41,7 +41,7 @@
 
 log = Logger(__name__)
 
-MAX_LOOP_PAUSE_SECONDS = 0.05
+MAX_LOOP_PAUSE_SECONDS = 1.0
 MIN_LOOP_PAUSE_SECONDS = 0.002
 LEAVE_CHECK_SECONDS = 0.05
 LEAVE_NOTICE_SECONDS = 1.0
@@ -69,7 +69,8 @@
             peer_address=host.get("advertised_peer_address", host["peer_address"]),
             hop_address=host.get("advertised_hop_address", host["hop_address"]),
         )
-        self.kernel = Kernel()
+        self._wake = gevent.event.Event()
+        self.kernel = Kernel(on_change=self._wake.set)
         statsd = settings.observation.get("statsd_address")
         self.metrics = Metrics(
             address=split_address(statsd) if statsd else None, host=self.me.name
@@ -150,6 +151,7 @@
             kernel=self.kernel,
             list_servers=self._list_polled,
             interval=limits["poll_ms"] / 1000,
+            budget=limits["poll_bytes_per_second"],
             clock=now,
         )
         self.exchange = EntryExchange(
@@ -187,9 +189,9 @@
         self._register_services()
         self._build_gate()
 
-    def _list_polled(self, now: float) -> list[BackendServer]:
-        owned = self.core.dispatching.servers_to_poll(now)
-        return owned + self.core.reconciliation.servers_to_poll(now)
+    def _list_polled(self, now: float) -> list[PollWish]:
+        controlled = self.core.reconciliation.servers_to_poll(now)
+        return controlled + self.core.dispatching.servers_to_poll(now)
 
     def _register_services(self) -> None:
         for service in (
@@ -245,7 +247,7 @@
         """
         return (
             self.core.configuration.generation > 0
-            and self.core.configuration.hosts.version > 0
+            and self.core.configuration.hosts_version > 0
             and self.core.ownership.has_settled(self._clock.now())
         )
 
@@ -287,9 +289,12 @@
         while True:
             now = self._clock.now()
             self.kernel.expire(now)
+            self._wake.clear()
             deadline = self.kernel.next_deadline()
             wait = MAX_LOOP_PAUSE_SECONDS if deadline is None else deadline - now
-            gevent.sleep(min(MAX_LOOP_PAUSE_SECONDS, max(MIN_LOOP_PAUSE_SECONDS, wait)))
+            self._wake.wait(min(MAX_LOOP_PAUSE_SECONDS, wait))
+            # Deliveries come in bursts; one look serves them all.
+            gevent.sleep(MIN_LOOP_PAUSE_SECONDS)
 
     def leave(self) -> None:
         """Take no new work, finish what runs, then end."""
--- a/src/rosemarystream/_internal/kernel/kernel.py
+++ b/src/rosemarystream/_internal/kernel/kernel.py
@@ -1,6 +1,7 @@
 """The micro-kernel: finds services by name and routes events between them."""
 
 from collections import defaultdict, deque
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 from rosemarystream._internal.kernel.service import Service
@@ -10,14 +11,24 @@
 MAX_EVENTS_PER_POST = 100_000
 
 
+def _ignore_change() -> None:
+    return
+
+
 class Kernel:
     """Registry of services and router of typed events.
 
     The kernel has no clock and no I/O of its own: the caller of `post` and
     `expire` says what time it is.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called after every delivery; deadlines may have moved.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, on_change: Callable[[], None] = _ignore_change) -> None:
+        self._on_change = on_change
         self._services: dict[str, Service] = {}
         self._handlers: dict[type, list[Service]] = defaultdict(list)
         self._queue: deque[Any] = deque()
@@ -62,6 +73,11 @@
             self._drain(now)
         finally:
             self._routing = False
+        self._on_change()
+
+    def notify(self) -> None:
+        """Say that a service was called directly; deadlines may have moved."""
+        self._on_change()
 
     def _drain(self, now: float) -> None:
         for _ in range(MAX_EVENTS_PER_POST):
--- a/src/rosemarystream/_internal/models/events.py
+++ b/src/rosemarystream/_internal/models/events.py
@@ -7,7 +7,7 @@
 from rosemarystream._internal.models.configuration import Manifest
 from rosemarystream._internal.models.messages import RecallSets
 from rosemarystream._internal.models.order import EngineOrder
-from rosemarystream._internal.models.server import HostList, ServerReport
+from rosemarystream._internal.models.server import HostChanges, ServerReport
 
 
 class SendMessage(NamedTuple):
@@ -49,9 +49,9 @@
 
 
 class HostListLearned(NamedTuple):
-    """A version of the platform's host list."""
+    """Changes of the platform's host list."""
 
-    hosts: HostList
+    hosts: HostChanges
 
 
 class RecallSetsLearned(NamedTuple):
@@ -67,7 +67,12 @@
 
 
 class ServingChanged(NamedTuple):
-    """The set of servers that may take new work may have changed."""
+    """Servers may have begun or ceased to take new work.
+
+    `server` names the only one concerned; it is empty when any may be.
+    """
+
+    server: str
 
 
 class HostListChanged(NamedTuple):
--- a/src/rosemarystream/_internal/models/messages.py
+++ b/src/rosemarystream/_internal/models/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rosemarystream._internal.models.configuration import Manifest, Recall
-from rosemarystream._internal.models.server import EntryHost, HostList
+from rosemarystream._internal.models.server import EntryHost, HostChanges
 
 
 class GroupLoad(NamedTuple):
@@ -114,8 +114,8 @@
         A newer configuration, or None.
     documents : dict of str to bytes
         Content of configuration documents by digest.
-    hosts : HostList or None
-        A newer host list, or None.
+    hosts : HostChanges or None
+        What has changed on the host list since the asker's version, or None.
     recalls : RecallSets or None
         The sender's recall sets where they differ.
     """
@@ -123,7 +123,7 @@
     address: str
     manifest: Manifest | None
     documents: dict[str, bytes]
-    hosts: HostList | None
+    hosts: HostChanges | None
     recalls: RecallSets | None
 
 
--- a/src/rosemarystream/_internal/models/server.py
+++ b/src/rosemarystream/_internal/models/server.py
@@ -56,11 +56,25 @@
     hop_address: str
 
 
-class HostList(NamedTuple):
-    """A version of the platform's list; it lags behind the truth."""
+class HostChanges(NamedTuple):
+    """Changes of the platform's list of servers, which lags behind the truth.
 
+    Attributes
+    ----------
+    base : int
+        Version that the changes start from; 0 when they are the whole list.
+    version : int
+        Version that they lead to.
+    servers : tuple of BackendServer
+        Servers that are new or have changed since `base`.
+    removed : tuple of str
+        Names of servers that are gone since `base`.
+    """
+
+    base: int
     version: int
     servers: tuple[BackendServer, ...]
+    removed: tuple[str, ...]
 
 
 class ServerReport(NamedTuple):
@@ -85,3 +99,18 @@
     models: tuple[str, ...]
     adapters: tuple[str, ...]
     leaving: bool
+
+
+class PollWish(NamedTuple):
+    """A server whose state a host has to know.
+
+    Attributes
+    ----------
+    server : BackendServer
+        The server.
+    is_urgent : bool
+        Whether decisions wait for it; otherwise it is polled at leisure.
+    """
+
+    server: BackendServer
+    is_urgent: bool
--- a/src/rosemarystream/_internal/platform/client.py
+++ b/src/rosemarystream/_internal/platform/client.py
@@ -2,7 +2,8 @@
 
 ``GET /v1/objects/KIND/NAME`` gives ``{"version", "value"}``; ``PUT`` with
 ``If-Match: VERSION`` (0 to create) writes conditionally; ``GET /v1/watch/KIND``
-waits for changes; ``GET /v1/hosts`` gives the lagging host list.
+waits for changes; ``GET /v1/hosts?after=VERSION`` gives what has changed on the
+lagging host list since a version, or the whole list when that is too long ago.
 """
 
 from collections.abc import Callable
@@ -15,7 +16,7 @@
     RosemarystreamError,
     VersionConflictError,
 )
-from rosemarystream._internal.models.server import BackendServer, HostList
+from rosemarystream._internal.models.server import BackendServer, HostChanges
 from rosemarystream._internal.utils.http import Exchange
 
 HTTP_OK = 200
@@ -64,8 +65,10 @@
 
 
 class _HostsBody(TypedDict):
+    base: int
     version: int
     servers: list[_HostRow]
+    removed: list[str]
 
 
 class PlatformClient:
@@ -164,12 +167,16 @@
         answer = self._decode(status, body, _WatchBody)
         return answer["revision"], answer["names"]
 
-    def list_hosts(self) -> HostList:
-        """Read the lagging list of backend servers."""
-        status, body = self._call("GET", "/v1/hosts")
+    def list_hosts(self, *, after: int) -> HostChanges:
+        """Read what has changed on the lagging host list since a version."""
+        status, body = self._call("GET", f"/v1/hosts?after={after}")
         answer = self._decode(status, body, _HostsBody)
-        servers = tuple(BackendServer(**row) for row in answer["servers"])
-        return HostList(version=answer["version"], servers=servers)
+        return HostChanges(
+            base=answer["base"],
+            version=answer["version"],
+            servers=tuple(BackendServer(**row) for row in answer["servers"]),
+            removed=tuple(answer["removed"]),
+        )
 
     def _decode(self, status: int, body: bytes, shape: Any) -> Any:
         if status != HTTP_OK:
--- a/src/rosemarystream/_internal/platform/watcher.py
+++ b/src/rosemarystream/_internal/platform/watcher.py
@@ -147,7 +147,8 @@
             self._post(RecallSetsLearned(sets=sets))
 
     def _read_hosts(self) -> float:
-        self._post(HostListLearned(hosts=self._client.list_hosts()))
+        after = self._configuration.hosts_version
+        self._post(HostListLearned(hosts=self._client.list_hosts(after=after)))
         return self._hosts_interval
 
     def _fetch(self, digests: tuple[str, ...]) -> None:
--- a/src/rosemarystream/_internal/settings.py
+++ b/src/rosemarystream/_internal/settings.py
@@ -70,6 +70,7 @@
     first_token_ms: NotRequired[Milliseconds]
     between_tokens_ms: NotRequired[Milliseconds]
     poll_ms: NotRequired[Milliseconds]
+    poll_bytes_per_second: NotRequired[Annotated[int, Field(ge=64)]]
     retry_ratio: NotRequired[Annotated[float, Field(ge=0, le=1)]]
     drain_ms: NotRequired[Milliseconds]
 
@@ -150,6 +151,7 @@
         "first_token_ms": 10_000,
         "between_tokens_ms": 5_000,
         "poll_ms": 500,
+        "poll_bytes_per_second": 1_300,
         "retry_ratio": 0.2,
         "drain_ms": 600_000,
     },
--- a/src/rosemarystream/_internal/utils/http.py
+++ b/src/rosemarystream/_internal/utils/http.py
@@ -61,10 +61,14 @@
             If there is no connection by `deadline`; nothing was sent.
         """
         host, port = split_address(self._address)
-        wait = min(CONNECT_SECONDS, self._remaining(deadline))
+        # Addresses are IP numbers; create_connection would ask a resolver.
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.settimeout(min(CONNECT_SECONDS, self._remaining(deadline)))
         try:
-            self._socket = socket.create_connection((host, port), timeout=wait)
+            self._socket.connect((host, port))
         except OSError as error:
+            self.close()
             raise ConnectError(
                 f"no connection to {self._address}: {error}; try another server"
             ) from error
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -35,7 +35,12 @@
         "remove_ms": 2000,
     },
     "platform": {"timeout_ms": 500, "watch_ms": 2000, "hosts_interval_ms": 200},
-    "limits": {"poll_ms": 100, "first_token_ms": 3000, "between_tokens_ms": 1000},
+    "limits": {
+        "poll_ms": 100,
+        "poll_bytes_per_second": 100_000,
+        "first_token_ms": 3000,
+        "between_tokens_ms": 1000,
+    },
     "control": {"lease_ms": 1500, "order_flight_ms": 500, "interval_ms": 200},
 }
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -26,7 +26,8 @@
         self.objects: dict[tuple[str, str], tuple[int, bytes]] = {}
         self.changes: list[tuple[int, str, str]] = []
         self.changed = Event()
-        self.hosts: dict[str, Any] = {"version": 0, "servers": []}
+        self.hosts: dict[str, Any] = {}
+        self.lists: list[dict[str, Any]] = [self.hosts]
         self.mode = "ok"
         self.delay = 0.0
         self.calls: Counter[str] = Counter()
@@ -150,7 +151,16 @@
 
     def on_get(self, req, resp):
         """Read the list."""
-        resp.media = self._store.hosts
+        after = req.get_param_as_int("after", default=0)
+        current, version = self._store.hosts, len(self._store.lists) - 1
+        base = after if 0 < after <= version else 0
+        before = self._store.lists[base]
+        resp.media = {
+            "base": base,
+            "version": version,
+            "servers": [r for n, r in current.items() if before.get(n) != r],
+            "removed": [name for name in before if name not in current],
+        }
 
 
 class HostsControl:
@@ -166,8 +176,8 @@
         resp.media = {}
 
     def _set(self, servers):
-        version = self._store.hosts["version"] + 1
-        self._store.hosts = {"version": version, "servers": servers}
+        self._store.hosts = {server["name"]: server for server in servers}
+        self._store.lists.append(self._store.hosts)
 
 
 class FaultsControl:
--- a/tests/properties/test_spreading.py
+++ b/tests/properties/test_spreading.py
@@ -8,6 +8,7 @@
     digest_document,
     encode_documents,
 )
+from rosemarystream._internal.decisions.host_list import HostList
 from rosemarystream._internal.decisions.recalls import (
     Recalls,
     digest_recalls,
@@ -28,7 +29,7 @@
 from rosemarystream._internal.models.messages import RecallSets
 from rosemarystream._internal.models.server import (
     BackendServer,
-    HostList,
+    HostChanges,
     ServerReport,
 )
 from tests.lib.sheets import make_sheet
@@ -53,7 +54,7 @@
             lambda content: DocumentLearned(digest_document(content), content)
         )
     ),
-    st.integers(1, 5).map(lambda v: HostListLearned(HostList(v, ()))),
+    st.integers(1, 5).map(lambda v: HostListLearned(HostChanges(0, v, (), ()))),
     st.just(DocumentLearned("0" * 32, b"[]")),
 )
 
@@ -65,9 +66,9 @@
     for event in events:
         list(configuration.handle(event, 0.0))
         assert configuration.generation >= generation
-        assert configuration.hosts.version >= version
+        assert configuration.hosts_version >= version
         generation = configuration.generation
-        version = configuration.hosts.version
+        version = configuration.hosts_version
         if generation:
             wanted = HISTORY[generation - 1][0]
             assert configuration.manifest == wanted
@@ -136,3 +137,23 @@
     assert recalls.find_recall(make_server("e1")) == "r"
     if kind is RecallKind.SERVER:
         assert recalls.find_recall(make_server("e2")) is None
+
+
+@given(
+    st.lists(st.dictionaries(st.sampled_from("abcde"), st.integers(1, 3)), max_size=12),
+    st.data(),
+)
+def test_changes_of_the_host_list_lead_to_the_same_list_as_the_whole(states, data):
+    source, copy = HostList(), HostList()
+    for version, state in enumerate(states, start=1):
+        servers = tuple(
+            make_server(name)._replace(incarnation=number)
+            for name, number in state.items()
+        )
+        source.apply(HostChanges(0, version, servers, ()))
+        if data.draw(st.booleans()):
+            changes = source.changes_since(copy.version)
+            assert copy.apply(changes)
+            assert not copy.apply(changes)
+            assert set(copy.servers()) == set(source.servers())
+    assert source.changes_since(source.version) is None
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -67,7 +67,7 @@
     for number in range(2):
         submit(group, make_work(number), context)
     submit(group, make_work(2, hint="e1", context_tokens=LONG_CONTEXT), context)
-    assert (group.queued, group.waiting) == (1, 1)
+    assert (group.queued, group.is_waiting) == (1, True)
 
 
 def test_a_parked_request_that_was_cancelled_is_never_granted(context):
@@ -77,7 +77,7 @@
     group.cancel("r000002", 20.1)
     group.release("r000001", 20.2)
     assert group.dispatch(context=context, now=20.2) == []
-    assert group.waiting == 0
+    assert not group.is_waiting
 
 
 def test_a_server_that_was_never_polled_gets_no_work(context):
