--- a/src/rosemarystream/_internal/decisions/dispatching.py
+++ b/src/rosemarystream/_internal/decisions/dispatching.py
@@ -90,6 +90,9 @@
             return self._learn_server(event, now)
         if isinstance(event, ServingChanged) and event.server:
             self._update_server(event.server)
+        elif isinstance(event, OwnersChanged):
+            if event.data_centre == self._me.data_centre:
+                self._note_shares(now)
         elif not isinstance(event, Heartbeat):
             self._update_groups()
             self._note_shares(now)
--- a/src/rosemarystream/_internal/decisions/membership.py
+++ b/src/rosemarystream/_internal/decisions/membership.py
@@ -122,6 +122,7 @@
         self._seeds = seeds
         self._budget = budget
         self._peers: dict[str, PeerRecord] = {}
+        self._local: dict[str, PeerRecord] = {}
         self._sequence = 0
         self._local_due = 0.0
         self._remote_due = 0.0
@@ -147,7 +148,9 @@
                 return []
             record = PeerRecord(heartbeat=heartbeat, now=now, span=self.times.suspect)
             self._peers[host.name] = record
-            return [self._change_owners()]
+            if host.data_centre == self.me.data_centre:
+                self._local[host.name] = record
+            return [self._change_owners(host.data_centre)]
         if _position(heartbeat) <= _position(record.heartbeat):
             return []
         changed = (
@@ -157,19 +160,20 @@
         )
         record.learn(heartbeat, now, self.times.suspect)
         record.state = HostState.ALIVE
-        return [self._change_owners()] if changed else []
+        return [self._change_owners(host.data_centre)] if changed else []
 
-    def _change_owners(self) -> OwnersChanged:
-        # Peers that see the change soon dispute the ownership less long.
-        self._local_due = 0.0
-        self._heard = None
-        return OwnersChanged()
+    def _change_owners(self, data_centre: str) -> OwnersChanged:
+        if data_centre == self.me.data_centre:
+            # Peers that see the change soon dispute the ownership less long.
+            self._local_due = 0.0
+            self._heard = None
+        return OwnersChanged(data_centre=data_centre)
 
     def set_leaving(self) -> OwnersChanged:
         """Give all groups away; the next heartbeat says so."""
         self.leaving = True
         self._remote_due = 0.0
-        return self._change_owners()
+        return self._change_owners(self.me.data_centre)
 
     def expire(self, now: float) -> Iterable[Any]:
         """Suspect and remove silent hosts, and send what is due."""
@@ -179,8 +183,7 @@
         self._looked_at = now
         if now >= self._judge_due:
             self._judge_due = now + self.times.heartbeat * NEWS_FRACTION
-            if self._judge(now):
-                actions.append(self._change_owners())
+            actions.extend(map(self._change_owners, sorted(self._judge(now))))
             actions.extend(self._redial_silent(now))
         if self._is_due(self._local_due, self._local_soonest, now, remote=False):
             self._local_due = now + self.times.heartbeat
@@ -214,16 +217,18 @@
             record.redial_deadline = now + self.times.suspect
         return [Redial(address=record.host.peer_address) for record in silent]
 
-    def _judge(self, now: float) -> bool:
-        changed = False
+    def _judge(self, now: float) -> set[str]:
+        """Suspect and remove silent hosts; return their data centres."""
+        changed = set()
         for name, record in list(self._peers.items()):
             state = self._state_at(record, now)
             if state is record.state:
                 continue
-            changed = True
+            changed.add(record.host.data_centre)
             record.state = state
             if state is HostState.REMOVED:
                 del self._peers[name]
+                self._local.pop(name, None)
         return changed
 
     def _state_at(self, record: PeerRecord, now: float) -> HostState:
@@ -291,12 +296,7 @@
 
     def local_peers(self) -> list[PeerRecord]:
         """Return the other hosts of this host's data centre."""
-        centre = self.me.data_centre
-        return [
-            record
-            for record in self._peers.values()
-            if record.host.data_centre == centre
-        ]
+        return list(self._local.values())
 
     def is_delegate(self, duty: str, count: int) -> bool:
         """Tell whether this host is among the few that do a duty.
--- a/src/rosemarystream/_internal/decisions/ownership.py
+++ b/src/rosemarystream/_internal/decisions/ownership.py
@@ -39,7 +39,11 @@
 
     def handle(self, event: Any, now: float) -> Iterable[Any]:
         """Forget the computed orders when hosts come or go."""
-        self._orders.clear()
+        self._orders = {
+            key: order
+            for key, order in self._orders.items()
+            if key[1] != event.data_centre
+        }
         return ()
 
     def order(self, group: str, data_centre: str) -> list[str]:
--- a/src/rosemarystream/_internal/models/events.py
+++ b/src/rosemarystream/_internal/models/events.py
@@ -82,7 +82,9 @@
 
 
 class OwnersChanged(NamedTuple):
-    """The hosts that may own server groups have changed."""
+    """The hosts of a data centre that may own server groups have changed."""
+
+    data_centre: str
 
 
 class ServerReported(NamedTuple):
