Command line, checked settings, sheet errors with their place, hostile input

Cause: operators had only the HTTP interface, and bad input was unproved.

Change: config check, sheet check, plan, apply, recall add, lift, list, status, dump, drain; every mistake of a settings file at once with line and what is allowed; the page of errors written from the table.

Conclusion: tests/features/hostile_input.feature and the unit tests pass.

--- /dev/null
+++ b/src/rosemarystream/_internal/cli/operator_command.py
@@ -0,0 +1,89 @@
+"""What the commands that talk to the administration API share."""
+
+import http.client
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import msgspec
+
+from rosemarystream._internal.cli.base_command import BaseCommand, print_json
+from rosemarystream._internal.exceptions import (
+    ErrorKind,
+    PlatformError,
+    RequestError,
+    RosemarystreamError,
+)
+from rosemarystream._internal.utils.http import split_address
+
+KEY_VARIABLE = "ROSEMARYSTREAM_OPERATOR"
+TIMEOUT_SECONDS = 30.0
+HTTP_ERROR = 400
+
+
+@dataclass(kw_only=True)
+class OperatorCommand(BaseCommand):
+    """A command that asks one host's administration API."""
+
+    host: Annotated[
+        str, cappa.Arg(long="--host", help="Operator address of any host, IP:PORT.")
+    ]
+    key_file: Annotated[
+        Path | None,
+        cappa.Arg(
+            long="--key-file",
+            help=f"File with NAME:KEY; without it the variable {KEY_VARIABLE} is read.",
+        ),
+    ] = None
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")] = False
+
+    def ask(self, method: str, path: str, body: Any = None) -> Any:
+        """Send one request and return the JSON of the answer.
+
+        Raises
+        ------
+        RosemarystreamError
+            With the kind and message of the host's error answer.
+        """
+        host, port = split_address(self.host)
+        connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_SECONDS)
+        data = None if body is None else msgspec.json.encode(body)
+        headers = {"Authorization": f"Bearer {self._read_key()}"}
+        try:
+            connection.request(method, path, body=data, headers=headers)
+            answer = connection.getresponse()
+            content = answer.read()
+        except (OSError, http.client.HTTPException) as error:
+            raise PlatformError(
+                f"no answer from {self.host}: {error}; name another host"
+            ) from error
+        finally:
+            connection.close()
+        return _decode(answer.status, content)
+
+    def _read_key(self) -> str:
+        if self.key_file is not None:
+            return self.key_file.read_text(encoding="utf-8").strip()
+        key = os.environ.get(KEY_VARIABLE)
+        if not key:
+            raise RequestError(
+                f"no key: give --key-file FILE or set {KEY_VARIABLE}=NAME:KEY"
+            )
+        return key
+
+    def show(self, value: Any, lines: list[str]) -> None:
+        """Print a value as JSON when asked for, else as lines."""
+        if self.json:
+            print_json(value)
+        else:
+            print("\n".join(lines))
+
+
+def _decode(status: int, content: bytes) -> Any:
+    value = msgspec.json.decode(content)
+    if status < HTTP_ERROR:
+        return value
+    kind = ErrorKind(value.get("error", ErrorKind.INTERNAL))
+    raise RosemarystreamError(value.get("message", "no message"), kind=kind)
--- a/src/rosemarystream/_internal/cli/parser.py
+++ b/src/rosemarystream/_internal/cli/parser.py
@@ -4,18 +4,34 @@
 
 import cappa
 
+from rosemarystream._internal.cli.config import ConfigCommand
+from rosemarystream._internal.cli.host import DrainCommand, DumpCommand, StatusCommand
+from rosemarystream._internal.cli.recall import RecallCommand
 from rosemarystream._internal.cli.serve import ServeCommand
+from rosemarystream._internal.cli.sheet import SheetCommand
 
 
 @cappa.command(
     name="rosemarystream",
     help="A router fleet for very many returning chats.",
+    description=(
+        "Exit codes: 0 done, 1 failed, 2 wrong input, 3 the state has moved, "
+        "4 no answer."
+    ),
 )
 @dataclass(kw_only=True)
 class Program:
     """The program with its commands."""
 
-    command: cappa.Subcommands[ServeCommand]
+    command: cappa.Subcommands[
+        ServeCommand
+        | ConfigCommand
+        | SheetCommand
+        | RecallCommand
+        | StatusCommand
+        | DumpCommand
+        | DrainCommand
+    ]
 
 
 def run() -> int:
--- a/src/rosemarystream/_internal/settings.py
+++ b/src/rosemarystream/_internal/settings.py
@@ -12,10 +12,19 @@
 
 _STRICT = ConfigDict(extra="forbid")
 
-Address = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$")]
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+_ADDRESS = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$"
+_NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+_SHA256 = r"^[0-9a-f]{64}$"
+_ALLOWED = {
+    _ADDRESS: "must be an IP number and a port, such as 10.0.0.1:7000",
+    _NAME: "must be lower-case letters, digits, '.', '_' and '-', at most 63",
+    _SHA256: "must be a SHA-256 as 64 hex digits",
+}
+
+Address = Annotated[str, Field(pattern=_ADDRESS)]
+Name = Annotated[str, Field(pattern=_NAME)]
 Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
-Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Sha256 = Annotated[str, Field(pattern=_SHA256)]
 
 
 @with_config(_STRICT)
@@ -222,7 +231,24 @@
 def _describe(name: str, text: str, mistake: Any) -> str:
     key = ".".join(str(part) for part in mistake["loc"])
     line = locate_key(text, mistake["loc"])
-    return f"{name}:{line}: {key}: {mistake['msg']}"
+    return f"{name}:{line}: {key}: {_explain(mistake)}"
+
+
+def _explain(mistake: Any) -> str:
+    if mistake["type"] == "extra_forbidden":
+        section = Document.__annotations__.get(str(mistake["loc"][0]))
+        known = ", ".join(_known_keys(section, len(mistake["loc"])))
+        return f"unknown key; known are {known}"
+    pattern = mistake.get("ctx", {}).get("pattern")
+    return _ALLOWED.get(pattern, mistake["msg"])
+
+
+def _known_keys(section: Any, depth: int) -> list[str]:
+    if depth == 1:
+        return sorted(Document.__annotations__)
+    while hasattr(section, "__args__"):
+        section = section.__args__[0]
+    return sorted(section.__annotations__)
 
 
 def _fill(document: Document) -> Settings:
--- /dev/null
+++ b/src/rosemarystream/_internal/utils/documents.py
@@ -0,0 +1,17 @@
+"""Parts of the documentation that are written from the code."""
+
+from rosemarystream._internal.exceptions import ANSWERS
+
+
+def describe_errors() -> str:
+    """Return the table of error kinds in Markdown."""
+    lines = [
+        "| kind | status | ran | retry | what to do next |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| `{kind}` | {answer.status} | {answer.execution} | {answer.retry} "
+        f"| {answer.next_step} |"
+        for kind, answer in ANSWERS.items()
+    ]
+    return "\n".join(lines)
--- /dev/null
+++ b/tests/unit/test_errors.py
@@ -0,0 +1,21 @@
+from pathlib import Path
+
+from rosemarystream._internal.exceptions import ANSWERS, ErrorKind, Execution
+from rosemarystream._internal.utils.documents import describe_errors
+
+PAGE = Path(__file__).parents[2] / "docs" / "errors.md"
+
+
+def test_every_kind_has_one_answer():
+    assert set(ANSWERS) == set(ErrorKind)
+
+
+def test_the_page_of_errors_is_the_table():
+    assert describe_errors() in PAGE.read_text()
+
+
+def test_refusals_before_dispatch_say_not_run():
+    for kind in ("overloaded", "deadline", "no_backend", "not_owner", "leaving"):
+        assert ANSWERS[ErrorKind(kind)].execution is Execution.NOT_RUN
+    for kind in ("outcome_unknown", "already_claimed"):
+        assert ANSWERS[ErrorKind(kind)].execution is Execution.UNKNOWN
