--- a/bench/processes.py
+++ b/bench/processes.py
@@ -146,6 +146,8 @@
             "remove_ms": 3000,
         },
         limits={"poll_ms": 500, "poll_bytes_per_second": 1_300},
+        platform={"timeout_ms": 2000, "watch_ms": 10_000, "hosts_interval_ms": 1000},
+        control={"lease_ms": 6000, "order_flight_ms": 2000},
     )
     try:
         hosts = list(fleet.hosts())
--- a/src/rosemarystream/_internal/decisions/membership.py
+++ b/src/rosemarystream/_internal/decisions/membership.py
@@ -14,15 +14,18 @@
 )
 from rosemarystream._internal.kernel.service import Service
 from rosemarystream._internal.models.events import (
+    ConfigurationChanged,
     OwnersChanged,
     Redial,
     SendMessage,
+    ServingChanged,
 )
 from rosemarystream._internal.models.messages import Heartbeat
 from rosemarystream._internal.models.server import EntryHost
 
 MAX_HOSTS = 4096
 NEWS_FRACTION = 0.2
+ANNOUNCED_HOSTS = 2
 LOOK_FRACTION = 0.1
 
 
@@ -102,7 +105,7 @@
     """
 
     name = "membership"
-    handles = (Heartbeat,)
+    handles = (Heartbeat, ConfigurationChanged, ServingChanged)
 
     def __init__(
         self,
@@ -130,13 +133,19 @@
         self._remote_soonest = 0.0
         self._looked_at = 0.0
         self._judge_due = 0.0
+        self._has_announcement = False
         self._heard: tuple[int, ...] | None = None
         self._last_size = 0
         self.started_at: float | None = None
 
     def handle(self, event: Any, now: float) -> Iterable[Any]:
-        """Take a heartbeat; ask its sender for what this host lacks."""
-        return self._learn(event, now)
+        """Take a heartbeat, or tell others soon of something new."""
+        if isinstance(event, Heartbeat):
+            return self._learn(event, now)
+        if isinstance(event, ConfigurationChanged) or not event.server:
+            self._has_announcement = True
+            self._local_due = 0.0
+        return ()
 
     def _learn(self, heartbeat: Heartbeat, now: float) -> list[Any]:
         host = heartbeat.host
@@ -185,6 +194,9 @@
             self._judge_due = now + self.times.heartbeat * NEWS_FRACTION
             actions.extend(map(self._change_owners, sorted(self._judge(now))))
             actions.extend(self._redial_silent(now))
+        if self._has_announcement:
+            self._has_announcement = False
+            actions.extend(self._beat(self._announced_addresses(), remote=True))
         if self._is_due(self._local_due, self._local_soonest, now, remote=False):
             self._local_due = now + self.times.heartbeat
             self._local_soonest = now + self.times.heartbeat * NEWS_FRACTION
@@ -254,6 +266,24 @@
             if record.host.data_centre != self.me.data_centre
         ]
 
+    def _announced_addresses(self) -> list[str]:
+        """Return a few hosts of each other data centre, to tell them early.
+
+        Heartbeats to other data centres come seldom in a large fleet, and a
+        recall must not wait for them when the platform is down.
+        """
+        centres: dict[str, list[str]] = {}
+        for record in self._peers.values():
+            if record.host.data_centre != self.me.data_centre:
+                names = centres.setdefault(record.host.data_centre, [])
+                names.append(record.host.name)
+        chosen = [
+            name
+            for names in centres.values()
+            for name in order_candidates(self.me.name, names)[:ANNOUNCED_HOSTS]
+        ]
+        return [self._peers[name].host.peer_address for name in chosen]
+
     def _spending(self, hosts: int) -> float:
         """Return the seconds of budget that one heartbeat to hosts costs."""
         return hosts * self._last_size / max(1, self._budget)
@@ -312,6 +342,8 @@
 
     def next_deadline(self) -> float | None:
         """Time of the next look at loads and silent hosts."""
+        if self._has_announcement:
+            return 0.0
         return min(
             self._local_due,
             self._remote_due,
