--- a/tests/features/steps/at_most_once.py
+++ b/tests/features/steps/at_most_once.py
@@ -7,8 +7,8 @@
 from behave import given, then, when
 
 from standins.fleet import wait_until
-from tests.features.steps.whole_answers import keep_fleet
 from tests.lib.callers import Caller
+from tests.lib.contexts import keep_fleet
 from tests.lib.fleets import start_fleet
 
 FAULTS = {
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -8,8 +8,8 @@
 from standins.calls import request
 from standins.fleet import wait_until
 from standins.sheets import write_sheet
-from tests.features.steps.whole_answers import keep_fleet
 from tests.lib.callers import Caller
+from tests.lib.contexts import keep_fleet
 from tests.lib.fleets import ADMIN, apply_sheet, start_fleet
 
 
--- a/tests/features/steps/orders.py
+++ b/tests/features/steps/orders.py
@@ -8,7 +8,7 @@
 
 from standins.fleet import wait_until
 from standins.sheets import write_sheet
-from tests.features.steps.whole_answers import keep_fleet
+from tests.lib.contexts import keep_fleet
 from tests.lib.fleets import apply_sheet, start_fleet
 
 ENGINES = {"e1": "dc1", "e2": "dc1", "e3": "dc1"}
--- a/tests/features/steps/whole_answers.py
+++ b/tests/features/steps/whole_answers.py
@@ -6,20 +6,13 @@
 from behave import given, then, when
 
 from standins.fleet import wait_until
-from tests.lib.callers import Caller
+from tests.lib.contexts import LONG_ANSWER, keep_fleet, send_long
 from tests.lib.fleets import start_fleet
 from tests.lib.load import ChatLoad
 
-LONG_ANSWER = 40
 MAX_TURNS = 20
 
 
-def keep_fleet(context, fleet):
-    context.fleet = fleet
-    context.hosts = list(fleet.hosts())
-    context.caller = Caller(workspace="depot")
-
-
 @given("a fleet whose engines stand behind fault proxies")
 def start_proxied_engines(context):
     keep_fleet(
@@ -56,12 +49,6 @@
     return reply.end["engine"]
 
 
-def send_long(context):
-    context.reply = context.caller.send_turn(
-        context.hosts[0].address, chat="c1", max_tokens=LONG_ANSWER
-    )
-
-
 @when("the connection goes silent while a chat is answered")
 def silence_engine(context):
     name = serving_engine(context)
--- a/tests/features/steps/whole_path.py
+++ b/tests/features/steps/whole_path.py
@@ -2,15 +2,14 @@
 
 from behave import given, then, when
 
-from tests.lib.callers import Caller
+from tests.lib.contexts import keep_fleet
 from tests.lib.fleets import start_fleet
 
 
 @given("a fleet of two data centres with three hosts")
 def start_two_data_centres(context):
-    context.fleet = start_fleet(hosts={"h1": "dc1", "h2": "dc1", "h3": "dc2"})
-    context.hosts = list(context.fleet.hosts())
-    context.caller = Caller(workspace="depot")
+    fleet = start_fleet(hosts={"h1": "dc1", "h2": "dc1", "h3": "dc2"})
+    keep_fleet(context, fleet)
 
 
 @when("a chat sends {count:d} turns through all hosts in turn")
--- a/tests/features/steps/withdrawal.py
+++ b/tests/features/steps/withdrawal.py
@@ -9,8 +9,8 @@
 from standins.calls import request
 from standins.fleet import wait_until
 from standins.sheets import write_sheet
-from tests.features.steps.whole_answers import keep_fleet
 from tests.lib.callers import Caller
+from tests.lib.contexts import keep_fleet, send_long
 from tests.lib.fleets import ADMIN, apply_sheet, start_fleet
 
 HOSTS = {"h1": "dc1", "h2": "dc1", "h3": "dc2"}
@@ -113,19 +113,13 @@
         if reply.end["engine"] == name:
             break
     chat = f"c{number}"
-    thread = threading.Thread(target=lambda: send_long_as(context, chat))
+    thread = threading.Thread(target=send_long, args=(context, chat))
     thread.start()
     time.sleep(0.3)
     engine.control(leaving=True)
     thread.join()
 
 
-def send_long_as(context, chat):
-    context.reply = context.caller.send_turn(
-        context.hosts[0].address, chat=chat, max_tokens=40
-    )
-
-
 @when("the recall is lifted")
 def lift(context):
     path = f"/v1/recalls/{context.recall_id}/lift"
