--- a/src/rosemarystream/_internal/backends/poller.py
+++ b/src/rosemarystream/_internal/backends/poller.py
@@ -1,7 +1,7 @@
 """Polls the backend servers whose state this host has to know."""
 
 from collections.abc import Callable
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 import gevent
 import msgspec
@@ -35,6 +35,7 @@
     models: list[str]
     adapters: list[str]
     leaving: bool
+    loading: NotRequired[list[str]]
 
 
 _DECODER = msgspec.json.Decoder(StateBody)
@@ -139,6 +140,7 @@
             models=tuple(body["models"]),
             adapters=tuple(body["adapters"]),
             leaving=body["leaving"],
+            loading=tuple(body.get("loading", ())),
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/rosemarystream/_internal/decisions/reconciliation.py
+++ b/src/rosemarystream/_internal/decisions/reconciliation.py
@@ -120,6 +120,8 @@
             return unwanted
         wanted = f"{pool.model}@{pool.version}"
         recalled = self._recalls.withdraws_model(pool.model, pool.version)
+        if wanted in report.loading:
+            return None
         if wanted not in report.models and not recalled:
             return _Need(OrderAction.LOAD, OrderSubject.MODEL, wanted)
         outdated = [name for name in report.models if name != wanted]
--- a/src/rosemarystream/_internal/models/server.py
+++ b/src/rosemarystream/_internal/models/server.py
@@ -92,6 +92,8 @@
         Loaded adapter versions, ``name@version``.
     leaving : bool
         Whether the server says that it leaves.
+    loading : tuple of str
+        Model versions that it is loading, ``name@version``.
     """
 
     incarnation: int
@@ -99,6 +101,7 @@
     models: tuple[str, ...]
     adapters: tuple[str, ...]
     leaving: bool
+    loading: tuple[str, ...] = ()
 
 
 class PollWish(NamedTuple):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -80,6 +80,8 @@
         self.incarnation = options.get("incarnation", 1)
         self.models = list(options.get("models", ["lm@1"]))
         self.adapters = list(options.get("adapters", []))
+        self.loading: list[str] = []
+        self.load_ms = options.get("load_ms", 1200)
         self.leaving = False
         self.deaf = options.get("deaf", False)
         self.dies_after: int | None = None
@@ -195,6 +197,7 @@
             "models": engine.models,
             "adapters": engine.adapters,
             "leaving": engine.leaving,
+            "loading": engine.loading,
         }
 
 
@@ -219,11 +222,17 @@
             return
         loaded = engine.models if order["what"] == "model" else engine.adapters
         if order["action"] == "load" and order["target"] not in loaded:
-            loaded.append(order["target"])
+            engine.loading.append(order["target"])
+            gevent.spawn_later(engine.load_ms / 1000, self._finish, order, loaded)
         if order["action"] == "unload" and order["target"] in loaded:
             loaded.remove(order["target"])
         resp.media = {}
 
+    def _finish(self, order, loaded):
+        self._engine.loading.remove(order["target"])
+        if order["target"] not in loaded:
+            loaded.append(order["target"])
+
 
 class CacheEventsResource:
     """``GET /v1/cache_events``: published late and with gaps."""
