--- a/src/rosemarystream/_internal/gateway/logs.py
+++ b/src/rosemarystream/_internal/gateway/logs.py
@@ -43,7 +43,7 @@
             "logger": record.channel.rpartition(".")[2],
             "message": record.message[:MAX_VALUE_CHARACTERS],
         }
-        for key, value in record.extra.items():
+        for key, value in record.kwargs.items():
             line[key] = _shorten(value)
         if record.exc_info:
             line["exception"] = record.formatted_exception
