Place returning prompts where they are held, by cost

Change: hosts tell each other which server reads which part (rumours in beats) and how many prompt tokens each server has yet to read; a request goes where waiting, reading and load together cost least, under the bound on a server's load.

--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 # Reports older than this belong to hosts that are gone.
@@ -14,11 +15,20 @@
 
 
 class Report(NamedTuple):
-    """Requests in progress as one host or data centre has told them."""
+    """Requests in progress as one host or data centre has told them.
+
+    Attributes
+    ----------
+    counts : mapping of str to int
+        Requests by server.
+    reading : mapping of str to int
+        Prompt tokens that servers have yet to read, by server.
+    """
 
     sequence: int
     told_at: float
     counts: Mapping[str, int]
+    reading: Mapping[str, int] = MappingProxyType({})
 
 
 class LoadTable:
@@ -26,6 +36,7 @@
 
     def __init__(self) -> None:
         self.own: Counter[str] = Counter()
+        self.own_reading: Counter[str] = Counter()
         self._hosts: dict[str, Report] = {}
         self._data_centres: dict[str, Report] = {}
 
@@ -39,6 +50,16 @@
         if self.own[server] <= 0:
             del self.own[server]
 
+    def begin_reading(self, server: str, tokens: int) -> None:
+        """Count prompt tokens that a server has yet to read."""
+        self.own_reading[server] += tokens
+
+    def end_reading(self, server: str, tokens: int) -> None:
+        """Count prompt tokens as read, or as given up."""
+        self.own_reading[server] -= tokens
+        if self.own_reading[server] <= 0:
+            del self.own_reading[server]
+
     def accept_host(self, name: str, report: Report) -> None:
         """Take a report of a host of this data centre."""
         _accept(self._hosts, name, report)
@@ -62,6 +83,20 @@
             total.update(report.counts)
         return total
 
+    def sum_data_centre_reading(self, now: float) -> Counter[str]:
+        """Return this data centre's unread tokens, this host's included."""
+        total = Counter(self.own_reading)
+        for report in self.list_hosts(now).values():
+            total.update(report.reading)
+        return total
+
+    def sum_all_reading(self, now: float) -> Counter[str]:
+        """Return the unread tokens of the whole fleet."""
+        total = self.sum_data_centre_reading(now)
+        for report in self.list_data_centres(now).values():
+            total.update(report.reading)
+        return total
+
     def sum_all(self, now: float) -> Counter[str]:
         """Return the counts of the whole fleet."""
         total = self.sum_data_centre(now)
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -1,27 +1,39 @@
 """Which backend server takes a request.
 
-Answers two patterns. Requests that share long prompts go where the prompt has
-been read already: the order of a rendezvous hash gives every host the same
-first, second and third home with nothing said, and a home that is near its
-bound passes the rest on to the next. Plain requests go where least is waiting.
+Answers two patterns. Requests that share long prompts go where they cost least,
+which is where the prompt has been read already, unless much is waiting there;
+the order of a rendezvous hash gives all hosts the same home for a new prompt.
+No server is given more than a bound on its load. Plain requests go where least
+is waiting.
 """
 
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from rosemarystream._internal.decisions.hashing import order_candidates
 from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.endpoint import Endpoint
 
 # Share of the allowed excess over the mean load that one server is given.
-EXCESS_SHARE = 0.7
+EXCESS_SHARE = 0.9
 # Requests allowed beyond the multiple of the mean.
 SPARE_REQUESTS = 2.0
+# Prompt tokens that an engine reads in a millisecond.
+TOKENS_PER_MS = 30.0
+# Cost of reading a prompt against waiting for others' to be read; reading also
+# holds up every stream of the engine.
+READ_WEIGHT = 2.0
+# Time that a running request adds to another one.
+REQUEST_MS = 5.0
+# Time that a server seems to need longer at a failure rate of 1.
+FAILURE_MS = 4_000.0
+# Cost of each step away from the first home, for prompts no server holds yet.
+STRAY_MS = 4.0
+MAX_STRAYS = 5
 # Load that a failing server seems to have, in requests for a rate of 1.
 FAILURE_LOAD = 40.0
 # Load that a server of another data centre seems to have beside a near one.
 DISTANCE_LOAD = 0.4
-# Failure rate from which a server's share of a prompt's requests moves away.
-FAILING = 0.25
 
 
 def choose_context_key(model: str, parts: Sequence[PromptPart]) -> str:
@@ -36,31 +48,66 @@
     """Return how many requests a server may have, the next one included."""
     if not loads:
         return 0.0
-    mean = (sum(loads) + 1) / len(loads)
+    mean = sum(loads) / len(loads)
     return (1.0 + (multiple - 1.0) * EXCESS_SHARE) * mean + SPARE_REQUESTS
 
 
+class ContextLoad(NamedTuple):
+    """What a request would meet at a server that keeps context.
+
+    Attributes
+    ----------
+    requests : int
+        Requests in progress there.
+    reading : int
+        Prompt tokens of other requests that it has yet to read.
+    unread : int
+        Tokens of this prompt that it would have to read.
+    failure_rate : float
+        Part of its requests that fail of late, 0 to 1.
+    """
+
+    requests: int
+    reading: int
+    unread: int
+    failure_rate: float
+
+
+def estimate_cost_ms(load: ContextLoad) -> float:
+    """Return what a request costs at a server, to itself and to the others."""
+    tokens = load.reading + READ_WEIGHT * load.unread
+    return (
+        tokens / TOKENS_PER_MS
+        + REQUEST_MS * load.requests
+        + FAILURE_MS * load.failure_rate
+    )
+
+
 def place_by_context(
     key: str,
-    endpoints: Sequence[Endpoint],
+    loads: Mapping[str, ContextLoad],
     *,
-    loads: Mapping[str, int],
-    failure_rates: Mapping[str, float],
-    multiple: float,
-) -> Endpoint | None:
-    """Return the first home of a prompt that is neither full nor failing."""
-    if not endpoints:
+    bound: float,
+) -> str | None:
+    """Return the server at which a request with a shared prompt costs least.
+
+    Parameters
+    ----------
+    key : str
+        What requests with the same shared prompt have in common; orders
+        servers that nobody has sent this prompt to.
+    bound : float
+        Requests that a server may have, this one included.
+    """
+    if not loads:
         return None
-    by_name = {endpoint.name: endpoint for endpoint in endpoints}
-    bound = bound_load([loads.get(name, 0) for name in by_name], multiple)
-    for name in order_candidates(key, by_name):
-        if failure_rates.get(name, 0.0) > FAILING:
-            continue
-        if loads.get(name, 0) + 1 <= bound:
-            return by_name[name]
-    return place_by_load(
-        endpoints, loads=loads, failure_rates=failure_rates, data_centre=""
-    )
+    open_names = [name for name, load in loads.items() if load.requests < bound]
+    names = order_candidates(key, open_names or loads)
+    costs = {
+        name: estimate_cost_ms(loads[name]) + STRAY_MS * min(rank, MAX_STRAYS)
+        for rank, name in enumerate(names)
+    }
+    return min(names, key=costs.__getitem__)
 
 
 def place_by_load(
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -4,10 +4,13 @@
 
 from xxhash import xxh3_64_intdigest
 
+from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.health import ServerHealth
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.neighbours import Neighbours
 from rosemarystream._internal.decisions.placement import (
+    ContextLoad,
+    bound_load,
     choose_context_key,
     place_by_context,
     place_by_load,
@@ -36,12 +39,14 @@
         replica: Replica,
         neighbours: Neighbours,
         loads: LoadTable,
+        contexts: ContextMap,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
         on_load: Callable[[], None],
     ) -> None:
         self.replica = replica
         self.metrics = metrics
+        self.contexts = contexts
         self.health = ServerHealth()
         self._data_centre = data_centre
         self._bounds = bounds
@@ -49,6 +54,7 @@
         self._loads = loads
         self._clock = clock
         self._on_load = on_load
+        self._incarnations: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
     def choose_service(self, route: Route, call: Call) -> str:
@@ -78,13 +84,25 @@
         loads = self._loads.sum_all(now)
         rates = {e.name: self.health.failure_rate(e.name, now) for e in candidates}
         if route.keeps_context and call.parts:
-            return place_by_context(
+            reading = self._loads.sum_all_reading(now)
+            name = place_by_context(
                 choose_context_key(call.model, call.parts),
-                candidates,
-                loads=loads,
-                failure_rates=rates,
-                multiple=self._bounds.load_multiple,
+                {
+                    e.name: ContextLoad(
+                        requests=loads[e.name],
+                        reading=reading[e.name],
+                        unread=self.contexts.count_unread(
+                            call.model, call.parts, e.name, now
+                        ),
+                        failure_rate=rates[e.name],
+                    )
+                    for e in candidates
+                },
+                bound=bound_load(
+                    [loads[e.name] for e in ready], self._bounds.load_multiple
+                ),
             )
+            return self.replica.find_endpoint(name) if name else None
         return place_by_load(
             candidates,
             loads=loads,
@@ -93,6 +111,22 @@
             salt=call.request_id,
         )
 
+    def begin_reading(self, endpoint: Endpoint, call: Call) -> int:
+        """Count a prompt that a server has to read; returns the unread tokens."""
+        if not call.parts:
+            return 0
+        now = self._clock()
+        unread = self.contexts.count_unread(call.model, call.parts, endpoint.name, now)
+        self._loads.begin_reading(endpoint.name, unread)
+        shared = [f"{call.model}/{part.name}" for part in call.parts[:-1]]
+        self.contexts.note_use(shared, endpoint.name, now)
+        return unread
+
+    def end_reading(self, endpoint: Endpoint, tokens: int) -> None:
+        """Count a prompt as read, or as given up."""
+        if tokens:
+            self._loads.end_reading(endpoint.name, tokens)
+
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
         self._loads.begin(endpoint.name)
@@ -126,6 +160,15 @@
             self._budgets[service] = budget
         return budget
 
+    def forget_others(self, endpoints: Sequence[Endpoint]) -> None:
+        """Drop what is known of servers that have left or started anew."""
+        present = {endpoint.name: endpoint.incarnation for endpoint in endpoints}
+        for name, incarnation in self._incarnations.items():
+            if present.get(name) != incarnation:
+                self.health.forget(name)
+                self.contexts.forget_server(name)
+        self._incarnations = present
+
     def note_load(self, endpoint: Endpoint, load: ServerLoad) -> None:
         """Take what a server says of its load."""
         self.metrics.count("answers_with_load")
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
+from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.load_table import LoadTable, Report
 from rosemarystream._internal.decisions.neighbours import Neighbours
 from rosemarystream._internal.decisions.replica import Replica
@@ -71,6 +72,7 @@
         replica: Replica,
         neighbours: Neighbours,
         loads: LoadTable,
+        contexts: ContextMap,
         list_resting: Callable[[], list[str]],
         on_resting: Callable[[list[str]], None],
         on_news: Callable[[], None],
@@ -83,6 +85,7 @@
         self._replica = replica
         self._neighbours = neighbours
         self._loads = loads
+        self._contexts = contexts
         self._list_resting = list_resting
         self._on_resting = on_resting
         self._on_news = on_news
@@ -148,11 +151,11 @@
     def _send_collected(self, now: float) -> None:
         hosts = [self._make_row()]
         hosts += [
-            Row(name, row.sequence, _age_ms(now, row.told_at), dict(row.counts))
+            _make_row(name, row, now)
             for name, row in self._loads.list_hosts(now).items()
         ]
         data_centres = [
-            Row(name, row.sequence, _age_ms(now, row.told_at), dict(row.counts))
+            _make_row(name, row, now)
             for name, row in self._loads.list_data_centres(now).items()
         ]
         near = [
@@ -167,6 +170,7 @@
             self._sequence,
             0,
             dict(self._loads.sum_data_centre(now)),
+            dict(self._loads.sum_data_centre_reading(now)),
         )
         far_beat = self._make_beat(now, hosts=[], data_centres=[total])
         for data_centre in self._neighbours.list_data_centres():
@@ -190,6 +194,7 @@
             self._sequence,
             0,
             dict(self._loads.own),
+            dict(self._loads.own_reading),
             self._list_resting(),
         )
 
@@ -216,6 +221,7 @@
             hosts,
             data_centres,
             names,
+            [] if wants_answer else self._contexts.list_rumours(now),
             wants_answer,
         )
 
@@ -254,6 +260,7 @@
         for name in beat.names:
             if self._neighbours.find(name.name) is None:
                 self._neighbours.name_host(name.name, name.data_centre, name.ip, now)
+        self._contexts.accept_rumours(beat.rumours, now)
         for row in beat.hosts:
             self._accept_host(row, sender, now)
         for row in beat.data_centres:
@@ -360,7 +367,18 @@
 
 
 def _convert(row: Row, now: float) -> Report:
-    return Report(row.sequence, now - row.age_ms / 1000, row.counts)
+    told_at = now - row.age_ms / 1000
+    return Report(row.sequence, told_at, row.counts, row.reading)
+
+
+def _make_row(name: str, report: Report, now: float) -> Row:
+    return Row(
+        name,
+        report.sequence,
+        _age_ms(now, report.told_at),
+        dict(report.counts),
+        dict(report.reading),
+    )
 
 
 def _send_frame(connection: socket.socket, data: bytes) -> None:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 from logbook import Logger
 
+from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.neighbours import Neighbours
 from rosemarystream._internal.decisions.replica import Replica
@@ -64,6 +65,7 @@
         self._replica = Replica()
         self._neighbours = Neighbours(name=host.name, data_centre=host.data_centre)
         self._loads = LoadTable()
+        self._contexts = ContextMap()
         self._metrics = GatewayMetrics()
         self._pool = Pool(clock=self._clock)
         self._fleet = Fleet(
@@ -72,6 +74,7 @@
             replica=self._replica,
             neighbours=self._neighbours,
             loads=self._loads,
+            contexts=self._contexts,
             metrics=self._metrics,
             clock=self._clock,
             on_load=self._tell_load,
@@ -85,6 +88,7 @@
             replica=self._replica,
             neighbours=self._neighbours,
             loads=self._loads,
+            contexts=self._contexts,
             list_resting=lambda: self._fleet.health.list_resting(self._clock()),
             on_resting=self._learn_resting,
             on_news=self._note_news,
@@ -162,7 +166,9 @@
         self._peering.announce()
 
     def _note_news(self) -> None:
-        self._pool.drop_others(self._replica.list_endpoints())
+        endpoints = self._replica.list_endpoints()
+        self._pool.drop_others(endpoints)
+        self._fleet.forget_others(endpoints)
 
     def _register(self) -> None:
         """Make this host known in the store, and learn of the others."""
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -16,6 +16,7 @@
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.pool import Pool
 from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.route import Route, Workspace
 from rosemarystream._internal.platform.headers import AnswerHead, decode_call
 from rosemarystream._internal.utils.events import EventSplitter, find_identifier
@@ -125,6 +126,7 @@
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
+        self._reading = 0
         self._unsent = 0
         self._may_have_run = False
         self._last_event = call.resume_after
@@ -181,6 +183,7 @@
         )
         self.tried.append(endpoint.name)
         self._fleet.begin(endpoint)
+        self._reading = self._fleet.begin_reading(endpoint, self._call)
         try:
             return self._run_attempt(attempt, route)
         except NotRunError as error:
@@ -191,9 +194,14 @@
             self._check_retry(route, service, sent=True, reason=str(error))
         finally:
             attempt.close()
+            self._end_reading(endpoint)
             self._fleet.end(endpoint)
         return None
 
+    def _end_reading(self, endpoint: Endpoint) -> None:
+        self._fleet.end_reading(endpoint, self._reading)
+        self._reading = 0
+
     def _note_not_run(self, attempt: Attempt, error: NotRunError) -> None:
         log.info(
             "attempt not run",
@@ -328,6 +336,7 @@
                 raise _RefusedError(ErrorKind.STREAM_BROKEN, str(error)) from error
             if piece is None:
                 break
+            self._end_reading(attempt.endpoint)
             for event in splitter.split(piece):
                 self._pass_event(event, head)
         if splitter.rest:
--- a/src/rosemarystream/_internal/models/beat.py
+++ b/src/rosemarystream/_internal/models/beat.py
@@ -22,6 +22,8 @@
         Age of the report when it was sent, in milliseconds.
     counts : dict of str to int
         Requests in progress by server.
+    reading : dict of str to int
+        Prompt tokens that servers have yet to read, by server.
     resting : list of str
         Servers that can't be reached from there.
     """
@@ -30,6 +32,7 @@
     sequence: int
     age_ms: int
     counts: dict[str, int]
+    reading: dict[str, int] = {}
     resting: list[str] = []
 
 
@@ -51,6 +54,8 @@
         Sums of data centres.
     names : list of HostName
         Live hosts; sent now and then.
+    rumours : list of tuple of str
+        Prompt parts and servers that have begun to hold them.
     """
 
     sender: HostName
@@ -61,6 +66,7 @@
     hosts: list[Row]
     data_centres: list[Row]
     names: list[HostName]
+    rumours: list[tuple[str, str]] = []
     wants_answer: bool = False
 
 
