--- a/src/rosemarystream/_internal/utils/heads.py
+++ b/src/rosemarystream/_internal/utils/heads.py
@@ -32,25 +32,38 @@
     """
     if _BARE.search(head):
         raise HeadError("bare line feed, carriage return or zero byte")
-    lengths: list[bytes] = []
-    codings: list[bytes] = []
-    hosts = 0
+    framing = _Framing()
     for line in head[: -len(_END)].split(b"\r\n")[1:]:
         if not _FIELD.match(line):
             raise HeadError("malformed header line")
         name, _, value = line.partition(b":")
-        name = name.lower()
-        if name == b"content-length":
-            lengths.append(value.strip())
-        elif name == b"transfer-encoding":
-            codings.append(value.strip().lower())
-        elif name == b"host":
-            hosts += 1
-    if lengths and codings:
-        raise HeadError("both Content-Length and Transfer-Encoding")
-    if len(lengths) > 1 or len(codings) > 1 or hosts > 1:
-        raise HeadError("repeated framing or Host header")
-    if lengths and not _LENGTH.match(lengths[0]):
-        raise HeadError("malformed Content-Length")
-    if codings and codings != [b"chunked"]:
-        raise HeadError("unknown Transfer-Encoding")
+        framing.add(name.lower(), value.strip())
+    framing.check()
+
+
+class _Framing:
+    """Headers that say where a request ends and whose it is."""
+
+    def __init__(self) -> None:
+        self._lengths: list[bytes] = []
+        self._codings: list[bytes] = []
+        self._hosts: list[bytes] = []
+        self._values = {
+            b"content-length": self._lengths,
+            b"transfer-encoding": self._codings,
+            b"host": self._hosts,
+        }
+
+    def add(self, name: bytes, value: bytes) -> None:
+        if name in self._values:
+            self._values[name].append(value)
+
+    def check(self) -> None:
+        if self._lengths and self._codings:
+            raise HeadError("both Content-Length and Transfer-Encoding")
+        if any(len(values) > 1 for values in self._values.values()):
+            raise HeadError("repeated framing or Host header")
+        if self._lengths and not _LENGTH.match(self._lengths[0]):
+            raise HeadError("malformed Content-Length")
+        if self._codings and self._codings[0].lower() != b"chunked":
+            raise HeadError("unknown Transfer-Encoding")
--- /dev/null
+++ b/tests/unit/test_health.py
@@ -0,0 +1,40 @@
+"""Servers are left alone when they fail, and come back when they are well."""
+
+from rosemarystream._internal.decisions.health import (
+    FIRST_REST_S,
+    HALF_LIFE_S,
+    LONGEST_REST_S,
+    ServerHealth,
+)
+
+
+def test_a_server_that_cannot_be_reached_rests_longer_each_time():
+    health = ServerHealth()
+    now, rests = 0.0, []
+    for _ in range(6):
+        health.note_unreachable("s", now)
+        start = now
+        while health.is_resting("s", now):
+            now += 0.05
+        rests.append(now - start)
+    assert rests[0] < FIRST_REST_S + 0.1
+    for earlier, later in zip(rests, rests[1:], strict=False):
+        assert later > earlier - 0.06
+    assert rests[-1] < LONGEST_REST_S + 0.1
+
+
+def test_a_server_that_fails_a_part_of_its_requests_is_found_out():
+    health = ServerHealth()
+    for number in range(20):
+        health.note_outcome("grey", failed=number % 2 == 0, now=number * 0.05)
+        health.note_outcome("well", failed=False, now=number * 0.05)
+    assert health.failure_rate("grey", 1.0) > 0.3
+    assert health.failure_rate("well", 1.0) == 0.0
+    assert health.failure_rate("grey", 1.0 + 4 * HALF_LIFE_S) < 0.05
+
+
+def test_a_good_answer_ends_the_rest():
+    health = ServerHealth()
+    health.note_unreachable("s", 0.0)
+    health.note_outcome("s", failed=False, now=0.1)
+    assert not health.is_resting("s", 0.1)
--- /dev/null
+++ b/tests/unit/test_neighbours.py
@@ -0,0 +1,58 @@
+"""Collectors of a data centre, as hosts come, fall silent and return."""
+
+from rosemarystream._internal.decisions.neighbours import (
+    COLLECTORS,
+    DEAD_AFTER_S,
+    Neighbours,
+)
+
+NAMES = [f"host-{number}" for number in range(6)]
+
+
+def make_views(now):
+    views = {}
+    for name in NAMES:
+        view = Neighbours(name=name, data_centre="a")
+        for other in NAMES:
+            view.hear_host(other, "a", f"10.0.0.{other[-1]}", now)
+        views[name] = view
+    return views
+
+
+def test_hosts_with_the_same_view_name_the_same_collectors():
+    views = make_views(5.0)
+    named = {tuple(view.list_collectors("a", 5.0)) for view in views.values()}
+    assert len(named) == 1
+    assert len(named.pop()) == COLLECTORS
+
+
+def test_the_next_host_takes_over_from_a_silent_collector():
+    views = make_views(5.0)
+    first, second = views[NAMES[0]].list_collectors("a", 5.0)
+    later = 5.0 + DEAD_AFTER_S + 0.1
+    for name, view in views.items():
+        for other in NAMES:
+            if other not in (name, first):
+                view.hear_host(other, "a", f"10.0.0.{other[-1]}", later)
+    named = {
+        tuple(view.list_collectors("a", later))
+        for name, view in views.items()
+        if name != first
+    }
+    assert len(named) == 1
+    collectors = named.pop()
+    assert collectors[0] == second
+    assert first not in collectors
+
+
+def test_a_host_that_hears_nobody_collects_for_itself():
+    view = make_views(5.0)[NAMES[3]]
+    assert view.is_collector(5.0 + DEAD_AFTER_S + 0.1)
+
+
+def test_others_watch_while_collectors_have_lost_the_store():
+    views = make_views(5.0)
+    watching = [v for v in views.values() if v.is_watcher(5.0, store_lost=False)]
+    assert len(watching) == COLLECTORS
+    watching = [v for v in views.values() if v.is_watcher(5.0, store_lost=True)]
+    assert len(watching) > COLLECTORS
--- /dev/null
+++ b/tests/unit/test_replica.py
@@ -0,0 +1,68 @@
+"""State that comes late, twice or out of order never goes back."""
+
+from rosemarystream._internal.decisions.replica import RETURN_GRACE_S, Replica
+from rosemarystream._internal.models.endpoint import Endpoint, ServerState
+from rosemarystream._internal.models.route import CallerLimits, FleetConfiguration
+
+
+def make_endpoint(name="s1", revision=1, state=ServerState.READY, **changes):
+    endpoint = Endpoint(name, "pool", "10.0.0.1:80", "a", 64, state, 1, revision)
+    return endpoint._replace(**changes)
+
+
+def make_configuration(version):
+    return FleetConfiguration(version, {}, {}, CallerLimits(), {})
+
+
+def test_an_older_configuration_is_not_taken():
+    replica = Replica()
+    assert replica.accept_configuration(make_configuration(7), b"7")
+    assert not replica.accept_configuration(make_configuration(5), b"5")
+    assert replica.version == 7
+    assert replica.document == b"7"
+
+
+def test_a_late_ready_does_not_undo_draining():
+    replica = Replica()
+    replica.accept_endpoint(make_endpoint(revision=5, state=ServerState.DRAINING))
+    assert not replica.accept_endpoint(make_endpoint(revision=4))
+    assert replica.list_ready("pool") == []
+
+
+def test_a_late_entry_does_not_bring_a_removed_server_back():
+    replica = Replica()
+    replica.accept_endpoint(make_endpoint(revision=5))
+    assert replica.accept_removal("s1", 9, now=0.0)
+    assert not replica.accept_endpoint(make_endpoint(revision=8))
+    assert replica.accept_endpoint(make_endpoint(revision=10))
+
+
+def test_a_peer_gets_what_it_lacks():
+    replica = Replica()
+    replica.accept_endpoint(make_endpoint("old", revision=3))
+    replica.accept_endpoint(make_endpoint("new", revision=6))
+    replica.accept_endpoint(make_endpoint("gone", revision=4))
+    replica.accept_removal("gone", 7, now=0.0)
+    replica.advance(8)
+    delta = replica.select_delta(5)
+    assert [endpoint.name for endpoint in delta.endpoints] == ["new"]
+    assert delta.removed == {"gone": 7}
+    assert delta.revision == 8
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back():
+    replica = Replica()
+    replica.accept_listing([make_endpoint("s1"), make_endpoint("s2")], 2, now=0.0)
+    replica.begin_return(10.0)
+    replica.accept_listing([], 5, now=10.0)
+    assert len(replica.list_ready("pool")) == 2
+    replica.accept_endpoint(make_endpoint("s1", revision=6))
+    assert replica.expire(10.0 + RETURN_GRACE_S) == ["s2"]
+    assert [e.name for e in replica.list_ready("pool")] == ["s1"]
+
+
+def test_a_removal_outside_an_outage_holds_at_once():
+    replica = Replica()
+    replica.accept_listing([make_endpoint("s1")], 2, now=0.0)
+    assert replica.accept_listing([], 5, now=1.0) == ["s1"]
+    assert replica.list_ready("pool") == []
--- /dev/null
+++ b/tests/unit/test_retry_budget.py
@@ -0,0 +1,34 @@
+"""Repeats of all hosts together stay inside the fleet's bound."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rosemarystream._internal.decisions.retry_budget import RetryBudget
+
+RATIO, WINDOW_S, SLACK = 0.2, 10.0, 56
+
+
+@given(hosts=st.integers(1, 12), seed=st.integers(0, 1000))
+def test_servers_that_fail_everywhere_do_not_break_the_bound(hosts, seed):
+    draw = random.Random(seed)
+    budgets = [
+        RetryBudget(ratio=RATIO, window_s=WINDOW_S, slack=SLACK) for _ in range(hosts)
+    ]
+    now, requests, repeats = 0.0, [], []
+    while now < 30.0:
+        now += draw.expovariate(30.0)
+        budget = draw.choice(budgets)
+        budget.note_request(now)
+        requests.append(now)
+        if budget.take(now, hosts=hosts):
+            repeats.append(now)
+        window = [t for t in repeats if t > now - WINDOW_S]
+        asked = [t for t in requests if t > now - WINDOW_S]
+        assert len(window) <= RATIO * len(asked) + SLACK
+
+
+def test_a_quiet_host_may_still_repeat():
+    budget = RetryBudget(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
+    assert budget.take(1.0, hosts=8)
