--- a/src/rosemarystream/_internal/decisions/health.py
+++ b/src/rosemarystream/_internal/decisions/health.py
@@ -11,6 +11,8 @@
 LONGEST_REST_S = 4.0
 # Weight of the newest outcome in a server's failure rate.
 OUTCOME_WEIGHT = 0.15
+# Failure rate of a server of which another host says that it can't be reached.
+RUMOUR_RATE = 0.2
 # Time in which a failure rate falls to half when nothing is sent.
 HALF_LIFE_S = 3.0
 
@@ -49,6 +51,12 @@
         rate = max(self.failure_rate(server, now), 0.5)
         self._states[server] = _State(rate, now, now + rest_s, rest_s)
 
+    def note_rumour(self, server: str, now: float) -> None:
+        """Note that another host can't reach a server; it may be that host's fault."""
+        state = self._states.get(server, _UNKNOWN)
+        rate = max(self.failure_rate(server, now), RUMOUR_RATE)
+        self._states[server] = state._replace(failure_rate=rate, noted_at=now)
+
     def is_resting(self, server: str, now: float) -> bool:
         """Whether a server is left alone for now."""
         return now < self._states.get(server, _UNKNOWN).rest_until
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -159,7 +159,9 @@
         self._peering.tell_jump()
 
     def _learn_resting(self, servers: list[str]) -> None:
-        del servers
+        now = self._clock()
+        for server in servers:
+            self._fleet.health.note_rumour(server, now)
 
     def _announce(self) -> None:
         self._note_news()
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -146,10 +146,18 @@
         self._workspace = workspace.name if workspace else None
         service = self._fleet.choose_service(route, self._call)
         self._fleet.note_request(service)
-        while True:
-            outcome = self._try_once(route, service)
-            if outcome is not None:
-                return outcome
+        try:
+            while True:
+                outcome = self._try_once(route, service)
+                if outcome is not None:
+                    return outcome
+        except _RefusedError as error:
+            if self._kept is None or self._answer.begun:
+                raise
+            self.reason = str(error)
+            head, body = self._kept
+            self._answer.send_whole(head.status, head.headers, body)
+            return "failed"
 
     def _admit(self) -> tuple[Route, Workspace | None]:
         configuration = self._fleet.replica.configuration
