--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -7,33 +7,59 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from math import inf
+from typing import NamedTuple
 
+from rosemarystream._internal.decisions.hashing import number_name
 from rosemarystream._internal.models.call import PromptPart
 
 # Use after which a part is taken to have been dropped from a server's memory.
-LIFE_S = 60.0
+LIFE_S = 30.0
 MAX_PARTS = 20_000
-# A use that is this recent isn't told again.
-FRESH_S = 5.0
+# Time after which a use is told again.
+FRESH_S = 8.0
 # Time for which news is repeated to other hosts, as messages may be lost.
-RUMOUR_S = 0.45
-MAX_RUMOURS = 200
+RUMOUR_S = 0.25
+MAX_RUMOURS = 80
 
-Rumour = tuple[str, str]
+Rumour = tuple[int, int]
+
+
+class _Holding(NamedTuple):
+    """When a server last used a part, and when hosts were last told so."""
+
+    used_at: float
+    told_at: float
+
+
+def number_part(model: str, part: PromptPart) -> int:
+    """Return the number of a part of a prompt, as one model reads it."""
+    return number_name(f"{model}/{part.name}")
+
+
+_NEVER = _Holding(-inf, -inf)
 
 
 class ContextMap:
-    """Holders of prompt parts with their last use, and news of them to tell."""
+    """Holders of prompt parts with their last use, and news of them to tell.
+
+    Parts and servers are known by their numbers. Who holds a part also holds
+    all that come before it.
+    """
 
     def __init__(self) -> None:
-        self._holders: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._holders: OrderedDict[int, dict[int, _Holding]] = OrderedDict()
         self._rumours: dict[Rumour, float] = {}
 
-    def note_use(self, parts: Sequence[str], server: str, now: float) -> None:
-        """Note that a server reads parts of a prompt, and tell it if it is news."""
-        for part in parts:
-            if self._note(part, server, now):
-                self._add_rumour((part, server), now)
+    def note_use(self, parts: Sequence[int], server: int, now: float) -> None:
+        """Note that a server reads parts of a prompt, and tell it if it is news.
+
+        The last part stands for those before it.
+        """
+        for part in parts[:-1]:
+            self._note(part, server, now)
+        if parts and self._note(parts[-1], server, now):
+            self._add_rumour((parts[-1], server), now)
 
     def accept_rumours(self, rumours: Sequence[Rumour], now: float) -> None:
         """Take what other hosts have told, and pass it on if it is news."""
@@ -41,11 +67,12 @@
             if self._note(part, server, now):
                 self._add_rumour((part, server), now)
 
-    def _note(self, part: str, server: str, now: float) -> bool:
+    def _note(self, part: int, server: int, now: float) -> bool:
         holders = self._holders.setdefault(part, {})
         self._holders.move_to_end(part)
-        news = now - holders.get(server, -LIFE_S) > FRESH_S
-        holders[server] = now
+        known = holders.get(server, _NEVER)
+        news = now - known.told_at > FRESH_S
+        holders[server] = _Holding(now, now if news else known.told_at)
         if len(self._holders) > MAX_PARTS:
             self._holders.popitem(last=False)
         return news
@@ -61,19 +88,24 @@
             del self._rumours[rumour]
         return [*self._rumours]
 
+    def is_held(self, part: int, now: float) -> bool:
+        """Whether any server is known to hold a part."""
+        holders = self._holders.get(part, {})
+        return any(now - known.used_at <= LIFE_S for known in holders.values())
+
     def count_unread(
-        self, model: str, parts: Sequence[PromptPart], server: str, now: float
+        self, model: str, parts: Sequence[PromptPart], server: int, now: float
     ) -> int:
         """Return the tokens of a prompt that a server has yet to read."""
-        unread = sum(part.tokens for part in parts)
-        for part in parts:
-            used_at = self._holders.get(f"{model}/{part.name}", {}).get(server)
-            if used_at is None or now - used_at > LIFE_S:
+        unread = 0
+        for part in reversed(parts):
+            holders = self._holders.get(number_part(model, part), {})
+            if now - holders.get(server, _NEVER).used_at <= LIFE_S:
                 break
-            unread -= part.tokens
+            unread += part.tokens
         return unread
 
-    def forget_server(self, server: str) -> None:
+    def forget_server(self, server: int) -> None:
         """Drop what is known of a server that has left or started anew."""
         for holders in self._holders.values():
             holders.pop(server, None)
--- a/src/rosemarystream/_internal/decisions/hashing.py
+++ b/src/rosemarystream/_internal/decisions/hashing.py
@@ -6,6 +6,7 @@
 
 _SEPARATOR = "\x00"
 _SHORT_BITS = 16
+_NUMBER_BITS = 32
 
 
 def shorten_name(name: str) -> int:
@@ -13,6 +14,11 @@
     return xxh3_64_intdigest(name.encode()) & ((1 << _SHORT_BITS) - 1)
 
 
+def number_name(name: str) -> int:
+    """Return a 32-bit hash of a name, to send and to store in place of it."""
+    return xxh3_64_intdigest(name.encode()) & ((1 << _NUMBER_BITS) - 1)
+
+
 def score_candidate(key: str, candidate: str) -> int:
     """Return the weight of a candidate for a key; the highest wins."""
     return xxh3_64_intdigest(f"{candidate}{_SEPARATOR}{key}".encode())
--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -3,6 +3,10 @@
 Answers the pattern of many hosts that each see a sliver of the traffic and
 follow the same hot prompt: a host counts its own requests exactly, and the
 others' by their last reports, so that a bound on a server's load holds for all.
+
+Every host reports to the collectors of its data centre. These add up, tell the
+collectors elsewhere their data centre's sum, and tell each host the sum of all
+others. Servers are known by their numbers.
 """
 
 from collections import Counter
@@ -12,53 +16,61 @@
 
 # Reports older than this belong to hosts that are gone.
 REPORT_LIFE_S = 1.5
+# A sum of all others that is older gives way to what was told directly.
+SUM_LIFE_S = 0.6
 
 
 class Report(NamedTuple):
-    """Requests in progress as one host or data centre has told them.
+    """Requests in progress as told by another host.
 
     Attributes
     ----------
-    counts : mapping of str to int
+    sequence : int
+        Grows with each report of the same sender.
+    counts : mapping of int to int
         Requests by server.
-    reading : mapping of str to int
+    reading : mapping of int to int
         Prompt tokens that servers have yet to read, by server.
     """
 
     sequence: int
     told_at: float
-    counts: Mapping[str, int]
-    reading: Mapping[str, int] = MappingProxyType({})
+    counts: Mapping[int, int]
+    reading: Mapping[int, int] = MappingProxyType({})
+
+
+class Load(NamedTuple):
+    """Requests and unread prompt tokens by server."""
+
+    counts: Counter[int]
+    reading: Counter[int]
 
 
 class LoadTable:
     """Counts of requests in progress by server."""
 
     def __init__(self) -> None:
-        self.own: Counter[str] = Counter()
-        self.own_reading: Counter[str] = Counter()
+        self._own: Counter[int] = Counter()
+        self._own_reading: Counter[int] = Counter()
         self._hosts: dict[str, Report] = {}
         self._data_centres: dict[str, Report] = {}
+        self._others: dict[str, Report] = {}
 
-    def begin(self, server: str) -> None:
+    def begin(self, server: int) -> None:
         """Count a request that is sent to a server."""
-        self.own[server] += 1
+        self._own[server] += 1
 
-    def end(self, server: str) -> None:
+    def end(self, server: int) -> None:
         """Count a request as over."""
-        self.own[server] -= 1
-        if self.own[server] <= 0:
-            del self.own[server]
+        _subtract(self._own, server, 1)
 
-    def begin_reading(self, server: str, tokens: int) -> None:
+    def begin_reading(self, server: int, tokens: int) -> None:
         """Count prompt tokens that a server has yet to read."""
-        self.own_reading[server] += tokens
+        self._own_reading[server] += tokens
 
-    def end_reading(self, server: str, tokens: int) -> None:
+    def end_reading(self, server: int, tokens: int) -> None:
         """Count prompt tokens as read, or as given up."""
-        self.own_reading[server] -= tokens
-        if self.own_reading[server] <= 0:
-            del self.own_reading[server]
+        _subtract(self._own_reading, server, tokens)
 
     def accept_host(self, name: str, report: Report) -> None:
         """Take a report of a host of this data centre."""
@@ -68,41 +80,55 @@
         """Take the sum of another data centre's reports."""
         _accept(self._data_centres, name, report)
 
-    def list_hosts(self, now: float) -> dict[str, Report]:
-        """Return the reports of this data centre's hosts that still count."""
-        return _select_live(self._hosts, now)
-
-    def list_data_centres(self, now: float) -> dict[str, Report]:
-        """Return the other data centres' sums that still count."""
-        return _select_live(self._data_centres, now)
-
-    def sum_data_centre(self, now: float) -> Counter[str]:
-        """Return this data centre's counts, this host's included."""
-        total = Counter(self.own)
-        for report in self.list_hosts(now).values():
-            total.update(report.counts)
-        return total
-
-    def sum_data_centre_reading(self, now: float) -> Counter[str]:
-        """Return this data centre's unread tokens, this host's included."""
-        total = Counter(self.own_reading)
-        for report in self.list_hosts(now).values():
-            total.update(report.reading)
-        return total
-
-    def sum_all_reading(self, now: float) -> Counter[str]:
-        """Return the unread tokens of the whole fleet."""
-        total = self.sum_data_centre_reading(now)
-        for report in self.list_data_centres(now).values():
-            total.update(report.reading)
-        return total
-
-    def sum_all(self, now: float) -> Counter[str]:
-        """Return the counts of the whole fleet."""
-        total = self.sum_data_centre(now)
-        for report in self.list_data_centres(now).values():
-            total.update(report.counts)
-        return total
+    def accept_others(self, collector: str, report: Report) -> None:
+        """Take a collector's sum of all hosts but this one."""
+        _accept(self._others, collector, report)
+
+    def sum_own(self) -> Load:
+        """Return this host's own load."""
+        return Load(Counter(self._own), Counter(self._own_reading))
+
+    def sum_data_centre(self, now: float) -> Load:
+        """Return this data centre's load as reported to this host."""
+        return _add(self.sum_own(), _select_live(self._hosts, now))
+
+    def sum_others(self, host: str, now: float) -> Load:
+        """Return the load of all hosts but one of this data centre."""
+        reports = _select_live(self._hosts, now)
+        load = _add(
+            self.sum_own(),
+            {name: report for name, report in reports.items() if name != host},
+        )
+        return _add(load, _select_live(self._data_centres, now))
+
+    def sum_all(self, now: float) -> Load:
+        """Return the load of the whole fleet."""
+        newest = max(
+            _select_live(self._others, now).values(),
+            key=lambda report: report.told_at,
+            default=None,
+        )
+        if newest is not None and now - newest.told_at <= SUM_LIFE_S:
+            return _add(self.sum_own(), {"others": newest})
+        load = self.sum_data_centre(now)
+        return _add(load, _select_live(self._data_centres, now))
+
+    def forget_others(self) -> None:
+        """Drop collectors' sums, as this host adds up for itself."""
+        self._others.clear()
+
+
+def _subtract(counts: Counter[int], server: int, value: int) -> None:
+    counts[server] -= value
+    if counts[server] <= 0:
+        del counts[server]
+
+
+def _add(load: Load, reports: Mapping[str, Report]) -> Load:
+    for report in reports.values():
+        load.counts.update(report.counts)
+        load.reading.update(report.reading)
+    return load
 
 
 def _accept(reports: dict[str, Report], name: str, report: Report) -> None:
--- a/src/rosemarystream/_internal/decisions/neighbours.py
+++ b/src/rosemarystream/_internal/decisions/neighbours.py
@@ -2,8 +2,9 @@
 
 Answers the pattern of hosts replaced at any time in a fleet too large for all
 to tell all: in each data centre two collectors, the first in the rendezvous
-order of its live hosts, watch the store, take the others' reports and pass
-them on. Hosts may disagree for a moment; then there are more collectors.
+order of its live hosts, take the others' reports and pass them on, and the
+first of them watches the store. Hosts may disagree for a moment; then there are
+more collectors.
 """
 
 from typing import NamedTuple
@@ -16,6 +17,10 @@
 # Hosts that have never been heard are tried this long after they were named.
 TRIAL_S = 3.0
 FORGET_AFTER_S = 120.0
+# Collectors of a data centre that watch the store while others also do.
+WATCHERS = 1
+# Collectors that watch it in a fleet of a single data centre.
+LONE_WATCHERS = 2
 # Watchers beside the collectors while those can't reach the store.
 RESERVE_WATCHERS = 2
 
@@ -58,7 +63,9 @@
     def hear_host(self, name: str, data_centre: str, ip: str, heard_at: float) -> None:
         """Note a sign of life of a host."""
         known = self._hosts.get(name)
-        if name == self._name or (known and known.heard_at >= heard_at):
+        if name == self._name or (
+            known and known.ip == ip and known.heard_at >= heard_at
+        ):
             return
         named_at = known.named_at if known else heard_at
         self._hosts[name] = Neighbour(name, data_centre, ip, heard_at, named_at)
@@ -106,17 +113,13 @@
         store_lost : bool
             Whether the collectors can't reach the store.
         """
-        if self.is_collector(now):
-            return True
-        if not store_lost:
-            return False
-        names = [
-            host.name
-            for host in self.list_live(now)
-            if host.data_centre == self._data_centre
-        ]
+        live = self.list_live(now)
+        names = [host.name for host in live if host.data_centre == self._data_centre]
         order = order_candidates(self._data_centre, [*names, self._name])
-        return self._name in order[: COLLECTORS + RESERVE_WATCHERS]
+        if store_lost:
+            return self._name in order[: COLLECTORS + RESERVE_WATCHERS]
+        alone = all(host.data_centre == self._data_centre for host in live)
+        return self._name in order[: LONE_WATCHERS if alone else WATCHERS]
 
     def list_data_centres(self) -> list[str]:
         """Return the other data centres that are known."""
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from rosemarystream._internal.decisions.hashing import order_candidates
+from rosemarystream._internal.decisions.hashing import order_candidates, pick_candidate
 from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.endpoint import Endpoint
 
@@ -20,9 +20,12 @@
 SPARE_REQUESTS = 2.0
 # Prompt tokens that an engine reads in a millisecond.
 TOKENS_PER_MS = 30.0
-# Cost of reading a prompt against waiting for others' to be read; reading also
-# holds up every stream of the engine.
-READ_WEIGHT = 2.0
+# Cost to the others of a millisecond in which an engine reads a prompt.
+READ_WEIGHT = 3.0
+# Part of the objective up to which an answer is safely in time.
+SAFE_SHARE = 0.5
+# Cost of a millisecond of waiting beyond that.
+LATE_WEIGHT = 5.0
 # Time that a running request adds to another one.
 REQUEST_MS = 5.0
 # Time that a server seems to need longer at a failure rate of 1.
@@ -30,18 +33,44 @@
 # Cost of each step away from the first home, for prompts no server holds yet.
 STRAY_MS = 4.0
 MAX_STRAYS = 5
+# Age at which a server has settled, whatever the age of the others.
+SETTLED_MS = 600_000.0
+# Part of the oldest server's age at which another one has settled.
+SETTLED_SHARE = 0.5
 # Load that a failing server seems to have, in requests for a rate of 1.
 FAILURE_LOAD = 40.0
 # Load that a server of another data centre seems to have beside a near one.
 DISTANCE_LOAD = 0.4
 
 
-def choose_context_key(model: str, parts: Sequence[PromptPart]) -> str:
-    """Return the key that requests with the same shared prompt have in common."""
-    if not parts:
-        return ""
-    shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return f"{model}/{shared.name}"
+def choose_shared_parts(parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
+    """Return the parts of a prompt that other requests share."""
+    return parts[:-1] or parts
+
+
+def select_settled(endpoints: Sequence[Endpoint], wall_ms: float) -> list[Endpoint]:
+    """Return the servers that have been there long enough to be homes.
+
+    A server that joins takes what is new or too much for others; only once it
+    has settled do prompts that are read elsewhere move to it.
+
+    Parameters
+    ----------
+    wall_ms : float
+        Time of day in milliseconds since the epoch; seconds off do no harm.
+    """
+    if not endpoints:
+        return []
+    oldest_ms = wall_ms - min(endpoint.incarnation for endpoint in endpoints)
+    least_ms = min(SETTLED_MS, SETTLED_SHARE * oldest_ms)
+    return [e for e in endpoints if wall_ms - e.incarnation >= least_ms] or [*endpoints]
+
+
+def choose_home(key: str, endpoints: Sequence[Endpoint], wall_ms: float) -> str | None:
+    """Return the server that all hosts take for the home of a prompt."""
+    return pick_candidate(
+        key, [endpoint.name for endpoint in select_settled(endpoints, wall_ms)]
+    )
 
 
 def bound_load(loads: Sequence[int], multiple: float) -> float:
@@ -73,20 +102,71 @@
     failure_rate: float
 
 
-def estimate_cost_ms(load: ContextLoad) -> float:
-    """Return what a request costs at a server, to itself and to the others."""
-    tokens = load.reading + READ_WEIGHT * load.unread
+class Placement(NamedTuple):
+    """Where a request goes, and what decided it.
+
+    Attributes
+    ----------
+    requests, reading, unread : int
+        Load of the server as far as it was known; see `ContextLoad`.
+    bound : float
+        Requests that it may have; 0 if no bound was applied.
+    home : str or None
+        Server that was taken for the home of the prompt.
+    home_requests, home_reading : int
+        Load of the home.
+    """
+
+    endpoint: Endpoint
+    requests: int
+    reading: int = 0
+    unread: int = 0
+    bound: float = 0.0
+    home: str | None = None
+    home_requests: int = 0
+    home_reading: int = 0
+
+
+def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
+    """Return what a request costs at a server, to itself and to the others.
+
+    Waiting weighs little while the answer still begins well inside its
+    objective, and much after that. Reading holds up all streams of an engine.
+    """
+    wait_ms = (load.reading + load.unread) / TOKENS_PER_MS + REQUEST_MS * load.requests
+    late_ms = max(0.0, wait_ms - SAFE_SHARE * objective_ms)
     return (
-        tokens / TOKENS_PER_MS
-        + REQUEST_MS * load.requests
+        wait_ms
+        + LATE_WEIGHT * late_ms
+        + READ_WEIGHT * load.unread / TOKENS_PER_MS
         + FAILURE_MS * load.failure_rate
     )
 
 
+def presume_held(
+    loads: Mapping[str, ContextLoad], home: str | None, own: int
+) -> dict[str, ContextLoad]:
+    """Return the loads with a prompt taken as held at its home.
+
+    For prompts that no server is known to hold: all hosts send them there
+    unless they know a better place.
+
+    Parameters
+    ----------
+    own : int
+        Tokens of the request's own part, which no server holds.
+    """
+    loads = dict(loads)
+    if home in loads:
+        loads[home] = loads[home]._replace(unread=min(own, loads[home].unread))
+    return loads
+
+
 def place_by_context(
     key: str,
     loads: Mapping[str, ContextLoad],
     *,
+    objective_ms: float,
     bound: float,
 ) -> str | None:
     """Return the server at which a request with a shared prompt costs least.
@@ -94,8 +174,9 @@
     Parameters
     ----------
     key : str
-        What requests with the same shared prompt have in common; orders
-        servers that nobody has sent this prompt to.
+        What requests with the same shared prompt have in common.
+    objective_ms : float
+        Time in which the answer should begin, in milliseconds.
     bound : float
         Requests that a server may have, this one included.
     """
@@ -104,7 +185,8 @@
     open_names = [name for name, load in loads.items() if load.requests < bound]
     names = order_candidates(key, open_names or loads)
     costs = {
-        name: estimate_cost_ms(loads[name]) + STRAY_MS * min(rank, MAX_STRAYS)
+        name: estimate_cost_ms(loads[name], objective_ms)
+        + STRAY_MS * min(rank, MAX_STRAYS)
         for rank, name in enumerate(names)
     }
     return min(names, key=costs.__getitem__)
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -1,19 +1,24 @@
 """What a host knows of the fleet, and its decisions on requests."""
 
+import time
 from collections.abc import Callable, Sequence
 
 from xxhash import xxh3_64_intdigest
 
-from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.context_map import ContextMap, number_part
+from rosemarystream._internal.decisions.hashing import number_name
 from rosemarystream._internal.decisions.health import ServerHealth
-from rosemarystream._internal.decisions.load_table import LoadTable
+from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.neighbours import Neighbours
 from rosemarystream._internal.decisions.placement import (
     ContextLoad,
+    Placement,
     bound_load,
-    choose_context_key,
+    choose_home,
+    choose_shared_parts,
     place_by_context,
     place_by_load,
+    presume_held,
 )
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
@@ -71,70 +76,110 @@
 
     def place(
         self, route: Route, service: str, call: Call, *, exclude: Sequence[str]
-    ) -> Endpoint | None:
-        """Return the server that takes a request next."""
+    ) -> Placement | None:
+        """Return the server that takes a request next, and why."""
         now = self._clock()
-        ready = [
-            endpoint
-            for endpoint in self.replica.list_ready(service)
-            if endpoint.name not in exclude
-        ]
-        awake = [e for e in ready if not self.health.is_resting(e.name, now)]
-        candidates = awake or ready
-        loads = self._loads.sum_all(now)
-        rates = {e.name: self.health.failure_rate(e.name, now) for e in candidates}
+        ready = self.replica.list_ready(service)
+        left = [endpoint for endpoint in ready if endpoint.name not in exclude]
+        awake = [e for e in left if not self.health.is_resting(e.name, now)]
+        candidates = awake or left
+        load = self._loads.sum_all(now)
         if route.keeps_context and call.parts:
-            reading = self._loads.sum_all_reading(now)
-            name = place_by_context(
-                choose_context_key(call.model, call.parts),
-                {
-                    e.name: ContextLoad(
-                        requests=loads[e.name],
-                        reading=reading[e.name],
-                        unread=self.contexts.count_unread(
-                            call.model, call.parts, e.name, now
-                        ),
-                        failure_rate=rates[e.name],
-                    )
-                    for e in candidates
-                },
-                bound=bound_load(
-                    [loads[e.name] for e in ready], self._bounds.load_multiple
-                ),
+            return self._place_by_context(
+                call, ready, candidates, load, now, objective_s=route.objective_s
             )
-            return self.replica.find_endpoint(name) if name else None
-        return place_by_load(
+        endpoint = place_by_load(
             candidates,
-            loads=loads,
-            failure_rates=rates,
+            loads={e.name: load.counts[e.number] for e in candidates},
+            failure_rates=self._list_failure_rates(candidates, now),
             data_centre=self._data_centre,
             salt=call.request_id,
         )
+        if endpoint is None:
+            return None
+        return Placement(endpoint, load.counts[endpoint.number])
+
+    def _list_failure_rates(
+        self, endpoints: Sequence[Endpoint], now: float
+    ) -> dict[str, float]:
+        return {e.name: self.health.failure_rate(e.name, now) for e in endpoints}
 
-    def begin_reading(self, endpoint: Endpoint, call: Call) -> int:
-        """Count a prompt that a server has to read; returns the unread tokens."""
+    def _place_by_context(
+        self,
+        call: Call,
+        ready: Sequence[Endpoint],
+        candidates: Sequence[Endpoint],
+        load: Load,
+        now: float,
+        *,
+        objective_s: float,
+    ) -> Placement | None:
+        rates = self._list_failure_rates(candidates, now)
+        loads = {
+            e.name: ContextLoad(
+                requests=load.counts[e.number],
+                reading=load.reading[e.number],
+                unread=self.contexts.count_unread(
+                    call.model, call.parts, e.number, now
+                ),
+                failure_rate=rates[e.name],
+            )
+            for e in candidates
+        }
+        shared = choose_shared_parts(call.parts)
+        key = f"{call.model}/{shared[-1].name}"
+        home = choose_home(key, ready, time.time() * _MS_PER_S)
+        bound = bound_load(
+            [load.counts[e.number] for e in ready], self._bounds.load_multiple
+        )
+        presumed = loads
+        if not self.contexts.is_held(number_part(call.model, shared[-1]), now):
+            own = sum(part.tokens for part in call.parts[len(shared) :])
+            presumed = presume_held(loads, home, own)
+        name = place_by_context(
+            key, presumed, objective_ms=objective_s * _MS_PER_S, bound=bound
+        )
+        endpoint = self.replica.find_endpoint(name) if name else None
+        if endpoint is None:
+            return None
+        met = loads[endpoint.name]
+        at_home = loads.get(home or "", met)
+        return Placement(
+            endpoint=endpoint,
+            requests=met.requests,
+            reading=met.reading,
+            unread=met.unread,
+            bound=round(bound, 1),
+            home=home,
+            home_requests=at_home.requests,
+            home_reading=at_home.reading,
+        )
+
+    def begin_reading(self, placement: Placement, call: Call) -> None:
+        """Count a prompt that a server has to read."""
         if not call.parts:
-            return 0
-        now = self._clock()
-        unread = self.contexts.count_unread(call.model, call.parts, endpoint.name, now)
-        self._loads.begin_reading(endpoint.name, unread)
-        shared = [f"{call.model}/{part.name}" for part in call.parts[:-1]]
-        self.contexts.note_use(shared, endpoint.name, now)
-        return unread
+            return
+        endpoint = placement.endpoint
+        self._loads.begin_reading(endpoint.number, placement.unread)
+        self.contexts.note_use(
+            [number_part(call.model, part) for part in choose_shared_parts(call.parts)],
+            endpoint.number,
+            self._clock(),
+        )
 
-    def end_reading(self, endpoint: Endpoint, tokens: int) -> None:
+    def end_reading(self, placement: Placement) -> None:
         """Count a prompt as read, or as given up."""
-        if tokens:
-            self._loads.end_reading(endpoint.name, tokens)
+        if placement.unread:
+            self._loads.end_reading(placement.endpoint.number, placement.unread)
 
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
-        self._loads.begin(endpoint.name)
+        self._loads.begin(endpoint.number)
         self._on_load()
 
     def end(self, endpoint: Endpoint) -> None:
         """Count a request at a server as over."""
-        self._loads.end(endpoint.name)
+        self._loads.end(endpoint.number)
         self._on_load()
 
     def note_request(self, service: str) -> None:
@@ -166,9 +211,20 @@
         for name, incarnation in self._incarnations.items():
             if present.get(name) != incarnation:
                 self.health.forget(name)
-                self.contexts.forget_server(name)
+                self.contexts.forget_server(number_name(name))
         self._incarnations = present
 
+    def list_resting(self) -> list[int]:
+        """Return the numbers of servers that this host can't reach."""
+        return [number_name(name) for name in self.health.list_resting(self._clock())]
+
+    def learn_resting(self, servers: Sequence[int]) -> None:
+        """Take the numbers of servers that another host can't reach."""
+        now = self._clock()
+        for endpoint in self.replica.list_endpoints():
+            if endpoint.number in servers:
+                self.health.note_rumour(endpoint.name, now)
+
     def note_load(self, endpoint: Endpoint, load: ServerLoad) -> None:
         """Take what a server says of its load."""
         self.metrics.count("answers_with_load")
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -1,29 +1,24 @@
-"""Beats between entry hosts over UDP, and pulls of missing state over TCP."""
+"""Beats between entry hosts, over UDP.
+
+Each host reports its load to the collectors of its data centre; these tell it
+the load of all others, and the collectors elsewhere the sum of theirs. A beat
+also names versions; a host that sees a newer one pulls what it lacks.
+"""
 
-import struct
 from collections.abc import Callable
+from typing import NamedTuple
 
 import gevent
 import msgspec
 from gevent import socket
-from gevent.server import StreamServer
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
-from rosemarystream._internal.decisions.load_table import LoadTable, Report
-from rosemarystream._internal.decisions.neighbours import Neighbours
+from rosemarystream._internal.decisions.load_table import Load, LoadTable, Report
+from rosemarystream._internal.decisions.neighbours import Neighbour, Neighbours
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.models.beat import (
-    Beat,
-    DeltaAnswer,
-    DeltaRequest,
-    HostName,
-    Row,
-)
-from rosemarystream._internal.platform.documents import (
-    DocumentError,
-    decode_configuration,
-)
+from rosemarystream._internal.gateway.pulls import Pulls
+from rosemarystream._internal.models.beat import Beat, HostName, Scope
 
 log = Logger(__name__)
 
@@ -32,33 +27,42 @@
 JUMP_S = 0.02
 # Requests by which the own load changes before it is told at once.
 JUMP_REQUESTS = 2
-NAMES_EVERY = 10
-MAX_NAMES = 32
-DATAGRAM_BYTES = 60_000
-PULL_S = 1.0
-PULL_PAUSE_S = 0.25
-MAX_PULL_BYTES = 16_000_000
-_LENGTH = struct.Struct("!I")
-
-_beat_decoder = msgspec.msgpack.Decoder(Beat)
-_request_decoder = msgspec.msgpack.Decoder(DeltaRequest)
-_answer_decoder = msgspec.msgpack.Decoder(DeltaAnswer)
+# Beats after which names of hosts go along.
+NAMES_EVERY = 5
+MAX_NAMES = 48
+# Beats for which a new host greets its seeds, unless it hears somebody.
+GREETINGS = 100
+GREET_EVERY = 5
+DATAGRAM_BYTES = 65_000
+
+_decoder = msgspec.msgpack.Decoder(Beat)
 _encode = msgspec.msgpack.encode
 
 
+class _LostStore(NamedTuple):
+    """What a host last told of its contact to the store."""
+
+    told_at: float
+    lost_ms: int
+
+
 class Peering:
-    """Keeps hosts in touch.
+    """Keeps this host in touch with the others.
 
     Parameters
     ----------
     me : HostName
         This host.
     port : int
-        Port of all hosts for UDP beats and TCP pulls.
+        UDP port of all hosts.
     seeds : list of str
         ``ip:port`` of hosts that may be up; only the IP number is used.
-    on_news : callable
-        Called after the replica has changed.
+    first_sequence : int
+        Number of the first beat; higher than any of an earlier process.
+    list_resting : callable
+        Returns the servers that this host can't reach.
+    on_resting : callable
+        Takes the servers that another host can't reach.
     """
 
     def __init__(
@@ -67,336 +71,217 @@
         me: HostName,
         port: int,
         seeds: list[str],
-        incarnation: int,
+        first_sequence: int,
         clock: Callable[[], float],
         replica: Replica,
         neighbours: Neighbours,
         loads: LoadTable,
         contexts: ContextMap,
-        list_resting: Callable[[], list[str]],
-        on_resting: Callable[[list[str]], None],
-        on_news: Callable[[], None],
+        pulls: Pulls,
+        list_resting: Callable[[], list[int]],
+        on_resting: Callable[[list[int]], None],
     ) -> None:
         self._me = me
         self._port = port
-        self._seeds = [seed.rpartition(":")[0] for seed in seeds]
-        self._incarnation = incarnation
+        self._seeds = {seed.rpartition(":")[0] for seed in seeds} - {me.ip}
+        self._sequence = first_sequence
         self._clock = clock
         self._replica = replica
         self._neighbours = neighbours
         self._loads = loads
         self._contexts = contexts
+        self._pulls = pulls
         self._list_resting = list_resting
         self._on_resting = on_resting
-        self._on_news = on_news
-        self._sequence = incarnation
         self._beats = 0
-        self._told = 0
+        self._told_requests = 0
         self._told_at = 0.0
-        self._pulling = False
-        self._pull_after = 0.0
-        self._store_lost: dict[str, tuple[float, int]] = {}
+        self._lost_stores: dict[str, _LostStore] = {}
         self.store_lost_ms = 0
-        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._tcp = StreamServer((me.ip, port), self._serve_pull)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
     def start(self) -> None:
         """Listen, and ask the seeds who is there."""
-        self._udp.bind((self._me.ip, self._port))
-        self._tcp.start()
-        gevent.spawn(self._receive_beats)
-        gevent.spawn(self._send_beats)
-
-    def stop(self) -> None:
-        """Stop listening."""
-        self._tcp.stop()
-        self._udp.close()
-
-    # Sending
+        self._socket.bind((self._me.ip, self._port))
+        gevent.spawn(self._receive)
+        gevent.spawn(self._beat)
 
-    def _send_beats(self) -> None:
+    def _beat(self) -> None:
         while True:
-            try:
-                self._send_round()
-            except OSError as error:
-                log.warning("beats not sent", error=str(error))
+            self._beats += 1
+            self._greet()
+            self._tell()
             gevent.sleep(BEAT_S)
 
     def tell_jump(self) -> None:
         """Tell the collectors at once if the own load has jumped."""
-        now = self._clock()
-        total = self._loads.own.total()
-        if abs(total - self._told) < JUMP_REQUESTS or now - self._told_at < JUMP_S:
+        total = self._loads.sum_own().counts.total()
+        if abs(total - self._told_requests) < JUMP_REQUESTS:
             return
-        self._send_round()
+        if self._clock() - self._told_at >= JUMP_S:
+            self._tell()
 
     def announce(self) -> None:
-        """Tell others at once that there is newer state."""
-        self._send_round()
+        """Tell the others at once that there is newer state."""
+        self._tell()
 
-    def _send_round(self) -> None:
+    # Sending
+
+    def _tell(self) -> None:
         now = self._clock()
-        self._beats += 1
-        self._told, self._told_at = self._loads.own.total(), now
-        self._sequence += 1
-        if self._beats % NAMES_EVERY == 1:
-            self._greet_strangers(now)
+        own = self._loads.sum_own()
+        self._told_requests, self._told_at = own.counts.total(), now
         collectors = self._neighbours.list_collectors(self._me.data_centre, now)
-        if self._me.name not in collectors:
-            beat = self._make_beat(now, hosts=[self._make_row()], data_centres=[])
-            self._send_to_names(beat, collectors)
-            return
-        self._send_collected(now)
-
-    def _send_collected(self, now: float) -> None:
-        hosts = [self._make_row()]
-        hosts += [
-            _make_row(name, row, now)
-            for name, row in self._loads.list_hosts(now).items()
-        ]
-        data_centres = [
-            _make_row(name, row, now)
-            for name, row in self._loads.list_data_centres(now).items()
-        ]
-        near = [
-            host
-            for host in self._neighbours.list_live(now)
-            if host.data_centre == self._me.data_centre
-        ]
-        beat = self._make_beat(now, hosts=hosts, data_centres=data_centres)
-        self._send_to_names(beat, [host.name for host in near])
-        total = Row(
-            self._me.data_centre,
-            self._sequence,
-            0,
-            dict(self._loads.sum_data_centre(now)),
-            dict(self._loads.sum_data_centre_reading(now)),
-        )
-        far_beat = self._make_beat(now, hosts=[], data_centres=[total])
+        beat = self._make_beat(Scope.HOST, own, now)
+        for name in collectors:
+            self._send_to(name, beat)
+        if self._me.name in collectors:
+            self._loads.forget_others()
+            self._tell_near(now)
+            self._tell_far(now)
+
+    def _tell_near(self, now: float) -> None:
+        names = self._list_names(now) if self._beats % NAMES_EVERY == 0 else []
+        for host in self._neighbours.list_live(now):
+            if host.data_centre == self._me.data_centre:
+                load = self._loads.sum_others(host.name, now)
+                beat = self._make_beat(Scope.OTHERS, load, now, names=names)
+                self._send(host.ip, beat)
+
+    def _tell_far(self, now: float) -> None:
+        load = self._loads.sum_data_centre(now)
+        beat = self._make_beat(Scope.DATA_CENTRE, load, now)
         for data_centre in self._neighbours.list_data_centres():
-            names = self._neighbours.list_collectors(data_centre, now)
-            self._send_to_names(far_beat, names)
-
-    def _greet_strangers(self, now: float) -> None:
-        """Reach seeds and hosts that are named but have never been heard."""
-        known = self._neighbours.list_known()
-        heard = {host.ip for host in known if host.heard_at}
-        ips = {host.ip for host in known if not host.heard_at}
-        if self._beats < 3 * NAMES_EVERY or not heard:
-            ips |= set(self._seeds)
-        beat = self._make_beat(now, hosts=[], data_centres=[], wants_answer=True)
-        for ip in ips - heard - {self._me.ip}:
-            self._send(beat, ip)
-
-    def _make_row(self) -> Row:
-        return Row(
-            self._me.name,
-            self._sequence,
-            0,
-            dict(self._loads.own),
-            dict(self._loads.own_reading),
-            self._list_resting(),
+            for name in self._neighbours.list_collectors(data_centre, now):
+                self._send_to(name, beat)
+
+    def _greet(self) -> None:
+        """Reach the seeds while nobody has been heard, and at the start."""
+        heard = any(host.heard_at for host in self._neighbours.list_known())
+        if self._beats % GREET_EVERY != 1 or (heard and self._beats > GREET_EVERY):
+            return
+        beat = self._make_beat(
+            Scope.NONE, self._loads.sum_own(), self._clock(), wants_answer=True
         )
+        for ip in self._seeds if self._beats <= GREETINGS else ():
+            self._send(ip, beat)
 
     def _make_beat(
         self,
+        scope: Scope,
+        load: Load,
         now: float,
         *,
-        hosts: list[Row],
-        data_centres: list[Row],
+        names: list[HostName] | None = None,
         wants_answer: bool = False,
     ) -> Beat:
-        names = []
-        if self._beats % NAMES_EVERY == 0 or wants_answer:
-            names = [
-                HostName(host.name, host.data_centre, host.ip)
-                for host in self._neighbours.list_live(now)[:MAX_NAMES]
-            ]
+        self._sequence += 1
         return Beat(
-            self._me,
-            self._incarnation,
-            self._replica.version,
-            self._replica.revision,
-            self.store_lost_ms,
-            hosts,
-            data_centres,
-            names,
-            [] if wants_answer else self._contexts.list_rumours(now),
-            wants_answer,
+            sender=self._me,
+            sequence=self._sequence,
+            version=self._replica.version,
+            revision=self._replica.revision,
+            store_lost_ms=self.store_lost_ms,
+            scope=scope,
+            counts=load.counts,
+            reading=load.reading,
+            resting=self._list_resting() if scope is Scope.HOST else [],
+            rumours=self._contexts.list_rumours(now),
+            names=names or [],
+            wants_answer=wants_answer,
+        )
+
+    def _list_names(self, now: float, *, first: str = "") -> list[HostName]:
+        near = first or self._me.data_centre
+        hosts = sorted(
+            self._neighbours.list_live(now),
+            key=lambda host: (host.data_centre != near, host.name),
         )
+        return [_make_name(host, now) for host in hosts[:MAX_NAMES]]
 
-    def _send_to_names(self, beat: Beat, names: list[str]) -> None:
-        for name in names:
-            host = self._neighbours.find(name)
-            if host is not None:
-                self._send(beat, host.ip)
+    def _send_to(self, name: str, beat: Beat) -> None:
+        host = self._neighbours.find(name)
+        if host is not None:
+            self._send(host.ip, beat)
 
-    def _send(self, beat: Beat, ip: str) -> None:
+    def _send(self, ip: str, beat: Beat) -> None:
         try:
-            self._udp.sendto(_encode(beat), (ip, self._port))
+            self._socket.sendto(_encode(beat), (ip, self._port))
         except OSError as error:
             log.debug("beat not sent", ip=ip, error=str(error))
 
     # Receiving
 
-    def _receive_beats(self) -> None:
+    def _receive(self) -> None:
         while True:
             try:
-                data, (ip, _) = self._udp.recvfrom(DATAGRAM_BYTES)
-            except OSError as error:
-                log.error("beats can't be received any more", error=str(error))
-                return
-            try:
-                beat = _beat_decoder.decode(data)
+                data, (ip, _) = self._socket.recvfrom(DATAGRAM_BYTES)
+                beat = _decoder.decode(data)
             except msgspec.DecodeError as error:
-                log.warning("beat can't be read", ip=ip, error=str(error))
+                log.warning("a beat can't be read", ip=ip, error=str(error))
                 continue
-            self._accept(beat)
+            except OSError as error:
+                log.debug("beats not received", error=str(error))
+                gevent.sleep(BEAT_S)
+                continue
+            if beat.sender.name != self._me.name:
+                self._accept(beat)
 
     def _accept(self, beat: Beat) -> None:
         now = self._clock()
         sender = beat.sender
         self._neighbours.hear_host(sender.name, sender.data_centre, sender.ip, now)
-        for name in beat.names:
-            if self._neighbours.find(name.name) is None:
-                self._neighbours.name_host(name.name, name.data_centre, name.ip, now)
+        self._accept_names(beat.names, now)
+        self._accept_load(beat, now)
         self._contexts.accept_rumours(beat.rumours, now)
-        for row in beat.hosts:
-            self._accept_host(row, sender, now)
-        for row in beat.data_centres:
-            if row.name != self._me.data_centre:
-                self._loads.accept_data_centre(row.name, _convert(row, now))
-        self._store_lost[sender.name] = (now, beat.store_lost_ms)
+        self._lost_stores[sender.name] = _LostStore(now, beat.store_lost_ms)
+        if beat.resting:
+            self._on_resting(beat.resting)
         if beat.wants_answer:
-            self._send(self._make_beat(now, hosts=[], data_centres=[]), sender.ip)
-        if beat.version > self._replica.version or (
-            beat.revision > self._replica.revision
+            self._answer_greeting(sender, now)
+        if (
+            beat.version > self._replica.version
+            or beat.revision > self._replica.revision
         ):
-            self._start_pull(sender.ip, now)
+            self._pulls.begin(sender.ip)
+
+    def _answer_greeting(self, sender: HostName, now: float) -> None:
+        names = self._list_names(now, first=sender.data_centre)
+        beat = self._make_beat(Scope.NONE, self._loads.sum_own(), now, names=names)
+        self._send(sender.ip, beat)
+
+    def _accept_names(self, names: list[HostName], now: float) -> None:
+        for host in names:
+            if self._neighbours.find(host.name) is None or host.age_ms < 0:
+                self._neighbours.name_host(host.name, host.data_centre, host.ip, now)
+            if host.age_ms >= 0:
+                self._neighbours.hear_host(
+                    host.name, host.data_centre, host.ip, now - host.age_ms / 1000
+                )
 
-    def _accept_host(self, row: Row, sender: HostName, now: float) -> None:
-        if row.name == self._me.name:
-            return
-        self._loads.accept_host(row.name, _convert(row, now))
-        known = self._neighbours.find(row.name)
-        if known is not None and row.name != sender.name:
-            heard_at = now - row.age_ms / 1000
-            self._neighbours.hear_host(
-                known.name, known.data_centre, known.ip, heard_at
-            )
-        if row.resting:
-            self._on_resting(row.resting)
+    def _accept_load(self, beat: Beat, now: float) -> None:
+        report = Report(beat.sequence, now, beat.counts, beat.reading)
+        sender = beat.sender
+        if beat.scope is Scope.HOST:
+            self._loads.accept_host(sender.name, report)
+        elif beat.scope is Scope.DATA_CENTRE:
+            self._loads.accept_data_centre(sender.data_centre, report)
+        elif beat.scope is Scope.OTHERS:
+            self._loads.accept_others(sender.name, report)
 
     def has_lost_store(self, now: float) -> bool:
         """Whether no collector of this data centre reaches the store."""
         names = self._neighbours.list_collectors(self._me.data_centre, now)
-        told = [self._store_lost[name] for name in names if name in self._store_lost]
+        told = [
+            self._lost_stores[name].lost_ms
+            for name in names
+            if name in self._lost_stores
+        ]
         if self._me.name in names:
-            told.append((now, self.store_lost_ms))
-        return all(lost_ms > 0 for _, lost_ms in told)
-
-    # Pulling
-
-    def _start_pull(self, ip: str, now: float) -> None:
-        if self._pulling or now < self._pull_after:
-            return
-        self._pulling = True
-        gevent.spawn(self._pull, ip)
-
-    def _pull(self, ip: str) -> None:
-        try:
-            with (
-                gevent.Timeout(PULL_S),
-                socket.create_connection(
-                    (ip, self._port), timeout=PULL_S
-                ) as connection,
-            ):
-                request = DeltaRequest(self._replica.version, self._replica.revision)
-                _send_frame(connection, _encode(request))
-                answer = _answer_decoder.decode(_receive_frame(connection))
-        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
-            log.info("pull from a host failed", ip=ip, error=str(error))
-            self._pull_after = self._clock() + PULL_PAUSE_S
-            return
-        finally:
-            self._pulling = False
-        self.accept_delta(answer)
-
-    def accept_delta(self, answer: DeltaAnswer) -> None:
-        """Merge what another host has told into the replica."""
-        now = self._clock()
-        news = []
-        if answer.document:
-            try:
-                configuration = decode_configuration(answer.document)
-            except DocumentError as error:
-                log.error("a host sent an unusable configuration", error=str(error))
-            else:
-                if self._replica.accept_configuration(configuration, answer.document):
-                    news.append(f"version {configuration.version}")
-        for endpoint in answer.endpoints:
-            if self._replica.accept_endpoint(endpoint):
-                news.append(endpoint.name)
-        for name, revision in answer.removed.items():
-            if self._replica.accept_removal(name, revision, now):
-                news.append(name)
-        self._replica.advance(answer.revision)
-        if news:
-            log.info("learnt from a host", news=news, revision=answer.revision)
-            self._on_news()
-
-    def _serve_pull(self, connection: socket.socket, _: object) -> None:
-        try:
-            with gevent.Timeout(PULL_S), connection:
-                request = _request_decoder.decode(_receive_frame(connection))
-                delta = self._replica.select_delta(request.revision)
-                newer = self._replica.version > request.version
-                answer = DeltaAnswer(
-                    self._replica.document if newer else b"",
-                    delta.endpoints,
-                    delta.removed,
-                    delta.revision,
-                )
-                _send_frame(connection, _encode(answer))
-        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
-            log.info("a pull was not answered", error=str(error))
-
-
-def _age_ms(now: float, told_at: float) -> int:
-    return max(0, int((now - told_at) * 1000))
-
-
-def _convert(row: Row, now: float) -> Report:
-    told_at = now - row.age_ms / 1000
-    return Report(row.sequence, told_at, row.counts, row.reading)
-
-
-def _make_row(name: str, report: Report, now: float) -> Row:
-    return Row(
-        name,
-        report.sequence,
-        _age_ms(now, report.told_at),
-        dict(report.counts),
-        dict(report.reading),
-    )
-
-
-def _send_frame(connection: socket.socket, data: bytes) -> None:
-    connection.sendall(_LENGTH.pack(len(data)) + data)
-
-
-def _receive_frame(connection: socket.socket) -> bytes:
-    (length,) = _LENGTH.unpack(_receive_exactly(connection, _LENGTH.size))
-    if length > MAX_PULL_BYTES:
-        raise ConnectionAbortedError(f"a frame of {length} bytes is too long")
-    return _receive_exactly(connection, length)
+            told.append(self.store_lost_ms)
+        return all(lost_ms > 0 for lost_ms in told)
 
 
-def _receive_exactly(connection: socket.socket, length: int) -> bytes:
-    data = bytearray()
-    while len(data) < length:
-        piece = connection.recv(min(65_536, length - len(data)))
-        if not piece:
-            raise ConnectionAbortedError("the connection ended in a frame")
-        data += piece
-    return bytes(data)
+def _make_name(host: Neighbour, now: float) -> HostName:
+    age_ms = int((now - host.heard_at) * 1000) if host.heard_at else -1
+    return HostName(host.name, host.data_centre, host.ip, age_ms)
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -22,6 +22,7 @@
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.peering import Peering
 from rosemarystream._internal.gateway.pool import Pool
+from rosemarystream._internal.gateway.pulls import Pulls
 from rosemarystream._internal.gateway.relay import Relay
 from rosemarystream._internal.gateway.settings import (
     GatewaySettings,
@@ -36,6 +37,10 @@
 
 HOUSEKEEPING_S = 0.1
 REGISTER_PAUSE_S = 1.0
+# Time between two looks at the hosts that are known in the store.
+HOSTS_S = 20.0
+# Time in which seeds answer a host that has just started.
+PEERS_S = 0.6
 # A shutdown closes connections that stay idle after this time.
 IDLE_CLOSE_S = 2.5
 # Time before the end of a shutdown at which what still runs is cut.
@@ -79,19 +84,25 @@
             clock=self._clock,
             on_load=self._tell_load,
         )
+        self._pulls = Pulls(
+            address=(host.ip, host.peer_port),
+            clock=self._clock,
+            replica=self._replica,
+            on_news=self._note_news,
+        )
         self._peering = Peering(
             me=self._me,
             port=host.peer_port,
             seeds=host.seeds,
-            incarnation=self._incarnation,
+            first_sequence=self._incarnation,
             clock=self._clock,
             replica=self._replica,
             neighbours=self._neighbours,
             loads=self._loads,
             contexts=self._contexts,
-            list_resting=lambda: self._fleet.health.list_resting(self._clock()),
-            on_resting=self._learn_resting,
-            on_news=self._note_news,
+            pulls=self._pulls,
+            list_resting=self._fleet.list_resting,
+            on_resting=self._fleet.learn_resting,
         )
         self._watches = [
             watch(
@@ -135,10 +146,9 @@
         self._callers.start()
         self._health.start()
         self._figures.start()
+        self._pulls.start()
         self._peering.start()
-        for watch in self._watches:
-            watch.start()
-        gevent.spawn(self._register)
+        gevent.spawn(self._ask_store)
         gevent.spawn(self._keep_house)
         gc.freeze()
         self._leaving.wait()
@@ -158,11 +168,6 @@
     def _tell_load(self) -> None:
         self._peering.tell_jump()
 
-    def _learn_resting(self, servers: list[str]) -> None:
-        now = self._clock()
-        for server in servers:
-            self._fleet.health.note_rumour(server, now)
-
     def _announce(self) -> None:
         self._note_news()
         self._peering.announce()
@@ -172,20 +177,32 @@
         self._pool.drop_others(endpoints)
         self._fleet.forget_others(endpoints)
 
-    def _register(self) -> None:
-        """Make this host known in the store, and learn of the others."""
+    def _ask_store(self) -> None:
+        """Turn to the store once the seeds have had time to answer.
+
+        By then this host knows whether it collects, so few hosts ask.
+        """
+        gevent.sleep(PEERS_S)
+        for watch in self._watches:
+            watch.start()
+        self._exchange_hosts()
+
+    def _exchange_hosts(self) -> None:
+        """Make collectors known in the store, and learn of those elsewhere."""
         store = self._make_store()
         spec = {"data_centre": self._me.data_centre, "ip": self._me.ip}
+        registered = False
         while True:
-            try:
-                store.put(HOSTS, self._me.name, spec)
-                self._learn_hosts(store)
-            except StoreError as error:
-                log.info("host not registered yet", error=str(error))
-                gevent.sleep(REGISTER_PAUSE_S)
-                continue
+            if self._neighbours.is_collector(self._clock()):
+                try:
+                    if not registered:
+                        store.put(HOSTS, self._me.name, spec)
+                    registered = True
+                    self._learn_hosts(store)
+                except StoreError as error:
+                    log.info("hosts not exchanged in the store", error=str(error))
             store.close()
-            return
+            gevent.sleep(HOSTS_S if registered else REGISTER_PAUSE_S)
 
     def _learn_hosts(self, store: Store) -> None:
         now = self._clock()
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -5,6 +5,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.patience import limit_attempt, measure_stall
+from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answering import Answer
 from rosemarystream._internal.gateway.attempt import (
@@ -16,7 +17,6 @@
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.pool import Pool
 from rosemarystream._internal.models.call import Call
-from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.route import Route, Workspace
 from rosemarystream._internal.platform.headers import AnswerHead, decode_call
 from rosemarystream._internal.utils.events import EventSplitter, find_identifier
@@ -96,12 +96,29 @@
             ms=round(took_s * 1000, 1),
             tried=exchange.tried,
             sends=exchange.sends,
+            **_describe_placement(exchange.placement),
             version=self._fleet.replica.version,
             revision=self._fleet.replica.revision,
+            prompt=[f"{part.name}:{part.tokens}" for part in call.parts],
             reason=exchange.reason,
         )
 
 
+def _describe_placement(placement: Placement | None) -> dict[str, object]:
+    if placement is None:
+        return {}
+    return {
+        "server": placement.endpoint.name,
+        "home": placement.home,
+        "home_requests": placement.home_requests,
+        "home_reading": placement.home_reading,
+        "requests": placement.requests,
+        "bound": placement.bound,
+        "reading": placement.reading,
+        "unread": placement.unread,
+    }
+
+
 class _Exchange:
     """One request and all its attempts."""
 
@@ -120,13 +137,14 @@
         self.tried: list[str] = []
         self.sends = 0
         self.reason = ""
+        self.placement: Placement | None = None
         self._call = call
         self._body = request.body
         self._answer = answer
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
-        self._reading = 0
+        self._reading: Placement | None = None
         self._unsent = 0
         self._may_have_run = False
         self._last_event = call.resume_after
@@ -183,15 +201,18 @@
         now = self._clock()
         if now >= self._deadline:
             raise self._give_up("the time is over")
-        endpoint = self._fleet.place(route, service, self._call, exclude=self.tried)
-        if endpoint is None:
+        placement = self._fleet.place(route, service, self._call, exclude=self.tried)
+        if placement is None:
             raise self._give_up(f"no server of {service} can take it")
+        endpoint = placement.endpoint
+        self.placement = placement
         attempt = Attempt(
             call=self._call, endpoint=endpoint, pool=self._pool, clock=self._clock
         )
         self.tried.append(endpoint.name)
         self._fleet.begin(endpoint)
-        self._reading = self._fleet.begin_reading(endpoint, self._call)
+        self._fleet.begin_reading(placement, self._call)
+        self._reading = placement
         try:
             return self._run_attempt(attempt, route)
         except NotRunError as error:
@@ -202,13 +223,14 @@
             self._check_retry(route, service, sent=True, reason=str(error))
         finally:
             attempt.close()
-            self._end_reading(endpoint)
+            self._end_reading()
             self._fleet.end(endpoint)
         return None
 
-    def _end_reading(self, endpoint: Endpoint) -> None:
-        self._fleet.end_reading(endpoint, self._reading)
-        self._reading = 0
+    def _end_reading(self) -> None:
+        if self._reading is not None:
+            self._fleet.end_reading(self._reading)
+            self._reading = None
 
     def _note_not_run(self, attempt: Attempt, error: NotRunError) -> None:
         log.info(
@@ -344,7 +366,7 @@
                 raise _RefusedError(ErrorKind.STREAM_BROKEN, str(error)) from error
             if piece is None:
                 break
-            self._end_reading(attempt.endpoint)
+            self._end_reading()
             for event in splitter.split(piece):
                 self._pass_event(event, head)
         if splitter.rest:
--- a/src/rosemarystream/_internal/gateway/watching.py
+++ b/src/rosemarystream/_internal/gateway/watching.py
@@ -28,6 +28,7 @@
 PAUSE_S = 0.3
 LONGEST_PAUSE_S = 1.0
 IDLE_S = 0.1
+GATHER_S = 0.1
 
 
 class StoreWatch:
@@ -59,7 +60,6 @@
         self._on_news = on_news
         self._revision: int | None = None
         self.lost_at: float | None = None
-        self.listed = False
 
     def start(self) -> None:
         """Begin with a list, then watch."""
@@ -68,7 +68,7 @@
     def _run(self) -> None:
         pause_s = PAUSE_S
         while True:
-            if self.listed and not self._is_watcher():
+            if not self._is_watcher():
                 self._leave()
                 gevent.sleep(IDLE_S)
                 continue
@@ -95,7 +95,6 @@
             listing = self._store.list(self.kind)
             self._accept_listing(listing.objects, listing.revision)
             self._revision = listing.revision
-            self.listed = True
             return
         changes = self._store.watch(self.kind, self._revision, WATCH_S)
         news = False
@@ -104,6 +103,8 @@
         self._revision = changes.revision
         if news:
             self._on_news()
+        # Changes that come together are then taken in one call.
+        gevent.sleep(GATHER_S)
 
     def _note_lost(self, error: StoreError) -> None:
         if self.lost_at is None:
--- a/src/rosemarystream/_internal/models/beat.py
+++ b/src/rosemarystream/_internal/models/beat.py
@@ -1,39 +1,34 @@
 """Messages between entry hosts; MessagePack, fields by position."""
 
+from enum import IntEnum
+
 import msgspec
 
 from rosemarystream._internal.models.endpoint import Endpoint
 
 
 class HostName(msgspec.Struct, array_like=True, frozen=True):
-    """Where a host can be reached."""
-
-    name: str
-    data_centre: str
-    ip: str
-
-
-class Row(msgspec.Struct, array_like=True, frozen=True):
-    """What one host, or the hosts of a data centre together, have in progress.
+    """Where a host can be reached.
 
     Attributes
     ----------
     age_ms : int
-        Age of the report when it was sent, in milliseconds.
-    counts : dict of str to int
-        Requests in progress by server.
-    reading : dict of str to int
-        Prompt tokens that servers have yet to read, by server.
-    resting : list of str
-        Servers that can't be reached from there.
+        Time since it was heard, in milliseconds; -1 if it never was.
     """
 
     name: str
-    sequence: int
-    age_ms: int
-    counts: dict[str, int]
-    reading: dict[str, int] = {}
-    resting: list[str] = []
+    data_centre: str
+    ip: str
+    age_ms: int = 0
+
+
+class Scope(IntEnum):
+    """Whose load a beat tells."""
+
+    NONE = 0
+    HOST = 1
+    DATA_CENTRE = 2
+    OTHERS = 3
 
 
 class Beat(msgspec.Struct, array_like=True, frozen=True):
@@ -41,6 +36,8 @@
 
     Attributes
     ----------
+    sequence : int
+        Grows with each beat of a sender, also over its restarts.
     version : int
         Version of the configuration that the sender has.
     revision : int
@@ -48,25 +45,29 @@
     store_lost_ms : int
         Time since the sender lost the store, in milliseconds; 0 if it has it
         or doesn't ask it.
-    hosts : list of Row
-        Reports of hosts of the sender's data centre.
-    data_centres : list of Row
-        Sums of data centres.
+    counts : dict of int to int
+        Requests in progress by the server's number.
+    reading : dict of int to int
+        Prompt tokens that servers have yet to read, by the server's number.
+    resting : list of int
+        Servers that the sender can't reach.
+    rumours : list of tuple of int
+        Prompt parts and servers that have begun to hold them, by number.
     names : list of HostName
         Live hosts; sent now and then.
-    rumours : list of tuple of str
-        Prompt parts and servers that have begun to hold them.
     """
 
     sender: HostName
-    incarnation: int
+    sequence: int
     version: int
     revision: int
     store_lost_ms: int
-    hosts: list[Row]
-    data_centres: list[Row]
-    names: list[HostName]
-    rumours: list[tuple[str, str]] = []
+    scope: Scope
+    counts: dict[int, int] = {}
+    reading: dict[int, int] = {}
+    resting: list[int] = []
+    rumours: list[tuple[int, int]] = []
+    names: list[HostName] = []
     wants_answer: bool = False
 
 
--- a/src/rosemarystream/_internal/models/endpoint.py
+++ b/src/rosemarystream/_internal/models/endpoint.py
@@ -3,6 +3,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.hashing import number_name
+
 
 class ServerState(StrEnum):
     """Whether a server takes new requests."""
@@ -32,3 +34,8 @@
     state: ServerState
     incarnation: int
     revision: int
+
+    @property
+    def number(self) -> int:
+        """Number that stands for this server between hosts."""
+        return number_name(self.name)
