Stand in for a watcher that lost the store; ask it soon after a restart; end in time

The store turned away one host a data centre, each the only watcher there, and the next in order stepped in only if all collectors said they had lost it, which the idle one never says. Change: a host watches if no better one in order has the store; the wait is 0.1 s except at the first start of all; after 2.5 s of a shutdown only requests are taken that are certain to be over by its end, others are refused as not run.

--- a/src/rosemarystream/_internal/decisions/neighbours.py
+++ b/src/rosemarystream/_internal/decisions/neighbours.py
@@ -7,6 +7,7 @@
 more collectors.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.hashing import order_candidates
@@ -21,8 +22,8 @@
 WATCHERS = 1
 # Collectors that watch it in a fleet of a single data centre.
 LONE_WATCHERS = 2
-# Watchers beside the collectors while those can't reach the store.
-RESERVE_WATCHERS = 2
+# Hosts after the collectors that watch it while those can't reach the store.
+RESERVE_WATCHERS = 1
 
 
 class Neighbour(NamedTuple):
@@ -105,21 +106,24 @@
         """Whether this host collects for its data centre."""
         return self._name in self.list_collectors(self._data_centre, now)
 
-    def is_watcher(self, now: float, *, store_lost: bool) -> bool:
+    def is_watcher(self, now: float, *, lost: Collection[str]) -> bool:
         """Whether this host watches the store.
 
         Parameters
         ----------
-        store_lost : bool
-            Whether the collectors can't reach the store.
+        lost : collection of str
+            Hosts that have said that they can't reach the store; the next in
+            order stands in for them while they go on trying.
         """
         live = self.list_live(now)
         names = [host.name for host in live if host.data_centre == self._data_centre]
         order = order_candidates(self._data_centre, [*names, self._name])
-        if store_lost:
-            return self._name in order[: COLLECTORS + RESERVE_WATCHERS]
+        before = order[: order.index(self._name)]
+        if len(before) >= COLLECTORS + RESERVE_WATCHERS:
+            return False
         alone = all(host.data_centre == self._data_centre for host in live)
-        return self._name in order[: LONE_WATCHERS if alone else WATCHERS]
+        watching = [name for name in before if name not in lost]
+        return len(watching) < (LONE_WATCHERS if alone else WATCHERS)
 
     def list_data_centres(self) -> list[str]:
         """Return the other data centres that are known."""
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -34,6 +34,8 @@
 GREETINGS = 100
 GREET_EVERY = 5
 DATAGRAM_BYTES = 65_000
+# Time for which a host's word that it has lost the store holds.
+LOST_LIFE_S = 1.5
 
 _decoder = msgspec.msgpack.Decoder(Beat)
 _encode = msgspec.msgpack.encode
@@ -269,17 +271,13 @@
         elif beat.scope is Scope.OTHERS:
             self._loads.accept_others(sender.name, report)
 
-    def has_lost_store(self, now: float) -> bool:
-        """Whether no collector of this data centre reaches the store."""
-        names = self._neighbours.list_collectors(self._me.data_centre, now)
-        told = [
-            self._lost_stores[name].lost_ms
-            for name in names
-            if name in self._lost_stores
-        ]
-        if self._me.name in names:
-            told.append(self.store_lost_ms)
-        return all(lost_ms > 0 for lost_ms in told)
+    def list_lost_stores(self, now: float) -> set[str]:
+        """Return the hosts that say they can't reach the store."""
+        return {
+            name
+            for name, told in self._lost_stores.items()
+            if told.lost_ms > 0 and now - told.told_at <= LOST_LIFE_S
+        }
 
 
 def _make_name(host: Neighbour, now: float) -> HostName:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -39,8 +39,9 @@
 REGISTER_PAUSE_S = 1.0
 # Time between two looks at the hosts that are known in the store.
 HOSTS_S = 20.0
-# Time in which seeds answer a host that has just started.
-PEERS_S = 0.6
+# Time in which seeds answer a host that has just started, and when all start.
+PEERS_S = 0.1
+FIRST_PEERS_S = 0.6
 # A shutdown closes connections that stay idle after this time.
 IDLE_CLOSE_S = 2.5
 # Time before the end of a shutdown at which what still runs is cut.
@@ -114,10 +115,10 @@
             )
             for watch in (ConfigurationWatch, ServerWatch)
         ]
-        relay = Relay(fleet=self._fleet, pool=self._pool, clock=self._clock)
+        self._relay = Relay(fleet=self._fleet, pool=self._pool, clock=self._clock)
         self._callers = Listener(
             address=host.caller_address,
-            handler=relay.serve,
+            handler=self._relay.serve,
             get_limits=self._get_limits,
             clock=self._clock,
         )
@@ -157,9 +158,8 @@
 
     def _is_watcher(self) -> bool:
         now = self._clock()
-        return self._neighbours.is_watcher(
-            now, store_lost=self._peering.has_lost_store(now)
-        )
+        lost = self._peering.list_lost_stores(now)
+        return self._neighbours.is_watcher(now, lost=lost)
 
     def _get_limits(self) -> CallerLimits:
         configuration = self._replica.configuration
@@ -180,9 +180,11 @@
     def _ask_store(self) -> None:
         """Turn to the store once the seeds have had time to answer.
 
-        By then this host knows whether it collects, so few hosts ask.
+        By then this host knows whether it collects, so few hosts ask. Where
+        nobody else is up either, as after a loss of power, time counts more.
         """
-        gevent.sleep(PEERS_S)
+        first_start = self._settings.host.first_start
+        gevent.sleep(FIRST_PEERS_S if first_start else PEERS_S)
         for watch in self._watches:
             watch.start()
         self._exchange_hosts()
@@ -252,6 +254,7 @@
             gevent.sleep(LEAVE_POLL_S)
             if self._clock() - begun < IDLE_CLOSE_S:
                 continue
+            self._relay.end_at(end)
             self._callers.close_idle()
             if not self._callers.count_busy():
                 break
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -55,6 +55,11 @@
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
+        self._ends_at: float | None = None
+
+    def end_at(self, deadline: float) -> None:
+        """Take only requests that are certain to be over by a deadline."""
+        self._ends_at = deadline
 
     def serve(self, request: Request, answer: Answer) -> None:
         """Answer one request."""
@@ -66,6 +71,7 @@
             fleet=self._fleet,
             pool=self._pool,
             clock=self._clock,
+            ends_at=self._ends_at,
         )
         outcome = "gone"
         try:
@@ -131,6 +137,7 @@
         fleet: Fleet,
         pool: Pool,
         clock: Callable[[], float],
+        ends_at: float | None,
     ) -> None:
         self.received_at = request.received_at
         self.route: Route | None = None
@@ -144,6 +151,7 @@
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
+        self._ends_at = ends_at
         self._reading: Placement | None = None
         self._unsent = 0
         self._may_have_run = False
@@ -158,6 +166,10 @@
         if self._call.wait_s is not None:
             wait_s = min(wait_s, self._call.wait_s)
         self._deadline = self.received_at + wait_s
+        if self._ends_at is not None and self._deadline > self._ends_at:
+            raise _RefusedError(
+                ErrorKind.LEAVING, "this host stops soon", retry_after_s=0.0
+            )
         self._rank = route.rank
         if workspace is not None and workspace.rank is not None:
             self._rank = workspace.rank
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -25,6 +25,7 @@
     peer_port: Port
     metrics_port: Port
     seeds: list[str] = []
+    first_start: bool = False
 
 
 class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
