Serve the sooner due first at an engine, within a rank

Ruled out: slots (none was full) and the hosts' own processing (p50 30 ms). Change: the level sent to the engine orders pairs of rank and objective; a rank always goes before an objective. Placement counts the part of the waiting work that is served first. Test: test_urgency.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -85,7 +85,7 @@
         *,
         deadline: float,
         workspace: str | None,
-        rank: int,
+        level: int,
         resume_after: bytes,
     ) -> None:
         """Send the request.
@@ -110,7 +110,7 @@
             wait_s=deadline - self._clock(),
             server=self.endpoint.name,
             workspace=workspace,
-            rank=rank,
+            level=level,
             resume_after=resume_after,
         )
         try:
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -22,6 +22,11 @@
 )
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
+from rosemarystream._internal.decisions.urgency import (
+    Urgency,
+    UrgencyOrder,
+    order_urgency,
+)
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
@@ -59,6 +64,8 @@
         self._loads = loads
         self._clock = clock
         self._on_load = on_load
+        self._urgency = UrgencyOrder(pairs=())
+        self._ordered_version = 0
         self._incarnations: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -75,7 +82,13 @@
         return route.targets[-1].service
 
     def place(
-        self, route: Route, service: str, call: Call, *, exclude: Sequence[str]
+        self,
+        route: Route,
+        service: str,
+        call: Call,
+        *,
+        rank: int,
+        exclude: Sequence[str],
     ) -> Placement | None:
         """Return the server that takes a request next, and why."""
         now = self._clock()
@@ -85,8 +98,15 @@
         candidates = awake or left
         load = self._loads.sum_all(now)
         if route.keeps_context and call.parts:
+            share = self.find_urgency(rank, route).share
             return self._place_by_context(
-                call, ready, candidates, load, now, objective_s=route.objective_s
+                call,
+                ready,
+                candidates,
+                load,
+                now,
+                objective_s=route.objective_s,
+                share=share,
             )
         endpoint = place_by_load(
             candidates,
@@ -113,12 +133,13 @@
         now: float,
         *,
         objective_s: float,
+        share: float,
     ) -> Placement | None:
         rates = self._list_failure_rates(candidates, now)
         loads = {
             e.name: ContextLoad(
                 requests=load.counts[e.number],
-                reading=load.reading[e.number],
+                reading=int(share * load.reading[e.number]),
                 unread=self.contexts.count_unread(
                     call.model, call.parts, e.number, now
                 ),
@@ -172,6 +193,14 @@
         if placement.unread:
             self._loads.end_reading(placement.endpoint.number, placement.unread)
 
+    def find_urgency(self, rank: int, route: Route) -> Urgency:
+        """Return how urgent a request is among all that the configuration allows."""
+        if self._ordered_version != self.replica.version:
+            assert self.replica.configuration is not None
+            self._urgency = order_urgency(self.replica.configuration)
+            self._ordered_version = self.replica.version
+        return self._urgency.find(rank, route.objective_s)
+
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
         self._loads.begin(endpoint.number)
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -99,7 +99,9 @@
             route=exchange.route.name if exchange.route else None,
             outcome=outcome,
             status=answer.status,
-            ms=round(took_s * 1000, 1),
+            ms=_round_ms(took_s),
+            first_ms=_round_ms(exchange.first_event_s),
+            rank=exchange.rank,
             tried=exchange.tried,
             sends=exchange.sends,
             **_describe_placement(exchange.placement),
@@ -110,6 +112,10 @@
         )
 
 
+def _round_ms(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds * 1000, 1)
+
+
 def _describe_placement(placement: Placement | None) -> dict[str, object]:
     if placement is None:
         return {}
@@ -144,7 +150,9 @@
         self.tried: list[str] = []
         self.sends = 0
         self.reason = ""
+        self.rank = 0
         self.placement: Placement | None = None
+        self.first_event_s: float | None = None
         self._call = call
         self._body = request.body
         self._answer = answer
@@ -170,9 +178,9 @@
             raise _RefusedError(
                 ErrorKind.LEAVING, "this host stops soon", retry_after_s=0.0
             )
-        self._rank = route.rank
+        self.rank = route.rank
         if workspace is not None and workspace.rank is not None:
-            self._rank = workspace.rank
+            self.rank = workspace.rank
         self._workspace = workspace.name if workspace else None
         service = self._fleet.choose_service(route, self._call)
         self._fleet.note_request(service)
@@ -213,7 +221,9 @@
         now = self._clock()
         if now >= self._deadline:
             raise self._give_up("the time is over")
-        placement = self._fleet.place(route, service, self._call, exclude=self.tried)
+        placement = self._fleet.place(
+            route, service, self._call, rank=self.rank, exclude=self.tried
+        )
         if placement is None:
             raise self._give_up(f"no server of {service} can take it")
         endpoint = placement.endpoint
@@ -239,6 +249,11 @@
             self._fleet.end(endpoint)
         return None
 
+    def _note_first_event(self) -> None:
+        self._end_reading()
+        if self.first_event_s is None:
+            self.first_event_s = self._clock() - self.received_at
+
     def _end_reading(self) -> None:
         if self._reading is not None:
             self._fleet.end_reading(self._reading)
@@ -307,7 +322,7 @@
             self._body,
             deadline=self._deadline,
             workspace=self._workspace,
-            rank=self._rank,
+            level=self._fleet.find_urgency(self.rank, route).level,
             resume_after=self._last_event,
         )
         limit = limit_attempt(
@@ -378,7 +393,7 @@
                 raise _RefusedError(ErrorKind.STREAM_BROKEN, str(error)) from error
             if piece is None:
                 break
-            self._end_reading()
+            self._note_first_event()
             for event in splitter.split(piece):
                 self._pass_event(event, head)
         if splitter.rest:
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -16,7 +16,7 @@
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-rosemarystream-model"
 TOKENS = b"x-rosemarystream-token-counts"
-RANK = b"x-rosemarystream-request-priority"
+URGENCY = b"x-rosemarystream-request-priority"
 KEY = b"api-key"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -41,7 +41,7 @@
         DEADLINE,
         WORKSPACE,
         EXPECTED_SERVER,
-        RANK,
+        URGENCY,
         KEY,
         RESUME_AFTER,
         b"x-rosemarystream-hold",
@@ -55,7 +55,7 @@
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {SERVER_LOAD}
 
 _MS_PER_S = 1000.0
-MAX_RANK = 9
+MAX_URGENCY = 9
 
 
 class ServerLoad(NamedTuple):
@@ -156,14 +156,14 @@
     wait_s: float,
     server: str,
     workspace: str | None,
-    rank: int,
+    level: int,
     resume_after: bytes,
 ) -> Headers:
     """Return the headers of a request to a server, without its framing."""
     headers = list(call.headers)
     headers.append((DEADLINE, b"%d" % max(1, int(wait_s * _MS_PER_S))))
     headers.append((EXPECTED_SERVER, server.encode("latin-1")))
-    headers.append((RANK, b"%d" % min(max(rank, 0), MAX_RANK)))
+    headers.append((URGENCY, b"%d" % min(max(level, 0), MAX_URGENCY)))
     if workspace is not None:
         headers.append((WORKSPACE, workspace.encode("latin-1")))
     if resume_after:
--- /dev/null
+++ b/tests/unit/test_urgency.py
@@ -0,0 +1,67 @@
+"""Order of requests that wait for an engine together."""
+
+from rosemarystream._internal.decisions.urgency import (
+    LEVELS,
+    UrgencyOrder,
+    order_urgency,
+)
+from rosemarystream._internal.models.route import (
+    CallerLimits,
+    FleetConfiguration,
+    Route,
+    RouteKind,
+    Target,
+    Workspace,
+)
+
+
+def make_route(name, objective_s, rank):
+    return Route(
+        name=name,
+        host="x",
+        path_prefix=f"/{name}/",
+        kind=RouteKind.STREAM,
+        timeout_s=5.0,
+        objective_s=objective_s,
+        gap_objective_s=0.25,
+        max_attempts=2,
+        rank=rank,
+        targets=(Target("pool", 1),),
+        anonymous=False,
+        keeps_context=True,
+        resumable=True,
+    )
+
+
+def make_configuration(*ranks):
+    routes = (make_route("digest", 1.2, 2), make_route("chat", 0.25, 0))
+    workspaces = {f"k{n}": Workspace(f"w{n}", rank) for n, rank in enumerate(ranks)}
+    return FleetConfiguration(1, {"x": routes}, {}, CallerLimits(), workspaces)
+
+
+def test_among_equal_ranks_the_shorter_objective_goes_first():
+    order = order_urgency(make_configuration(1, 1))
+    assert order.find(1, 0.25).level < order.find(1, 1.2).level
+
+
+def test_an_operators_rank_goes_before_any_objective():
+    order = order_urgency(make_configuration(1, 3))
+    assert order.find(1, 1.2).level < order.find(3, 0.25).level
+
+
+def test_the_last_waits_for_all_others():
+    order = order_urgency(make_configuration(1, 3))
+    assert order.find(3, 1.2).share == 1.0
+    assert order.find(1, 0.25).share == 0.25
+
+
+def test_many_ranks_are_drawn_together_in_order():
+    order = UrgencyOrder(pairs=[(rank, 1.0) for rank in range(40)])
+    levels = [order.find(rank, 1.0).level for rank in range(40)]
+    assert levels == sorted(levels)
+    assert levels[0] == 0
+    assert levels[-1] == LEVELS - 1
+
+
+def test_an_unknown_request_goes_last():
+    assert order_urgency(make_configuration(1)).find(7, 9.0).level == LEVELS - 1
