Refuse at once, and say not ready, while a service is out of reach

Change: two silent servers cast doubt on their data centre; if nothing is left, one request in 0.25 s tries, the others are refused as not run with the connection closed; the host says not ready until a server takes a connection. A connection has 0.25 s (0.4 s).

--- a/src/rosemarystream/_internal/decisions/health.py
+++ b/src/rosemarystream/_internal/decisions/health.py
@@ -1,7 +1,8 @@
 """Which backend servers to leave alone for a while, learnt from outcomes.
 
 Answers the pattern of servers that crash, fall silent, or fail a part of their
-requests while their own health check is good.
+requests while their own health check is good; and of data centres that are cut
+off, where one silent server after the other would cost a request its time.
 """
 
 from typing import NamedTuple
@@ -17,6 +18,12 @@
 HALF_LIFE_S = 3.0
 
 
+# Servers of a data centre that in turn prove silent before all are doubted.
+SILENT_SERVERS = 2
+# Time for which a data centre is doubted after the last proof.
+DOUBT_S = 1.5
+
+
 class _State(NamedTuple):
     failure_rate: float
     noted_at: float
@@ -32,6 +39,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
+        self._silent: dict[str, dict[str, float]] = {}
 
     def note_outcome(self, server: str, *, failed: bool, now: float) -> None:
         """Count a request that a server has answered, well or badly."""
@@ -51,6 +59,20 @@
         rate = max(self.failure_rate(server, now), 0.5)
         self._states[server] = _State(rate, now, now + rest_s, rest_s)
 
+    def note_silent_place(self, data_centre: str, server: str, now: float) -> None:
+        """Note that a server of a data centre could not be reached."""
+        self._silent.setdefault(data_centre, {})[server] = now
+
+    def note_heard_place(self, data_centre: str) -> None:
+        """Note that a server of a data centre has answered."""
+        self._silent.pop(data_centre, None)
+
+    def is_doubted(self, data_centre: str, now: float) -> bool:
+        """Whether a data centre seems to be cut off."""
+        silent = self._silent.get(data_centre, {})
+        recent = [at for at in silent.values() if now - at <= DOUBT_S]
+        return len(recent) >= SILENT_SERVERS
+
     def note_rumour(self, server: str, now: float) -> None:
         """Note that another host can't reach a server; it may be that host's fault."""
         state = self._states.get(server, _UNKNOWN)
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -20,6 +20,7 @@
     place_by_load,
     presume_held,
 )
+from rosemarystream._internal.decisions.reachability import Reachability
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
 from rosemarystream._internal.decisions.urgency import (
@@ -32,7 +33,6 @@
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.route import Route
-from rosemarystream._internal.platform.headers import ServerLoad
 
 RETURN_S = 0.1
 _MS_PER_S = 1000
@@ -58,6 +58,7 @@
         self.metrics = metrics
         self.contexts = contexts
         self.health = ServerHealth()
+        self.reachability = Reachability()
         self._data_centre = data_centre
         self._bounds = bounds
         self._neighbours = neighbours
@@ -94,8 +95,7 @@
         now = self._clock()
         ready = self.replica.list_ready(service)
         left = [endpoint for endpoint in ready if endpoint.name not in exclude]
-        awake = [e for e in left if not self.health.is_resting(e.name, now)]
-        candidates = awake or left
+        candidates = self._select_reachable(service, left, now)
         load = self._loads.sum_all(now)
         if route.keeps_context and call.parts:
             share = self.find_urgency(rank, route).share
@@ -119,6 +119,43 @@
             return None
         return Placement(endpoint, load.counts[endpoint.number])
 
+    def _select_reachable(
+        self, service: str, endpoints: Sequence[Endpoint], now: float
+    ) -> Sequence[Endpoint]:
+        """Return the servers that seem to be reachable.
+
+        If none does, a request is let through to the others now and then.
+        """
+        reachable = [e for e in endpoints if not self._is_silent(e, now)]
+        if reachable:
+            self.reachability.note_reached(service)
+            return reachable
+        if not endpoints or not self.reachability.allow_probe(service, now):
+            return ()
+        return endpoints
+
+    def _is_silent(self, endpoint: Endpoint, now: float) -> bool:
+        return self.health.is_resting(endpoint.name, now) or self.health.is_doubted(
+            endpoint.data_centre, now
+        )
+
+    def list_cut_off(self) -> list[str]:
+        """Return the services whose servers this host can't reach."""
+        now = self._clock()
+        cut_off = []
+        for service in self.reachability.list_cut_off(now):
+            ready = self.replica.list_ready(service)
+            if ready and all(self._is_silent(e, now) for e in ready):
+                cut_off.append(service)
+            else:
+                self.reachability.note_reached(service)
+        return cut_off
+
+    def note_reached(self, endpoint: Endpoint) -> None:
+        """Note that a server that seemed silent takes connections."""
+        self.health.note_outcome(endpoint.name, failed=False, now=self._clock())
+        self.note_answer(endpoint)
+
     def _list_failure_rates(
         self, endpoints: Sequence[Endpoint], now: float
     ) -> dict[str, float]:
@@ -254,9 +291,9 @@
             if endpoint.number in servers:
                 self.health.note_rumour(endpoint.name, now)
 
-    def note_load(self, endpoint: Endpoint, load: ServerLoad) -> None:
-        """Take what a server says of its load."""
-        self.metrics.count("answers_with_load")
+    def note_answer(self, endpoint: Endpoint) -> None:
+        """Note that a server has begun to answer, so it can be reached."""
+        self.health.note_heard_place(endpoint.data_centre)
 
     def note_turned_away(self, endpoint: Endpoint, status: int) -> None:
         """Note that a server has not run a request it was sent."""
@@ -266,7 +303,9 @@
     def note_unreachable(self, endpoint: Endpoint) -> None:
         """Note that a server can't be reached or is silent."""
         self.metrics.count("unreachable")
-        self.health.note_unreachable(endpoint.name, self._clock())
+        now = self._clock()
+        self.health.note_unreachable(endpoint.name, now)
+        self.health.note_silent_place(endpoint.data_centre, endpoint.name, now)
 
     def note_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
         """Note how a server has dealt with a request."""
--- a/src/rosemarystream/_internal/gateway/pool.py
+++ b/src/rosemarystream/_internal/gateway/pool.py
@@ -5,7 +5,7 @@
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.utils.connection import ClientConnection
 
-CONNECT_S = 0.4
+CONNECT_S = 0.25
 MAX_IDLE = 16
 # Idle time for which a server is trusted to keep a connection when it says none.
 DEFAULT_KEEP_S = 4.0
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -34,6 +34,7 @@
 from rosemarystream._internal.models.endpoint import ServerState
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
+from rosemarystream._internal.utils.connection import ConnectError
 
 log = Logger(__name__)
 
@@ -49,6 +50,8 @@
 # Time before the end of a shutdown at which what still runs is cut.
 END_MARGIN_S = 0.4
 LEAVE_POLL_S = 0.05
+# Time between two looks for servers that have gone out of reach.
+SEARCH_S = 0.25
 
 
 class Gateway:
@@ -71,6 +74,8 @@
         self._me = HostName(host.name, host.data_centre, host.ip)
         self._leaving = Event()
         self._tasks: list[gevent.Greenlet] = []
+        self._cut_off: list[str] = []
+        self._tries = 0
         self._replica = Replica()
         self._neighbours = Neighbours(name=host.name, data_centre=host.data_centre)
         self._loads = LoadTable()
@@ -160,7 +165,11 @@
         self._figures.start()
         self._pulls.start()
         self._peering.start()
-        self._tasks = [gevent.spawn(self._ask_store), gevent.spawn(self._keep_house)]
+        self._tasks = [
+            gevent.spawn(self._ask_store),
+            gevent.spawn(self._keep_house),
+            gevent.spawn(self._look_for_servers),
+        ]
 
     def stop(self) -> None:
         """Stop at once, as a killed process would."""
@@ -257,6 +266,31 @@
                     item.name, host["data_centre"], host["ip"], now
                 )
 
+    def _look_for_servers(self) -> None:
+        """Say when services go out of reach, and find out when they are back."""
+        while True:
+            gevent.sleep(SEARCH_S)
+            cut_off = self._fleet.list_cut_off()
+            if cut_off != self._cut_off:
+                log.warning("services out of reach", services=cut_off)
+            self._cut_off = cut_off
+            for service in cut_off:
+                self._try_server(service)
+
+    def _try_server(self, service: str) -> None:
+        endpoints = self._replica.list_ready(service)
+        if not endpoints:
+            return
+        self._tries += 1
+        endpoint = endpoints[self._tries % len(endpoints)]
+        try:
+            connection = self._pool.open(endpoint, self._clock() + SEARCH_S)
+        except ConnectError as error:
+            log.debug("server still out of reach", reason=str(error))
+            return
+        connection.close()
+        self._fleet.note_reached(endpoint)
+
     def _keep_house(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_S)
@@ -270,7 +304,11 @@
             self._peering.store_lost_ms = int((now - min(lost)) * 1000) if lost else 0
 
     def _answer_ready(self, request: Request, answer: Answer) -> None:
-        ready = self._replica.configuration is not None and not self._leaving.is_set()
+        ready = (
+            self._replica.configuration is not None
+            and not self._leaving.is_set()
+            and not self._cut_off
+        )
         answer.send_whole(200 if ready else 503, [], b"")
 
     def _answer_metrics(self, request: Request, answer: Answer) -> None:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -225,7 +225,9 @@
             route, service, self._call, rank=self.rank, exclude=self.tried
         )
         if placement is None:
-            raise self._give_up(f"no server of {service} can take it")
+            # Another host may reach what this one can't.
+            self._answer.closing = True
+            raise self._give_up(f"no server of {service} can be reached")
         endpoint = placement.endpoint
         self.placement = placement
         attempt = Attempt(
@@ -329,8 +331,7 @@
             route, now=self._clock(), deadline=self._deadline, more_attempts=more
         )
         head = attempt.read_head(limit)
-        if head.load is not None:
-            self._fleet.note_load(attempt.endpoint, head.load)
+        self._fleet.note_answer(attempt.endpoint)
         failed = head.status >= SERVER_ERROR
         if failed and more and route.repeatable:
             self._keep_failure(attempt, head)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -77,15 +77,18 @@
         self.connections = 0
         self._events = events
         self._cut_after = 3
-        self._server = StreamServer(address, self._serve)
+        self._listen = address
+        self._server: StreamServer | None = None
 
     def start(self) -> None:
         """Begin to listen."""
+        self._server = StreamServer(self._listen, self._serve)
         self._server.start()
 
     def stop(self) -> None:
         """Crash: stop listening."""
-        self._server.stop(timeout=0)
+        if self._server is not None:
+            self._server.stop(timeout=0)
 
     def describe(self, state: str = "ready", seq: int = 1) -> dict[str, object]:
         """Return the server's entry in the store."""
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -148,3 +148,14 @@
     assert reply.headers[b"connection"] == b"close"
     leaving.join(timeout=4.0)
     assert leaving.ready()
+
+
+def test_a_host_that_reaches_no_server_says_so_and_comes_back(world):
+    server, host = world.servers["p1"], world.hosts["h1"]
+    server.stop()
+    for _ in range(3):
+        assert host.call("/look/1").status == 503
+    wait_until(lambda: host.call("/look/1").status == 503 and not host.is_ready())
+    server.start()
+    wait_until(host.is_ready)
+    wait_until(lambda: host.call("/look/1").status == 200)
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -1,6 +1,7 @@
 """Servers are left alone when they fail, and come back when they are well."""
 
 from rosemarystream._internal.decisions.health import (
+    DOUBT_S,
     FIRST_REST_S,
     HALF_LIFE_S,
     LONGEST_REST_S,
@@ -38,3 +39,23 @@
     health.note_unreachable("s", 0.0)
     health.note_outcome("s", failed=False, now=0.1)
     assert not health.is_resting("s", 0.1)
+
+
+def test_a_data_centre_that_is_cut_off_is_found_out_after_two_servers():
+    health = ServerHealth()
+    health.note_silent_place("far", "s1", 0.0)
+    assert not health.is_doubted("far", 0.1)
+    health.note_silent_place("far", "s1", 0.2)
+    assert not health.is_doubted("far", 0.3)
+    health.note_silent_place("far", "s2", 0.4)
+    assert health.is_doubted("far", 0.5)
+    assert not health.is_doubted("near", 0.5)
+    assert not health.is_doubted("far", 0.4 + DOUBT_S + 0.1)
+
+
+def test_one_answer_clears_a_data_centre():
+    health = ServerHealth()
+    health.note_silent_place("far", "s1", 0.0)
+    health.note_silent_place("far", "s2", 0.0)
+    health.note_heard_place("far")
+    assert not health.is_doubted("far", 0.1)
