Tell news of prompts once and in turn

News beyond 80 entries was dropped, and what was told stayed in every beat for 0.25 s. Change: each entry goes out in one round of beats, the oldest first, none dropped below 3,000; two collectors make up for a lost message. Test: test_much_news_at_once_is_all_told_in_turn (failed before: 80 of 750 known).

--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from itertools import islice
 from math import inf
 from typing import NamedTuple
 
@@ -18,9 +19,9 @@
 MAX_PARTS = 20_000
 # Time after which a use is told again.
 FRESH_S = 8.0
-# Time for which news is repeated to other hosts, as messages may be lost.
-RUMOUR_S = 0.25
-MAX_RUMOURS = 80
+# News that one message carries, and that waits to be told at most.
+RUMOURS_PER_BEAT = 150
+MAX_RUMOURS = 3_000
 
 Rumour = tuple[int, int]
 
@@ -49,7 +50,7 @@
 
     def __init__(self) -> None:
         self._holders: OrderedDict[int, dict[int, _Holding]] = OrderedDict()
-        self._rumours: dict[Rumour, float] = {}
+        self._rumours: dict[Rumour, None] = {}
 
     def note_use(self, parts: Sequence[int], server: int, now: float) -> None:
         """Note that a server reads parts of a prompt, and tell it if it is news.
@@ -59,13 +60,13 @@
         for part in parts[:-1]:
             self._note(part, server, now)
         if parts and self._note(parts[-1], server, now):
-            self._add_rumour((parts[-1], server), now)
+            self._add_rumour((parts[-1], server))
 
     def accept_rumours(self, rumours: Sequence[Rumour], now: float) -> None:
         """Take what other hosts have told, and pass it on if it is news."""
         for part, server in rumours:
             if self._note(part, server, now):
-                self._add_rumour((part, server), now)
+                self._add_rumour((part, server))
 
     def _note(self, part: int, server: int, now: float) -> bool:
         holders = self._holders.setdefault(part, {})
@@ -77,16 +78,21 @@
             self._holders.popitem(last=False)
         return news
 
-    def _add_rumour(self, rumour: Rumour, now: float) -> None:
-        self._rumours[rumour] = now + RUMOUR_S
+    def _add_rumour(self, rumour: Rumour) -> None:
+        self._rumours[rumour] = None
         if len(self._rumours) > MAX_RUMOURS:
             self._rumours.pop(next(iter(self._rumours)))
 
-    def list_rumours(self, now: float) -> list[Rumour]:
-        """Return the news that still has to be told."""
-        for rumour in [r for r, until in self._rumours.items() if until <= now]:
+    def take_rumours(self) -> list[Rumour]:
+        """Return the oldest news, which is then taken as told.
+
+        A message may be lost; two collectors pass on the same news, and a part
+        in use is told again after a while.
+        """
+        taken = list(islice(self._rumours, RUMOURS_PER_BEAT))
+        for rumour in taken:
             del self._rumours[rumour]
-        return [*self._rumours]
+        return taken
 
     def is_held(self, part: int, now: float) -> bool:
         """Whether any server is known to hold a part."""
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -13,7 +13,7 @@
 from gevent import socket
 from logbook import Logger
 
-from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.context_map import ContextMap, Rumour
 from rosemarystream._internal.decisions.load_table import Load, LoadTable, Report
 from rosemarystream._internal.decisions.neighbours import Neighbour, Neighbours
 from rosemarystream._internal.decisions.replica import Replica
@@ -117,7 +117,7 @@
         while True:
             self._beats += 1
             self._greet()
-            self._tell()
+            self._tell(self._contexts.take_rumours())
             gevent.sleep(BEAT_S)
 
     def tell_jump(self) -> None:
@@ -134,30 +134,30 @@
 
     # Sending
 
-    def _tell(self) -> None:
+    def _tell(self, rumours: list[Rumour] | None = None) -> None:
         now = self._clock()
         own = self._loads.sum_own()
         self._told_requests, self._told_at = own.counts.total(), now
         collectors = self._neighbours.list_collectors(self._me.data_centre, now)
-        beat = self._make_beat(Scope.HOST, own, now)
+        beat = self._make_beat(Scope.HOST, own, rumours=rumours)
         for name in collectors:
             self._send_to(name, beat)
         if self._me.name in collectors:
             self._loads.forget_others()
-            self._tell_near(now)
-            self._tell_far(now)
+            self._tell_near(now, rumours)
+            self._tell_far(now, rumours)
 
-    def _tell_near(self, now: float) -> None:
+    def _tell_near(self, now: float, rumours: list[Rumour] | None) -> None:
         names = self._list_names(now) if self._beats % NAMES_EVERY == 0 else []
         for host in self._neighbours.list_live(now):
             if host.data_centre == self._me.data_centre:
                 load = self._loads.sum_others(host.name, now)
-                beat = self._make_beat(Scope.OTHERS, load, now, names=names)
+                beat = self._make_beat(Scope.OTHERS, load, rumours=rumours, names=names)
                 self._send(host.ip, beat)
 
-    def _tell_far(self, now: float) -> None:
+    def _tell_far(self, now: float, rumours: list[Rumour] | None) -> None:
         load = self._loads.sum_data_centre(now)
-        beat = self._make_beat(Scope.DATA_CENTRE, load, now)
+        beat = self._make_beat(Scope.DATA_CENTRE, load, rumours=rumours)
         for data_centre in self._neighbours.list_data_centres():
             for name in self._neighbours.list_collectors(data_centre, now):
                 self._send_to(name, beat)
@@ -167,9 +167,7 @@
         heard = any(host.heard_at for host in self._neighbours.list_known())
         if self._beats % GREET_EVERY != 1 or (heard and self._beats > GREET_EVERY):
             return
-        beat = self._make_beat(
-            Scope.NONE, self._loads.sum_own(), self._clock(), wants_answer=True
-        )
+        beat = self._make_beat(Scope.NONE, self._loads.sum_own(), wants_answer=True)
         for ip in self._seeds if self._beats <= GREETINGS else ():
             self._send(ip, beat)
 
@@ -177,8 +175,8 @@
         self,
         scope: Scope,
         load: Load,
-        now: float,
         *,
+        rumours: list[Rumour] | None = None,
         names: list[HostName] | None = None,
         wants_answer: bool = False,
     ) -> Beat:
@@ -193,7 +191,7 @@
             counts=load.counts,
             reading=load.reading,
             resting=self._list_resting() if scope is Scope.HOST else [],
-            rumours=self._contexts.list_rumours(now),
+            rumours=rumours or [],
             names=names or [],
             wants_answer=wants_answer,
         )
@@ -254,7 +252,7 @@
 
     def _answer_greeting(self, sender: HostName, now: float) -> None:
         names = self._list_names(now, first=sender.data_centre)
-        beat = self._make_beat(Scope.NONE, self._loads.sum_own(), now, names=names)
+        beat = self._make_beat(Scope.NONE, self._loads.sum_own(), names=names)
         self._send(sender.ip, beat)
 
     def _accept_names(self, names: list[HostName], now: float) -> None:
--- a/tests/unit/test_context_map.py
+++ b/tests/unit/test_context_map.py
@@ -2,7 +2,7 @@
 
 from rosemarystream._internal.decisions.context_map import (
     LIFE_S,
-    RUMOUR_S,
+    RUMOURS_PER_BEAT,
     ContextMap,
     number_part,
 )
@@ -23,7 +23,7 @@
 def test_who_holds_a_part_holds_those_before_it():
     contexts = ContextMap()
     contexts.note_use([A, B], S1, 0.0)
-    assert contexts.list_rumours(0.1) == [(B, S1)]
+    assert contexts.take_rumours() == [(B, S1)]
     other = ContextMap()
     other.accept_rumours([(B, S1)], 0.1)
     assert other.count_unread("m", PARTS, S1, 0.2) == 500
@@ -35,21 +35,29 @@
     while now < 3 * LIFE_S:
         now += 0.2
         contexts.note_use([A, B], S1, now)
-        other.accept_rumours(contexts.list_rumours(now), now)
+        other.accept_rumours(contexts.take_rumours(), now)
         assert other.count_unread("m", PARTS, S1, now) == 500
 
 
 def test_news_reaches_a_third_host_and_then_dies_out():
     first, second, third = ContextMap(), ContextMap(), ContextMap()
     first.note_use([A], S1, 0.0)
-    second.accept_rumours(first.list_rumours(0.1), 0.1)
-    third.accept_rumours(second.list_rumours(0.2), 0.2)
+    second.accept_rumours(first.take_rumours(), 0.1)
+    third.accept_rumours(second.take_rumours(), 0.2)
     assert third.count_unread("m", PARTS, S1, 0.3) == 6500
-    first.accept_rumours(third.list_rumours(0.3), 0.3)
-    later = 0.3 + RUMOUR_S + 0.01
-    assert not first.list_rumours(later)
-    assert not second.list_rumours(later)
-    assert not third.list_rumours(later)
+    first.accept_rumours(third.take_rumours(), 0.3)
+    assert not first.take_rumours()
+    assert not second.take_rumours()
+    assert not third.take_rumours()
+
+
+def test_much_news_at_once_is_all_told_in_turn():
+    contexts, other = ContextMap(), ContextMap()
+    for part in range(5 * RUMOURS_PER_BEAT):
+        contexts.note_use([part], S1, 0.0)
+    for _ in range(5):
+        other.accept_rumours(contexts.take_rumours(), 0.1)
+    assert all(other.is_held(part, 0.2) for part in range(5 * RUMOURS_PER_BEAT))
 
 
 def test_what_was_not_used_for_long_is_taken_as_dropped():
