A jump of a host's load is told to its collectors only

A collector whose own load jumped told all hosts, up to 50 times a second, some 40 datagrams of 2 KB each on a link of 10 Mbit/s.

--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -126,15 +126,24 @@
         if abs(total - self._told_requests) < JUMP_REQUESTS:
             return
         if self._clock() - self._told_at >= JUMP_S:
-            self._tell()
+            self._report([])
 
     def announce(self) -> None:
         """Tell the others at once that there is newer state."""
-        self._tell()
+        self._tell([])
 
     # Sending
 
-    def _tell(self, rumours: list[Rumour] | None = None) -> None:
+    def _tell(self, rumours: list[Rumour]) -> None:
+        collectors = self._report(rumours)
+        if self._me.name in collectors:
+            now = self._clock()
+            self._loads.forget_others()
+            self._tell_near(now, rumours)
+            self._tell_far(now, rumours)
+
+    def _report(self, rumours: list[Rumour]) -> list[str]:
+        """Report to the collectors; returns their names."""
         now = self._clock()
         own = self._loads.sum_own()
         self._told_requests, self._told_at = own.counts.total(), now
@@ -142,12 +151,9 @@
         beat = self._make_beat(Scope.HOST, own, rumours=rumours)
         for name in collectors:
             self._send_to(name, beat)
-        if self._me.name in collectors:
-            self._loads.forget_others()
-            self._tell_near(now, rumours)
-            self._tell_far(now, rumours)
+        return collectors
 
-    def _tell_near(self, now: float, rumours: list[Rumour] | None) -> None:
+    def _tell_near(self, now: float, rumours: list[Rumour]) -> None:
         names = self._list_names(now) if self._beats % NAMES_EVERY == 0 else []
         for host in self._neighbours.list_live(now):
             if host.data_centre == self._me.data_centre:
@@ -155,7 +161,7 @@
                 beat = self._make_beat(Scope.OTHERS, load, rumours=rumours, names=names)
                 self._send(host.ip, beat)
 
-    def _tell_far(self, now: float, rumours: list[Rumour] | None) -> None:
+    def _tell_far(self, now: float, rumours: list[Rumour]) -> None:
         load = self._loads.sum_data_centre(now)
         beat = self._make_beat(Scope.DATA_CENTRE, load, rumours=rumours)
         for data_centre in self._neighbours.list_data_centres():
