Only entries that a list lacks after an outage are waited for

Hosts that had just regained the store held back every removal for 2 s, also those that the store told them of live. Ruled out: late news (the watchers had the removal 4 ms after it). Change: a removal that is told holds at once; the grace is for entries missing from the first list after the outage. Also: placement weighs reading more and lateness later. Test: test_a_server_that_leaves_after_an_outage_is_gone_at_once (failed before).

--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -21,15 +21,15 @@
 # Prompt tokens that an engine reads in a millisecond.
 TOKENS_PER_MS = 30.0
 # Cost to the others of a millisecond in which an engine reads a prompt.
-READ_WEIGHT = 3.0
+READ_WEIGHT = 6.0
 # Part of the objective up to which an answer is safely in time.
-SAFE_SHARE = 0.5
+SAFE_SHARE = 0.8
 # Cost of a millisecond of waiting beyond that.
-LATE_WEIGHT = 5.0
+LATE_WEIGHT = 2.0
 # Time that a running request adds to another one.
 REQUEST_MS = 5.0
 # Time that a server seems to need longer at a failure rate of 1.
-FAILURE_MS = 4_000.0
+FAILURE_MS = 8_000.0
 # Cost of each step away from the first home, for prompts no server holds yet.
 STRAY_MS = 4.0
 MAX_STRAYS = 5
--- a/src/rosemarystream/_internal/decisions/replica.py
+++ b/src/rosemarystream/_internal/decisions/replica.py
@@ -72,14 +72,11 @@
         self._endpoints[endpoint.name] = endpoint
         return True
 
-    def accept_removal(self, name: str, revision: int, now: float) -> bool:
+    def accept_removal(self, name: str, revision: int) -> bool:
         """Take the removal of an entry; True if it is news."""
         known = self._endpoints.get(name)
         if known is None or revision < known.revision:
             return False
-        if now < self._grace_until:
-            self._lapsing.setdefault(name, (revision, self._grace_until))
-            return False
         self._remove(name, revision)
         return True
 
@@ -93,11 +90,19 @@
     def accept_listing(
         self, endpoints: Iterable[Endpoint], revision: int, now: float
     ) -> list[str]:
-        """Take a whole list; return names of entries that are news or gone."""
+        """Take a whole list; return names of entries that are news or gone.
+
+        Entries that are missing after the store was away may have lapsed
+        meanwhile, and have a while to come back.
+        """
         listed = {endpoint.name: endpoint for endpoint in endpoints}
         news = [name for name, entry in listed.items() if self.accept_endpoint(entry)]
         for name in [*self._endpoints]:
-            if name not in listed and self.accept_removal(name, revision, now):
+            if name in listed:
+                continue
+            if now < self._grace_until:
+                self._lapsing.setdefault(name, (revision, self._grace_until))
+            elif self.accept_removal(name, revision):
                 news.append(name)
         self.advance(revision)
         return news
--- a/src/rosemarystream/_internal/gateway/pulls.py
+++ b/src/rosemarystream/_internal/gateway/pulls.py
@@ -90,7 +90,6 @@
         self._accept(answer)
 
     def _accept(self, answer: DeltaAnswer) -> None:
-        now = self._clock()
         news = []
         if answer.document and self._accept_document(answer.document):
             news.append(f"version {self._replica.version}")
@@ -98,7 +97,7 @@
             if self._replica.accept_endpoint(endpoint):
                 news.append(endpoint.name)
         for name, revision in answer.removed.items():
-            if self._replica.accept_removal(name, revision, now):
+            if self._replica.accept_removal(name, revision):
                 news.append(name)
         self._replica.advance(answer.revision)
         if news:
--- a/src/rosemarystream/_internal/gateway/watching.py
+++ b/src/rosemarystream/_internal/gateway/watching.py
@@ -175,7 +175,7 @@
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted:
-            news = self._replica.accept_removal(item.name, revision, self._clock())
+            news = self._replica.accept_removal(item.name, revision)
             if news:
                 log.info("server removed", server=item.name, revision=revision)
         else:
--- a/tests/unit/test_replica.py
+++ b/tests/unit/test_replica.py
@@ -32,7 +32,7 @@
 def test_a_late_entry_does_not_bring_a_removed_server_back():
     replica = Replica()
     replica.accept_endpoint(make_endpoint(revision=5))
-    assert replica.accept_removal("s1", 9, now=0.0)
+    assert replica.accept_removal("s1", 9)
     assert not replica.accept_endpoint(make_endpoint(revision=8))
     assert replica.accept_endpoint(make_endpoint(revision=10))
 
@@ -42,7 +42,7 @@
     replica.accept_endpoint(make_endpoint("old", revision=3))
     replica.accept_endpoint(make_endpoint("new", revision=6))
     replica.accept_endpoint(make_endpoint("gone", revision=4))
-    replica.accept_removal("gone", 7, now=0.0)
+    replica.accept_removal("gone", 7)
     replica.advance(8)
     delta = replica.select_delta(5)
     assert [endpoint.name for endpoint in delta.endpoints] == ["new"]
@@ -66,3 +66,12 @@
     replica.accept_listing([make_endpoint("s1")], 2, now=0.0)
     assert replica.accept_listing([], 5, now=1.0) == ["s1"]
     assert replica.list_ready("pool") == []
+
+
+def test_a_server_that_leaves_after_an_outage_is_gone_at_once():
+    replica = Replica()
+    replica.accept_listing([make_endpoint("s1")], 2, now=0.0)
+    replica.begin_return(10.0)
+    replica.accept_listing([make_endpoint("s1")], 5, now=10.0)
+    assert replica.accept_removal("s1", 6)
+    assert replica.list_ready("pool") == []
