--- a/src/rosemarystream/_internal/cli/parser.py
+++ b/src/rosemarystream/_internal/cli/parser.py
@@ -5,6 +5,7 @@
 import cappa
 
 from rosemarystream._internal.cli.config import ConfigCommand
+from rosemarystream._internal.cli.gateway import GatewayCommand
 from rosemarystream._internal.cli.host import DrainCommand, DumpCommand, StatusCommand
 from rosemarystream._internal.cli.recall import RecallCommand
 from rosemarystream._internal.cli.serve import ServeCommand
@@ -25,6 +26,7 @@
 
     command: cappa.Subcommands[
         ServeCommand
+        | GatewayCommand
         | ConfigCommand
         | SheetCommand
         | RecallCommand
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -70,6 +70,11 @@
         self._incarnations: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
+    def set_bounds(self, bounds: BoundsSection) -> None:
+        """Keep other bounds from now on."""
+        self._bounds = bounds
+        self._budgets.clear()
+
     def choose_service(self, route: Route, call: Call) -> str:
         """Return the service of a request by the weights of its route."""
         total = sum(target.weight for target in route.targets)
@@ -295,7 +300,7 @@
         """Note that a server has begun to answer, so it can be reached."""
         self.health.note_heard_place(endpoint.data_centre)
 
-    def note_turned_away(self, endpoint: Endpoint, status: int) -> None:
+    def note_turned_away(self, endpoint: Endpoint) -> None:
         """Note that a server has not run a request it was sent."""
         self.metrics.count("turned_away")
         self.health.note_outcome(endpoint.name, failed=True, now=self._clock())
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -321,7 +321,11 @@
         except SettingsError as error:
             log.error("settings not reloaded", error=str(error))
             return
+        if settings.host != self._settings.host:
+            log.warning("settings of the host take effect at the next start")
         log.info("settings reloaded", changed=settings != self._settings)
+        if settings.bounds != self._settings.bounds:
+            self._fleet.set_bounds(settings.bounds)
         self._settings = settings
 
     def leave(self) -> None:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -271,7 +271,7 @@
         )
         if error.sent:
             self.sends += 1
-            self._fleet.note_turned_away(attempt.endpoint, error.status)
+            self._fleet.note_turned_away(attempt.endpoint)
         else:
             self._unsent += 1
             self._fleet.note_unreachable(attempt.endpoint)
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -45,10 +45,9 @@
 
 
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Logs and metrics."""
+    """Logs."""
 
     level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")] = "info"
-    statsd_address: Address | None = None
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
