--- /dev/null
+++ b/standins/link.py
@@ -0,0 +1,89 @@
+"""A loopback proxy before one server, to delay, silence or cut its connections."""
+
+from enum import StrEnum
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+BLOCK_BYTES = 16_384
+DELAY_S = 0.15
+RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+
+
+class Mode(StrEnum):
+    """What the link does with bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    SILENT_ANSWERS = "silent_answers"
+
+
+class Link:
+    """Forwards connections to a target.
+
+    Parameters
+    ----------
+    address, target : tuple of (str, int)
+        Where it listens, and where it leads.
+    """
+
+    def __init__(self, *, address: tuple[str, int], target: tuple[str, int]) -> None:
+        self.address = f"{address[0]}:{address[1]}"
+        self.mode = Mode.PASS
+        self._target = target
+        self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        self._server = StreamServer(address, self._serve)
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        self._server.stop(timeout=0)
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for pair in [*self._pairs]:
+            for end in pair:
+                try:
+                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    end.close()
+                except OSError:
+                    continue
+
+    def _serve(self, near: socket.socket, _: object) -> None:
+        try:
+            far = socket.create_connection(self._target, timeout=1)
+        except OSError:
+            near.close()
+            return
+        pair = (near, far)
+        self._pairs.add(pair)
+        relays = [
+            gevent.spawn(self._relay, near, far, False),
+            gevent.spawn(self._relay, far, near, True),
+        ]
+        gevent.joinall(relays, count=1)
+        self._pairs.discard(pair)
+        gevent.sleep(0.02)
+        gevent.killall(relays)
+        near.close()
+        far.close()
+
+    def _relay(self, source: socket.socket, sink: socket.socket, back: bool) -> None:
+        try:
+            source.settimeout(None)
+            while data := source.recv(BLOCK_BYTES):
+                if self.mode is Mode.DELAY:
+                    gevent.sleep(DELAY_S)
+                while self.mode is Mode.SILENT or (
+                    back and self.mode is Mode.SILENT_ANSWERS
+                ):
+                    gevent.sleep(0.05)
+                sink.sendall(data)
+        except OSError:
+            return
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,12 @@
+"""A short soak of real processes with a fixed seed; long ones are run by hand."""
+
+from tests.soak.run import run_soak
+
+SEED = 1
+SECONDS = 6.0
+
+
+def test_nothing_is_broken_while_processes_and_links_fail():
+    report = run_soak(seed=SEED, seconds=SECONDS)
+    assert not report.violations, report.describe()
+    assert report.served > 0
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,75 @@
+"""What callers and backend servers must never see, whatever fails."""
+
+from typing import NamedTuple
+
+from standins.backend_server import EVENTS, BackendServer
+from tests.lib.entry_world import Reply
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+ONCE = ("book", "brief")
+STREAMS = ("chat", "brief")
+
+
+class Exchange(NamedTuple):
+    """A request and what its caller got."""
+
+    request_id: str
+    kind: str
+    reply: Reply
+
+
+def count_runs(servers: list[BackendServer]) -> dict[str, list[str]]:
+    """Return the servers that ran each request."""
+    runs: dict[str, list[str]] = {}
+    for server in servers:
+        for run in server.runs:
+            runs.setdefault(run.request_id, []).append(server.name)
+    return runs
+
+
+def list_violations(
+    exchanges: list[Exchange], sent: set[str], servers: list[BackendServer]
+) -> list[str]:
+    """Return every promise that was broken."""
+    runs = count_runs(servers)
+    found = [f"{name} ran, which nobody sent" for name in runs if name not in sent]
+    for server in servers:
+        for run in server.runs:
+            if run.headers.get(b"x-rosemarystream-tenant") != b"w1":
+                found.append(f"{run.request_id} ran for another workspace")
+            if b"api-key" in run.headers:
+                found.append(f"{run.request_id} reached a server with its key")
+    for exchange in exchanges:
+        found += _check(exchange, runs.get(exchange.request_id, []))
+    return found
+
+
+def _check(exchange: Exchange, runs: list[str]) -> list[str]:
+    name, kind, reply = exchange
+    found = []
+    if kind in ONCE and len(runs) > 1:
+        found.append(f"{name} ({kind}) ran {len(runs)} times, at {runs}")
+    if kind in ONCE and reply.status in NOT_RUN_STATUSES and runs:
+        found.append(f"{name} ({kind}) was refused with {reply.status} and ran")
+    if reply.status in (401, 404):
+        found.append(f"{name} ({kind}) was denied with {reply.status}")
+    if reply.status == 200 and kind in STREAMS:
+        found += _check_stream(name, reply)
+    elif reply.status == 200 and reply.complete:
+        servers = {f"done by {server}".encode() for server in runs}
+        if reply.body not in servers:
+            found.append(f"{name} got {reply.body!r}, which no server of its made")
+    return found
+
+
+def _check_stream(name: str, reply: Reply) -> list[str]:
+    numbers = [
+        int(line[4:])
+        for line in reply.body.decode().splitlines()
+        if line.startswith("id: ")
+    ]
+    if numbers != [*range(1, len(numbers) + 1)]:
+        return [f"{name} got events {numbers}"]
+    if reply.complete and len(numbers) != EVENTS:
+        return [f"{name} ended as complete after {len(numbers)} events"]
+    return []
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,313 @@
+"""One run of the soak: traffic, faults drawn from a seed, and the checks."""
+
+import itertools
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import gevent
+
+from standins.backend_server import Fault
+from standins.link import Link, Mode
+from standins.object_store import Trouble
+from tests.lib.entry_world import (
+    CALLER_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READY_PORT,
+    SERVER_PORT,
+    Caller,
+    Reply,
+    World,
+    get,
+    make_configuration,
+    wait_until,
+)
+from tests.soak.checks import Exchange, list_violations
+
+ROOT = Path(__file__).parents[2]
+LINK_PORT = 18_090
+CALLERS = 12
+RECOVERY_S = 6.0
+KINDS = ("look", "book", "chat", "brief")
+STREAM_HEADERS = (
+    ("X-Rosemarystream-Model", "m"),
+    ("X-Rosemarystream-Prompt-Prefix", "a:900,b:100"),
+)
+
+
+class Report(NamedTuple):
+    """What a run has shown."""
+
+    seed: int
+    requests: int
+    served: int
+    faults: list[str]
+    violations: list[str]
+    logs: Path
+
+    def describe(self) -> str:
+        lines = [
+            f"seed {self.seed}: {self.requests} requests, {self.served} served, "
+            f"{len(self.faults)} faults, {len(self.violations)} violations"
+        ]
+        if self.violations:
+            lines += [f"  {violation}" for violation in self.violations[:20]]
+            lines += [f"  fault: {fault}" for fault in self.faults]
+            lines.append(f"  logs: {self.logs}")
+        return "\n".join(lines)
+
+
+class HostProcess:
+    """An entry host as a process of its own."""
+
+    def __init__(self, *, name, data_centre, ip, store, seeds, folder):
+        self.name = name
+        self.ip = ip
+        self._log = folder / f"{name}.log"
+        self._settings = folder / f"{name}.toml"
+        self._settings.write_text(
+            f'[host]\nname = "{name}"\ndata_centre = "{data_centre}"\nip = "{ip}"\n'
+            f'caller_address = "{ip}:{CALLER_PORT}"\n'
+            f'ready_address = "{ip}:{READY_PORT}"\n'
+            f"peer_port = {PEER_PORT}\nmetrics_port = {METRICS_PORT}\n"
+            f"seeds = {seeds!r}\n".replace("'", '"')
+            + f'[platform]\naddress = "{store}"\n[bounds]\nshutdown_ms = 3000\n'
+        )
+        self.process = None
+
+    def start(self):
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "launch.py")],
+                env={**os.environ, "ROSEMARYSTREAM_SETTINGS": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number):
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def restart(self, number):
+        """End the process and start another, unless that is under way already."""
+        ending = self.process
+        self.send(number)
+        wait_until(lambda: ending.poll() is not None, seconds=15.0)
+        if self.process is ending:
+            self.start()
+
+    def is_ready(self):
+        try:
+            return get(self.ip, READY_PORT, "/v1/readyz").status == 200
+        except OSError:
+            return False
+
+
+class Soak:
+    """Everything that runs during one soak."""
+
+    def __init__(self, *, seed, folder):
+        self.draw = random.Random(seed)
+        self.world = World()
+        self.exchanges = []
+        self.sent = set()
+        self.faults = []
+        self.links = {}
+        self.stopping = False
+        self._versions = itertools.count(10)
+        self._numbers = itertools.count(1)
+        net = self.world.net
+        for number, service in enumerate(["plain", "engines"] * 3):
+            self._add_server(f"{service}{number}", service, f"{net}.{100 + number}")
+        self.store_links = {}
+        self.hosts = {}
+        for number in range(3):
+            self._add_host(number, net, folder)
+
+    def _add_server(self, name, service, ip):
+        server = self.world.add_server(name, service, work_s=0.01)
+        address, _, _ = server.address.rpartition(":")
+        link = Link(address=(ip, LINK_PORT), target=(address, SERVER_PORT))
+        link.start()
+        self.links[name] = link
+        self.world.store.write(
+            "servers", name, {**server.describe(seq=2), "address": link.address}
+        )
+
+    def _add_host(self, number, net, folder):
+        address, _, port = self.world.store.address.rpartition(":")
+        link = Link(
+            address=(f"{net}.{50 + number}", LINK_PORT), target=(address, int(port))
+        )
+        link.start()
+        name = f"h{number}"
+        self.store_links[name] = link
+        self.hosts[name] = HostProcess(
+            name=name,
+            data_centre="ab"[number % 2],
+            ip=f"{net}.{200 + number}",
+            store=link.address,
+            seeds=[f"{net}.200:1", f"{net}.201:1"],
+            folder=folder,
+        )
+
+    # Traffic
+
+    def call_for_ever(self, draw):
+        while not self.stopping:
+            host = draw.choice([*self.hosts.values()])
+            try:
+                caller = Caller(host.ip)
+            except OSError:
+                gevent.sleep(0.05)
+                continue
+            for _ in range(draw.randint(1, 6)):
+                if not self._call(caller, draw.choice(KINDS)):
+                    break
+                gevent.sleep(draw.random() * 0.05)
+            caller.close()
+
+    def _call(self, caller, kind):
+        request_id = f"soak-{next(self._numbers)}"
+        self.sent.add(request_id)
+        headers = STREAM_HEADERS if kind in ("chat", "brief") else ()
+        try:
+            caller.send(f"/{kind}/1", headers=headers, request_id=request_id)
+            reply = caller.read()
+        except OSError:
+            reply = Reply(0, {}, b"", False)
+        self.exchanges.append(Exchange(request_id, kind, reply))
+        return reply.complete and reply.headers.get(b"connection") != b"close"
+
+    # Faults
+
+    def strike(self):
+        """Begin one fault; it ends by itself after a while."""
+        kind = self.draw.choice(
+            ["kill", "freeze", "term", "hup", "link", "reset", "store", "refuse"]
+            + ["answers", "answers", "configuration", "drain", "history"]
+        )
+        length_s = self.draw.uniform(0.3, 3.0)
+        host = self.draw.choice([*self.hosts.values()])
+        server = self.draw.choice([*self.world.servers])
+        self.faults.append(f"{kind} {host.name} {server} {length_s:.1f} s")
+        getattr(self, f"_strike_{kind}")(host, server, length_s)
+
+    def _strike_kill(self, host, server, length_s):
+        host.restart(signal.SIGKILL)
+
+    def _strike_term(self, host, server, length_s):
+        host.restart(signal.SIGTERM)
+
+    def _strike_hup(self, host, server, length_s):
+        host.send(signal.SIGHUP)
+
+    def _strike_freeze(self, host, server, length_s):
+        host.send(signal.SIGSTOP)
+        gevent.sleep(length_s)
+        host.send(signal.SIGCONT)
+
+    def _strike_link(self, host, server, length_s):
+        link = self.draw.choice([self.links[server], self.store_links[host.name]])
+        link.mode = self.draw.choice([Mode.DELAY, Mode.SILENT, Mode.SILENT_ANSWERS])
+        gevent.sleep(length_s)
+        link.mode = Mode.PASS
+
+    def _strike_reset(self, host, server, length_s):
+        self.links[server].reset()
+        self.store_links[host.name].reset()
+
+    def _strike_store(self, host, server, length_s):
+        self.world.store.trouble = Trouble.BUSY
+        gevent.sleep(length_s)
+        self.world.store.trouble = Trouble.NONE
+
+    def _strike_refuse(self, host, server, length_s):
+        link = self.store_links[host.name]
+        link.mode = Mode.SILENT
+        gevent.sleep(length_s)
+        link.mode = Mode.PASS
+
+    def _strike_answers(self, host, server, length_s):
+        faults = self.draw.choices([*Fault], k=self.draw.randint(2, 12))
+        self.world.servers[server].faults.extend(faults)
+
+    def _strike_configuration(self, host, server, length_s):
+        document = make_configuration(next(self._versions))
+        self.world.store.write("config", "main", document)
+
+    def _strike_drain(self, host, server, length_s):
+        entry = self.world.servers[server].describe("draining", seq=3)
+        entry["address"] = self.links[server].address
+        self.world.store.write("servers", server, entry)
+        gevent.sleep(length_s)
+        self.world.store.write("servers", server, {**entry, "state": "ready"})
+
+    def _strike_history(self, host, server, length_s):
+        self.world.store.drop_history()
+
+    # Course
+
+    def run(self, seconds):
+        for host in self.hosts.values():
+            host.start()
+        for host in self.hosts.values():
+            wait_until(host.is_ready, seconds=15.0)
+        gevent.sleep(1.0)
+        callers = [
+            gevent.spawn(self.call_for_ever, random.Random(number))
+            for number in range(CALLERS)
+        ]
+        end = time.monotonic() + seconds
+        strikes = []
+        while time.monotonic() < end:
+            strikes.append(gevent.spawn(self.strike))
+            gevent.sleep(self.draw.uniform(0.1, 0.9))
+        gevent.joinall(strikes, timeout=20.0)
+        violations = self._check_recovery()
+        self.stopping = True
+        gevent.joinall(callers, timeout=10.0)
+        return violations
+
+    def _check_recovery(self):
+        for server in self.world.servers.values():
+            server.faults.clear()
+        gevent.sleep(RECOVERY_S)
+        begun = len(self.exchanges)
+        gevent.sleep(2.0)
+        after = self.exchanges[begun:]
+        served = sum(e.reply.status == 200 and e.reply.complete for e in after)
+        if served < 0.95 * len(after) or not after:
+            return [f"after the faults only {served} of {len(after)} were served"]
+        return []
+
+    def stop(self):
+        for host in self.hosts.values():
+            if host.process is not None and host.process.poll() is None:
+                host.send(signal.SIGCONT)
+                host.send(signal.SIGKILL)
+                host.process.wait()
+        for link in [*self.links.values(), *self.store_links.values()]:
+            link.stop()
+        self.world.stop()
+
+
+def run_soak(*, seed: int, seconds: float) -> Report:
+    """Run the soak once."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = Soak(seed=seed, folder=folder)
+    try:
+        violations = soak.run(seconds)
+    finally:
+        soak.stop()
+    servers = [*soak.world.servers.values()]
+    violations += list_violations(soak.exchanges, soak.sent, servers)
+    served = sum(e.reply.status == 200 and e.reply.complete for e in soak.exchanges)
+    return Report(seed, len(soak.exchanges), served, soak.faults, violations, folder)
