A slow server is not taken for one that is gone

Change: only a connection that can't be made, or that the kernel gives up, sets a server aside; silence counts as a failed outcome. Test: test_a_slow_server_is_not_taken_for_one_that_is_gone. Also: worlds of tests that run at once have networks of their own.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -15,6 +15,7 @@
     ClientConnection,
     ConnectError,
     SilentError,
+    UnreachableError,
 )
 
 MAX_SKIPPED_ANSWERS = 3
@@ -45,11 +46,16 @@
     ----------
     silent : bool
         Whether the server just didn't answer in time.
+    unreachable : bool
+        Whether its machine acknowledges nothing any more.
     """
 
-    def __init__(self, message: str, *, silent: bool) -> None:
+    def __init__(
+        self, message: str, *, silent: bool = False, unreachable: bool = False
+    ) -> None:
         super().__init__(message)
         self.silent = silent
+        self.unreachable = unreachable
 
 
 class Attempt:
@@ -116,7 +122,7 @@
         try:
             connection.send(self._call.method, self._call.target, headers, body)
         except BrokenError as error:
-            raise OutcomeUnknownError(str(error), silent=False) from error
+            raise _convert(error) from error
 
     def read_head(self, deadline: float) -> AnswerHead:
         """Return the head of the server's answer to this request.
@@ -138,8 +144,7 @@
             else:
                 raise BrokenError("only answers to other requests came")
         except BrokenError as error:
-            silent = isinstance(error, SilentError)
-            raise OutcomeUnknownError(str(error), silent=silent) from error
+            raise _convert(error) from error
         self._head = head
         if head.not_run:
             self._finish_unread(deadline)
@@ -147,9 +152,7 @@
                 f"turned away with {head.status}", sent=True, status=head.status
             )
         if head.encoded or not head.sealed or head.request_id == "":
-            raise OutcomeUnknownError(
-                f"answer {head.status} is not the server's own", silent=False
-            )
+            raise OutcomeUnknownError(f"answer {head.status} is not the server's own")
         return head
 
     def _finish_unread(self, deadline: float) -> None:
@@ -173,8 +176,7 @@
         try:
             piece = self._connection.read_piece(deadline)
         except BrokenError as error:
-            silent = isinstance(error, SilentError)
-            raise OutcomeUnknownError(str(error), silent=silent) from error
+            raise _convert(error) from error
         if piece is None:
             connection, self._connection = self._connection, None
             if self._head.closes:
@@ -189,3 +191,11 @@
         if self._connection is not None:
             self._connection.close()
             self._connection = None
+
+
+def _convert(error: BrokenError) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        str(error),
+        silent=isinstance(error, SilentError),
+        unreachable=isinstance(error, UnreachableError),
+    )
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -283,11 +283,12 @@
             server=attempt.endpoint.name,
             reused=attempt.reused,
             silent=error.silent,
+            unreachable=error.unreachable,
             reason=str(error),
         )
         self.sends += 1
         self._may_have_run = True
-        if error.silent:
+        if error.unreachable:
             self._fleet.note_unreachable(attempt.endpoint)
         else:
             self._fleet.note_outcome(attempt.endpoint, failed=True)
@@ -335,11 +336,11 @@
         failed = head.status >= SERVER_ERROR
         if failed and more and route.repeatable:
             self._keep_failure(attempt, head)
-            raise OutcomeUnknownError(f"failed with {head.status}", silent=False)
+            raise OutcomeUnknownError(f"failed with {head.status}")
         if head.events and not failed:
             return self._pass_events(attempt, head, route)
         if self._answer.begun:
-            raise OutcomeUnknownError("a stream can't go on as an answer", silent=False)
+            raise OutcomeUnknownError("a stream can't go on as an answer")
         return self._pass_body(attempt, head)
 
     def _keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
@@ -398,7 +399,7 @@
             for event in splitter.split(piece):
                 self._pass_event(event, head)
         if splitter.rest:
-            raise OutcomeUnknownError("the stream ended within an event", silent=False)
+            raise OutcomeUnknownError("the stream ended within an event")
         if not self._answer.begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.end()
@@ -415,7 +416,7 @@
                     return
                 if ahead > 1:
                     raise OutcomeUnknownError(
-                        f"event {identifier!r} came after {expected!r}", silent=False
+                        f"event {identifier!r} came after {expected!r}"
                     )
             self._last_event = identifier
         if not self._answer.begun:
--- a/src/rosemarystream/_internal/utils/connection.py
+++ b/src/rosemarystream/_internal/utils/connection.py
@@ -4,6 +4,7 @@
 holds the connection decides what a failure means.
 """
 
+import errno
 import socket as plain_socket
 from collections.abc import Callable
 from typing import NamedTuple
@@ -35,7 +36,14 @@
 
 
 class SilentError(BrokenError):
-    """Nothing came before the deadline."""
+    """Nothing came before the deadline; the server may be slow."""
+
+
+class UnreachableError(BrokenError):
+    """The server's machine acknowledges nothing any more."""
+
+
+_UNREACHABLE = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
 class Head(NamedTuple):
@@ -196,13 +204,19 @@
                     return event
                 self._socket.settimeout(max(MIN_WAIT_S, deadline - self._clock()))
                 self._protocol.receive_data(self._socket.recv(READ_BYTES))
-            except TimeoutError as error:
-                raise SilentError(f"{self.address} was silent") from error
             except OSError as error:
-                raise BrokenError(f"{self.address}: {error}") from error
+                raise self._convert(error) from error
             except h11.ProtocolError as error:
                 raise BrokenError(f"{self.address}: {error}") from error
 
+    def _convert(self, error: OSError) -> BrokenError:
+        # gevent's own timeouts have no number; the kernel's have.
+        if error.errno in _UNREACHABLE:
+            return UnreachableError(f"{self.address} can't be reached: {error}")
+        if isinstance(error, TimeoutError):
+            return SilentError(f"{self.address} was silent")
+        return BrokenError(f"{self.address}: {error}")
+
     def finish(self) -> bool:
         """Make the connection ready for another request; False if it can't be."""
         if self._sender is not None and not self._sender.ready():
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -225,3 +225,12 @@
     world.add_server("p3")
     wait_until(lambda: "p3" in host.gateway.list_servers("plain"))
     assert sorted(host.gateway.list_servers("plain")) == ["p1", "p2", "p3"]
+
+
+def test_a_slow_server_is_not_taken_for_one_that_is_gone(world, host):
+    world.servers["p1"].faults = [Fault.HANG]
+    world.servers["p2"].faults = [Fault.HANG]
+    assert host.call("/look/1", wait_ms=3000).status in (502, 504)
+    for _ in range(4):
+        assert host.call("/look/1").status == 200
+    assert host.is_ready()
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import os
 from pathlib import Path
 from typing import NamedTuple
 
@@ -19,6 +20,8 @@
 
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 18_080, 18_081, 18_082, 18_083
 STORE_PORT, SERVER_PORT = 18_084, 18_085
+# The first of the networks on loopback, and how many there are.
+NETS = (10, 200)
 KEY = "key-of-w1"
 HOST = "chats.example"
 _numbers = itertools.count(1)
@@ -80,7 +83,8 @@
     """All processes of a small deployment."""
 
     def __init__(self):
-        self.net = f"127.0.{next(_numbers)}"
+        # Processes that run at the same time must not meet either.
+        self.net = f"127.{NETS[0] + os.getpid() % NETS[1]}.{next(_numbers)}"
         self.store = ObjectStore(address=(f"{self.net}.1", STORE_PORT))
         self.servers = {}
         self.hosts = {}
