--- a/src/rosemarystream/_internal/decisions/replica.py
+++ b/src/rosemarystream/_internal/decisions/replica.py
@@ -47,6 +47,11 @@
         """Version of the configuration, or 0 before there is one."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether a configuration and servers are known, so requests can be served."""
+        return self.configuration is not None and bool(self._endpoints)
+
     def accept_configuration(
         self, configuration: FleetConfiguration, document: bytes
     ) -> bool:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import gevent
 from logbook import Logger
 
 from rosemarystream._internal.decisions.patience import limit_attempt, measure_stall
@@ -17,7 +18,7 @@
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.pool import Pool
 from rosemarystream._internal.models.call import Call
-from rosemarystream._internal.models.route import Route, Workspace
+from rosemarystream._internal.models.route import FleetConfiguration, Route, Workspace
 from rosemarystream._internal.platform.headers import AnswerHead, decode_call
 from rosemarystream._internal.utils.events import EventSplitter, find_identifier
 
@@ -28,6 +29,9 @@
 # Places tried for one request where no server has seen it.
 MAX_UNSENT = 4
 RETRY_SOON_S = 0.05
+# Time for which a request waits at a host that has just started.
+START_WAIT_S = 0.5
+START_POLL_S = 0.02
 SERVER_ERROR = 500
 
 
@@ -198,7 +202,7 @@
             return "failed"
 
     def _admit(self) -> tuple[Route, Workspace | None]:
-        configuration = self._fleet.replica.configuration
+        configuration = self._await_configuration()
         if configuration is None:
             raise _RefusedError(
                 ErrorKind.NOT_READY,
@@ -217,6 +221,15 @@
             raise _RefusedError(ErrorKind.UNAUTHORIZED, "no workspace has this key")
         return route, workspace
 
+    def _await_configuration(self) -> FleetConfiguration | None:
+        """Return the configuration; a host that has just started gets it soon."""
+        deadline = self.received_at + START_WAIT_S
+        if self._call.wait_s is not None:
+            deadline = min(deadline, self.received_at + self._call.wait_s / 4)
+        while not self._fleet.replica.is_complete and self._clock() < deadline:
+            gevent.sleep(START_POLL_S)
+        return self._fleet.replica.configuration
+
     def _try_once(self, route: Route, service: str) -> str | None:
         now = self._clock()
         if now >= self._deadline:
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -159,3 +159,8 @@
     server.start()
     wait_until(host.is_ready)
     wait_until(lambda: host.call("/look/1").status == 200)
+
+
+def test_a_request_waits_for_a_host_that_has_just_started(world):
+    host = world.add_host("h4", seeds=["h1"], wait=False)
+    assert host.call("/look/1").status == 200
