--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -0,0 +1,346 @@
+"""One request of a caller and all its attempts at servers."""
+
+from collections.abc import Callable
+
+import gevent
+from logbook import Logger
+
+from rosemarystream._internal.decisions.patience import limit_attempt, measure_stall
+from rosemarystream._internal.decisions.placement import Placement
+from rosemarystream._internal.exceptions import ErrorKind, RosemarystreamError
+from rosemarystream._internal.gateway.answering import Answer
+from rosemarystream._internal.gateway.attempt import (
+    Attempt,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from rosemarystream._internal.gateway.fleet import Fleet
+from rosemarystream._internal.gateway.listener import Request
+from rosemarystream._internal.gateway.pool import Pool
+from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.route import FleetConfiguration, Route, Workspace
+from rosemarystream._internal.platform.headers import AnswerHead
+from rosemarystream._internal.utils.events import EventSplitter, find_identifier
+
+log = Logger(__name__)
+
+# Answers up to this size are passed on when they are whole.
+WHOLE_BYTES = 262_144
+# Places tried for one request where no server has seen it.
+MAX_UNSENT = 4
+RETRY_SOON_S = 0.05
+# Time for which a request waits at a host that has just started.
+START_WAIT_S = 0.5
+START_POLL_S = 0.02
+SERVER_ERROR = 500
+
+
+class RequestEndedError(RosemarystreamError):
+    """A request that ends here with an error of the closed list."""
+
+    def __init__(
+        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(message, kind=kind, retry_after=retry_after_s)
+
+
+class Exchange:
+    """One request and all its attempts."""
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        request: Request,
+        answer: Answer,
+        fleet: Fleet,
+        pool: Pool,
+        clock: Callable[[], float],
+        ends_at: float | None,
+    ) -> None:
+        self.received_at = request.received_at
+        self.route: Route | None = None
+        self.tried: list[str] = []
+        self.sends = 0
+        self.reason = ""
+        self.rank = 0
+        self.placement: Placement | None = None
+        self.first_event_s: float | None = None
+        self._call = call
+        self._body = request.body
+        self._answer = answer
+        self._fleet = fleet
+        self._pool = pool
+        self._clock = clock
+        self._ends_at = ends_at
+        self._reading: Placement | None = None
+        self._unsent = 0
+        self._may_have_run = False
+        self._last_event = call.resume_after
+        self._kept: tuple[AnswerHead, bytes] | None = None
+
+    def run(self) -> str:
+        """Serve; returns how the request ended."""
+        route, workspace = self._admit()
+        self.route = route
+        wait_s = route.timeout_s
+        if self._call.wait_s is not None:
+            wait_s = min(wait_s, self._call.wait_s)
+        self._deadline = self.received_at + wait_s
+        if self._ends_at is not None and self._deadline > self._ends_at:
+            raise RequestEndedError(
+                ErrorKind.LEAVING, "this host stops soon", retry_after_s=0.0
+            )
+        self.rank = route.rank
+        if workspace is not None and workspace.rank is not None:
+            self.rank = workspace.rank
+        self._workspace = workspace.name if workspace else None
+        service = self._fleet.choose_service(route, self._call)
+        self._fleet.note_request(service)
+        try:
+            while True:
+                outcome = self._try_once(route, service)
+                if outcome is not None:
+                    return outcome
+        except RequestEndedError as error:
+            if self._kept is None or self._answer.begun:
+                raise
+            self.reason = str(error)
+            head, body = self._kept
+            self._answer.send_whole(head.status, head.headers, body)
+            return "failed"
+
+    def _admit(self) -> tuple[Route, Workspace | None]:
+        configuration = self._await_configuration()
+        if configuration is None:
+            raise RequestEndedError(
+                ErrorKind.NOT_READY,
+                "this host knows no configuration yet",
+                retry_after_s=RETRY_SOON_S,
+            )
+        if not self._call.request_id:
+            raise RequestEndedError(ErrorKind.BAD_REQUEST, "the request has no id")
+        route = configuration.find_route(self._call.host, self._call.path)
+        if route is None:
+            raise RequestEndedError(ErrorKind.NOT_FOUND, "no route for host and path")
+        if route.anonymous or not configuration.workspaces:
+            return route, None
+        workspace = configuration.workspaces.get(self._call.key or "")
+        if workspace is None:
+            raise RequestEndedError(ErrorKind.UNAUTHORIZED, "no workspace has this key")
+        return route, workspace
+
+    def _await_configuration(self) -> FleetConfiguration | None:
+        """Return the configuration; a host that has just started gets it soon."""
+        deadline = self.received_at + START_WAIT_S
+        if self._call.wait_s is not None:
+            deadline = min(deadline, self.received_at + self._call.wait_s / 4)
+        while not self._fleet.replica.is_complete and self._clock() < deadline:
+            gevent.sleep(START_POLL_S)
+        return self._fleet.replica.configuration
+
+    def _try_once(self, route: Route, service: str) -> str | None:
+        now = self._clock()
+        if now >= self._deadline:
+            raise self._give_up("the time is over")
+        placement = self._fleet.place(
+            route, service, self._call, rank=self.rank, exclude=self.tried
+        )
+        if placement is None:
+            # Another host may reach what this one can't.
+            self._answer.closing = True
+            raise self._give_up(f"no server of {service} can be reached")
+        endpoint = placement.endpoint
+        self.placement = placement
+        attempt = Attempt(
+            call=self._call, endpoint=endpoint, pool=self._pool, clock=self._clock
+        )
+        self.tried.append(endpoint.name)
+        self._fleet.begin(endpoint)
+        self._fleet.begin_reading(placement, self._call)
+        self._reading = placement
+        try:
+            return self._run_attempt(attempt, route)
+        except NotRunError as error:
+            self._note_not_run(attempt, error)
+            self._check_retry(route, service, sent=error.sent, reason=str(error))
+        except OutcomeUnknownError as error:
+            self._note_unknown(attempt, error)
+            self._check_retry(route, service, sent=True, reason=str(error))
+        finally:
+            attempt.close()
+            self._end_reading()
+            self._fleet.end(endpoint)
+        return None
+
+    def _note_first_event(self) -> None:
+        self._end_reading()
+        if self.first_event_s is None:
+            self.first_event_s = self._clock() - self.received_at
+
+    def _end_reading(self) -> None:
+        if self._reading is not None:
+            self._fleet.end_reading(self._reading)
+            self._reading = None
+
+    def _note_not_run(self, attempt: Attempt, error: NotRunError) -> None:
+        log.info(
+            "attempt not run",
+            request=self._call.request_id,
+            server=attempt.endpoint.name,
+            sent=error.sent,
+            reason=str(error),
+        )
+        if error.sent:
+            self.sends += 1
+            self._fleet.note_turned_away(attempt.endpoint)
+        else:
+            self._unsent += 1
+            self._fleet.note_unreachable(attempt.endpoint)
+
+    def _note_unknown(self, attempt: Attempt, error: OutcomeUnknownError) -> None:
+        log.info(
+            "attempt broke",
+            request=self._call.request_id,
+            server=attempt.endpoint.name,
+            reused=attempt.reused,
+            silent=error.silent,
+            unreachable=error.unreachable,
+            reason=str(error),
+        )
+        self.sends += 1
+        self._may_have_run = True
+        if error.unreachable:
+            self._fleet.note_unreachable(attempt.endpoint)
+        else:
+            self._fleet.note_outcome(attempt.endpoint, failed=True)
+
+    def _check_retry(
+        self, route: Route, service: str, *, sent: bool, reason: str
+    ) -> None:
+        """Return if another attempt may be made; raise the final error if not."""
+        if self._may_have_run and not route.repeatable:
+            raise self._give_up(reason)
+        if not sent:
+            if self._unsent >= MAX_UNSENT:
+                raise self._give_up(reason)
+            return
+        if self.sends >= route.max_attempts:
+            raise self._give_up(reason)
+        if not self._fleet.take_retry(service):
+            raise self._give_up(f"{reason}; the retry budget is used up")
+
+    def _give_up(self, reason: str) -> RequestEndedError:
+        over = self._clock() >= self._deadline
+        if self._may_have_run:
+            kind = ErrorKind.TIMED_OUT if over else ErrorKind.OUTCOME_UNKNOWN
+            return RequestEndedError(kind, reason)
+        return RequestEndedError(
+            ErrorKind.NO_BACKEND, reason, retry_after_s=self._fleet.suggest_return()
+        )
+
+    # One attempt
+
+    def _run_attempt(self, attempt: Attempt, route: Route) -> str | None:
+        more = self.sends + 1 < route.max_attempts
+        attempt.send(
+            self._body,
+            deadline=self._deadline,
+            workspace=self._workspace,
+            level=self._fleet.find_urgency(self.rank, route).level,
+            resume_after=self._last_event,
+        )
+        limit = limit_attempt(
+            route, now=self._clock(), deadline=self._deadline, more_attempts=more
+        )
+        head = attempt.read_head(limit)
+        self._fleet.note_answer(attempt.endpoint)
+        failed = head.status >= SERVER_ERROR
+        if failed and more and route.repeatable:
+            self._keep_failure(attempt, head)
+            raise OutcomeUnknownError(f"failed with {head.status}")
+        if head.events and not failed:
+            return self._pass_events(attempt, head, route)
+        if self._answer.begun:
+            raise OutcomeUnknownError("a stream can't go on as an answer")
+        return self._pass_body(attempt, head)
+
+    def _keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Read a failure that is passed on if no other attempt does better."""
+        body = self._read_whole(attempt)
+        self._kept = (head, body)
+
+    def _read_whole(self, attempt: Attempt) -> bytes:
+        pieces = []
+        while (piece := attempt.read_piece(self._deadline)) is not None:
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _pass_body(self, attempt: Attempt, head: AnswerHead) -> str:
+        pieces: list[bytes] = []
+        size = 0
+        while (piece := attempt.read_piece(self._deadline)) is not None:
+            pieces.append(piece)
+            size += len(piece)
+            if size > WHOLE_BYTES:
+                return self._pass_long_body(attempt, head, b"".join(pieces))
+        self._fleet.note_outcome(attempt.endpoint, failed=head.status >= SERVER_ERROR)
+        self._answer.send_whole(head.status, head.headers, b"".join(pieces))
+        return "answered"
+
+    def _pass_long_body(self, attempt: Attempt, head: AnswerHead, begun: bytes) -> str:
+        self._answer.send_head(head.status, head.headers)
+        self._answer.send_piece(begun)
+        try:
+            while (piece := attempt.read_piece(self._deadline)) is not None:
+                self._answer.send_piece(piece)
+        except OutcomeUnknownError as error:
+            self._note_unknown(attempt, error)
+            raise RequestEndedError(ErrorKind.STREAM_BROKEN, str(error)) from error
+        self._answer.end()
+        self._fleet.note_outcome(attempt.endpoint, failed=False)
+        return "answered"
+
+    def _pass_events(self, attempt: Attempt, head: AnswerHead, route: Route) -> str:
+        splitter = EventSplitter()
+        stall_s = measure_stall(route)
+        while True:
+            limit = self._deadline
+            if route.resumable:
+                limit = min(limit, self._clock() + stall_s)
+            try:
+                piece = attempt.read_piece(limit)
+            except OutcomeUnknownError as error:
+                if route.resumable or not self._answer.begun:
+                    raise
+                self._note_unknown(attempt, error)
+                raise RequestEndedError(ErrorKind.STREAM_BROKEN, str(error)) from error
+            if piece is None:
+                break
+            self._note_first_event()
+            for event in splitter.split(piece):
+                self._pass_event(event, head)
+        if splitter.rest:
+            raise OutcomeUnknownError("the stream ended within an event")
+        if not self._answer.begun:
+            self._answer.send_head(head.status, head.headers)
+        self._answer.end()
+        self._fleet.note_outcome(attempt.endpoint, failed=False)
+        return "answered"
+
+    def _pass_event(self, event: bytes, head: AnswerHead) -> None:
+        identifier = find_identifier(event)
+        if identifier:
+            expected = self._last_event
+            if expected.isdigit() and identifier.isdigit():
+                ahead = int(identifier) - int(expected)
+                if ahead <= 0:
+                    return
+                if ahead > 1:
+                    raise OutcomeUnknownError(
+                        f"event {identifier!r} came after {expected!r}"
+                    )
+            self._last_event = identifier
+        if not self._answer.begun:
+            self._answer.send_head(head.status, head.headers)
+        self._answer.send_piece(event)
