Pull the configuration compressed, and apart from the servers

Every host pulled some 300 KB from its collectors over links of 10 Mbit/s, within a second or not at all, and changes of the servers waited for the same pull. Ruled out: the watchers (they had the version when it was acknowledged). Change: two kinds of pull, each of its own; the document is compressed once a version and has 4 s. Test: test_a_long_configuration_does_not_hold_up_news_of_servers.

--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -250,11 +250,10 @@
             self._on_resting(beat.resting)
         if beat.wants_answer:
             self._answer_greeting(sender, now)
-        if (
-            beat.version > self._replica.version
-            or beat.revision > self._replica.revision
-        ):
-            self._pulls.begin(sender.ip)
+        if beat.revision > self._replica.revision:
+            self._pulls.begin_servers(sender.ip)
+        if beat.version > self._replica.version:
+            self._pulls.begin_document(sender.ip)
 
     def _answer_greeting(self, sender: HostName, now: float) -> None:
         names = self._list_names(now, first=sender.data_centre)
--- a/src/rosemarystream/_internal/gateway/pulls.py
+++ b/src/rosemarystream/_internal/gateway/pulls.py
@@ -1,6 +1,11 @@
-"""Pulls of missing state between hosts, over TCP."""
+"""Pulls of missing state between hosts, over TCP.
+
+The configuration and the servers are pulled apart, so that a long configuration
+on a narrow link doesn't hold up the news that a server leaves.
+"""
 
 import struct
+import zlib
 from collections.abc import Callable
 
 import gevent
@@ -10,7 +15,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.models.beat import DeltaAnswer, DeltaRequest
+from rosemarystream._internal.models.beat import PullAnswer, PullRequest
 from rosemarystream._internal.platform.documents import (
     DocumentError,
     decode_configuration,
@@ -18,15 +23,17 @@
 
 log = Logger(__name__)
 
-PULL_S = 1.0
+SERVERS_S = 1.0
+DOCUMENT_S = 4.0
 # Pause after a pull that has failed.
 PAUSE_S = 0.25
 MAX_FRAME_BYTES = 16_000_000
+MAX_DOCUMENT_BYTES = 64_000_000
 READ_BYTES = 65_536
 _LENGTH = struct.Struct("!I")
 
-_request_decoder = msgspec.msgpack.Decoder(DeltaRequest)
-_answer_decoder = msgspec.msgpack.Decoder(DeltaAnswer)
+_request_decoder = msgspec.msgpack.Decoder(PullRequest)
+_answer_decoder = msgspec.msgpack.Decoder(PullAnswer)
 _encode = msgspec.msgpack.encode
 
 
@@ -53,8 +60,9 @@
         self._clock = clock
         self._replica = replica
         self._on_news = on_news
-        self._pulling = False
+        self._pulling: set[str] = set()
         self._not_before = 0.0
+        self._packed = (0, b"")
         self._server = StreamServer(address, self._serve)
 
     def start(self) -> None:
@@ -65,31 +73,38 @@
         """Stop listening."""
         self._server.stop()
 
-    def begin(self, ip: str) -> None:
-        """Ask a host for newer state, unless a pull is under way."""
-        if self._pulling or self._clock() < self._not_before:
+    def begin_servers(self, ip: str) -> None:
+        """Ask a host for changes of the servers, unless that is under way."""
+        self._begin("servers", ip, PullRequest(None, self._replica.revision))
+
+    def begin_document(self, ip: str) -> None:
+        """Ask a host for its configuration, unless that is under way."""
+        self._begin("document", ip, PullRequest(self._replica.version, None))
+
+    def _begin(self, kind: str, ip: str, request: PullRequest) -> None:
+        if kind in self._pulling or self._clock() < self._not_before:
             return
-        self._pulling = True
-        gevent.spawn(self._pull, ip)
+        self._pulling.add(kind)
+        gevent.spawn(self._pull, kind, ip, request)
 
-    def _pull(self, ip: str) -> None:
+    def _pull(self, kind: str, ip: str, request: PullRequest) -> None:
+        limit_s = _limit(request)
         try:
             with (
-                gevent.Timeout(PULL_S),
+                gevent.Timeout(limit_s),
                 socket.create_connection((ip, self._port)) as connection,
             ):
-                request = DeltaRequest(self._replica.version, self._replica.revision)
                 _send_frame(connection, _encode(request))
                 answer = _answer_decoder.decode(_receive_frame(connection))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
-            log.info("pull from a host failed", ip=ip, error=str(error))
+            log.info("pull from a host failed", kind=kind, ip=ip, error=str(error))
             self._not_before = self._clock() + PAUSE_S
             return
         finally:
-            self._pulling = False
+            self._pulling.discard(kind)
         self._accept(answer)
 
-    def _accept(self, answer: DeltaAnswer) -> None:
+    def _accept(self, answer: PullAnswer) -> None:
         news = []
         if answer.document and self._accept_document(answer.document):
             news.append(f"version {self._replica.version}")
@@ -106,29 +121,42 @@
 
     def _accept_document(self, document: bytes) -> bool:
         try:
+            document = zlib.decompressobj().decompress(document, MAX_DOCUMENT_BYTES)
             configuration = decode_configuration(document)
-        except DocumentError as error:
+        except (DocumentError, zlib.error) as error:
             log.error("a host sent an unusable configuration", error=str(error))
             return False
         return self._replica.accept_configuration(configuration, document)
 
     def _serve(self, connection: socket.socket, _: object) -> None:
         try:
-            with gevent.Timeout(PULL_S), connection:
-                request = _request_decoder.decode(_receive_frame(connection))
-                _send_frame(connection, _encode(self._select(request)))
+            with connection:
+                with gevent.Timeout(SERVERS_S):
+                    request = _request_decoder.decode(_receive_frame(connection))
+                with gevent.Timeout(_limit(request)):
+                    _send_frame(connection, _encode(self._select(request)))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
             log.info("a pull was not answered", error=str(error))
 
-    def _select(self, request: DeltaRequest) -> DeltaAnswer:
+    def _select(self, request: PullRequest) -> PullAnswer:
+        document = b""
+        if request.version is not None and self._replica.version > request.version:
+            document = self._pack()
+        if request.revision is None:
+            return PullAnswer(document, [], {}, 0)
         delta = self._replica.select_delta(request.revision)
-        newer = self._replica.version > request.version
-        return DeltaAnswer(
-            self._replica.document if newer else b"",
-            delta.endpoints,
-            delta.removed,
-            delta.revision,
-        )
+        return PullAnswer(document, delta.endpoints, delta.removed, delta.revision)
+
+    def _pack(self) -> bytes:
+        """Return the configuration compressed, once for all that ask."""
+        if self._packed[0] != self._replica.version:
+            packed = zlib.compress(self._replica.document)
+            self._packed = (self._replica.version, packed)
+        return self._packed[1]
+
+
+def _limit(request: PullRequest) -> float:
+    return SERVERS_S if request.version is None else DOCUMENT_S
 
 
 def _send_frame(connection: socket.socket, data: bytes) -> None:
--- a/src/rosemarystream/_internal/models/beat.py
+++ b/src/rosemarystream/_internal/models/beat.py
@@ -71,20 +71,29 @@
     wants_answer: bool = False
 
 
-class DeltaRequest(msgspec.Struct, array_like=True, frozen=True):
-    """A host asks another for what it lacks."""
+class PullRequest(msgspec.Struct, array_like=True, frozen=True):
+    """A host asks another for what it lacks.
 
-    version: int
-    revision: int
+    Attributes
+    ----------
+    version : int or None
+        Configuration that the host has, if it asks for a newer one.
+    revision : int or None
+        Revision up to which it knows the servers, if it asks for later changes.
+    """
+
+    version: int | None
+    revision: int | None
 
 
-class DeltaAnswer(msgspec.Struct, array_like=True, frozen=True):
+class PullAnswer(msgspec.Struct, array_like=True, frozen=True):
     """Newer state of a host.
 
     Attributes
     ----------
     document : bytes
-        The configuration as the store holds it; empty if it isn't newer.
+        The configuration as the store holds it, compressed; empty if it isn't
+        newer.
     """
 
     document: bytes
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -1,10 +1,20 @@
 """What hosts know and tell each other when the store or hosts fail."""
 
+import random
+
 import gevent
 import pytest
 
+from rosemarystream._internal.decisions.hashing import order_candidates
+from rosemarystream._internal.gateway import pulls
 from standins.object_store import Trouble
-from tests.lib.entry_world import World, make_configuration, wait_until
+from tests.lib.entry_world import (
+    ROUTES,
+    World,
+    make_configuration,
+    make_route,
+    wait_until,
+)
 
 
 @pytest.fixture
@@ -164,3 +174,27 @@
 def test_a_request_waits_for_a_host_that_has_just_started(world):
     host = world.add_host("h4", seeds=["h1"], wait=False)
     assert host.call("/look/1").status == 200
+
+
+def test_a_long_configuration_does_not_hold_up_news_of_servers(world, monkeypatch):
+    # The last in the order of collectors, so one that learns from the others.
+    last = order_candidates("a", ["h1", "h2", "h3", "h4", "h5", "h6"])[-1]
+    host = world.hosts.get(last) or world.add_host(last, seeds=["h1"])
+    receive, begun = pulls._receive_frame, []
+
+    def receive_slowly(connection):
+        frame = receive(connection)
+        if len(frame) > 20_000:
+            begun.append(len(frame))
+            gevent.sleep(2.0)
+        return frame
+
+    monkeypatch.setattr(pulls, "_receive_frame", receive_slowly)
+    draw = random.Random(1)
+    names = [f"r{draw.getrandbits(128):x}" for _ in range(2000)]
+    routes = [make_route(name, "idempotent") for name in names]
+    world.store.write("config", "main", make_configuration(9, [*ROUTES, *routes]))
+    wait_until(lambda: begun)
+    world.store.remove("servers", "p1")
+    wait_until(lambda: host.gateway.list_servers() == [], seconds=1.5)
+    wait_until(lambda: host.gateway.get_version() == 9)
