Tidy the entry host after a second reading; behaviour as before

Found on reading the whole change: fields that nothing reads (a request's token counts, an answer's load and length, the status of a turned-away attempt, an argument of the listener); a collector that added up all reports anew for each host it tells; numbers of prompt parts hashed again for every server that is weighed; logic written twice (the order of a data centre's hosts, reading a body, beginning a request on a connection, taking a configuration, cutting long values in logs, indexing headers). Change: one piece each. An idle connection no longer keeps its request. Tests: assertions as they were; test_load_table asks for the sum by its new name. One log line differs: an unusable configuration from a host is worded as from the store.

--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from itertools import islice
 from math import inf
 from typing import NamedTuple
@@ -99,19 +99,45 @@
         holders = self._holders.get(part, {})
         return any(now - known.used_at <= LIFE_S for known in holders.values())
 
+    def list_unread(
+        self,
+        model: str,
+        parts: Sequence[PromptPart],
+        servers: Iterable[int],
+        now: float,
+    ) -> dict[int, int]:
+        """Return the tokens of a prompt that each server has yet to read."""
+        held = [
+            (part.tokens, self._holders.get(number_part(model, part), {}))
+            for part in reversed(parts)
+        ]
+        return {server: _count_unread(held, server, now) for server in servers}
+
     def count_unread(
         self, model: str, parts: Sequence[PromptPart], server: int, now: float
     ) -> int:
-        """Return the tokens of a prompt that a server has yet to read."""
-        unread = 0
-        for part in reversed(parts):
-            holders = self._holders.get(number_part(model, part), {})
-            if now - holders.get(server, _NEVER).used_at <= LIFE_S:
-                break
-            unread += part.tokens
-        return unread
+        """Return the tokens of a prompt that one server has yet to read."""
+        return self.list_unread(model, parts, [server], now)[server]
 
     def forget_server(self, server: int) -> None:
         """Drop what is known of a server that has left or started anew."""
         for holders in self._holders.values():
             holders.pop(server, None)
+
+
+def _count_unread(
+    held: Sequence[tuple[int, Mapping[int, _Holding]]], server: int, now: float
+) -> int:
+    """Count the tokens after the last part that a server holds.
+
+    Parameters
+    ----------
+    held : sequence of tuple
+        Tokens and holders of each part, the last part first.
+    """
+    unread = 0
+    for tokens, holders in held:
+        if now - holders.get(server, _NEVER).used_at <= LIFE_S:
+            break
+        unread += tokens
+    return unread
--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -10,7 +10,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -39,6 +39,9 @@
     reading: Mapping[int, int] = MappingProxyType({})
 
 
+_NOTHING = Report(0, 0.0, {})
+
+
 class Load(NamedTuple):
     """Requests and unread prompt tokens by server."""
 
@@ -92,15 +95,22 @@
         """Return this data centre's load as reported to this host."""
         return _add(self.sum_own(), _select_live(self._hosts, now))
 
-    def sum_others(self, host: str, now: float) -> Load:
-        """Return the load of all hosts but one of this data centre."""
-        reports = _select_live(self._hosts, now)
-        load = _add(
-            self.sum_own(),
-            {name: report for name, report in reports.items() if name != host},
-        )
+    def _sum_told(self, now: float) -> Load:
+        """Return the load of the whole fleet as told to a collector."""
+        load = self.sum_data_centre(now)
         return _add(load, _select_live(self._data_centres, now))
 
+    def list_others(self, hosts: Iterable[str], now: float) -> dict[str, Load]:
+        """Return for each host of this data centre the load of all others."""
+        total = self._sum_told(now)
+        others = {}
+        for host in hosts:
+            own = self._hosts.get(host, _NOTHING)
+            others[host] = Load(
+                total.counts - Counter(own.counts), total.reading - Counter(own.reading)
+            )
+        return others
+
     def sum_all(self, now: float) -> Load:
         """Return the load of the whole fleet."""
         newest = max(
@@ -110,8 +120,7 @@
         )
         if newest is not None and now - newest.told_at <= SUM_LIFE_S:
             return _add(self.sum_own(), {"others": newest})
-        load = self.sum_data_centre(now)
-        return _add(load, _select_live(self._data_centres, now))
+        return self._sum_told(now)
 
     def forget_others(self) -> None:
         """Drop collectors' sums, as this host adds up for itself."""
--- a/src/rosemarystream/_internal/decisions/neighbours.py
+++ b/src/rosemarystream/_internal/decisions/neighbours.py
@@ -93,14 +93,18 @@
         """Return the number of live hosts, this one included."""
         return 1 + len(self.list_live(now))
 
-    def list_collectors(self, data_centre: str, now: float) -> list[str]:
-        """Return the names of a data centre's collectors."""
+    def _order_hosts(self, data_centre: str, now: float) -> list[str]:
+        """Return a data centre's live hosts in the order of their duties."""
         names = [
             host.name for host in self.list_live(now) if host.data_centre == data_centre
         ]
         if data_centre == self._data_centre:
             names.append(self._name)
-        return order_candidates(data_centre, names)[:COLLECTORS]
+        return order_candidates(data_centre, names)
+
+    def list_collectors(self, data_centre: str, now: float) -> list[str]:
+        """Return the names of a data centre's collectors."""
+        return self._order_hosts(data_centre, now)[:COLLECTORS]
 
     def is_collector(self, now: float) -> bool:
         """Whether this host collects for its data centre."""
@@ -115,13 +119,13 @@
             Hosts that have said that they can't reach the store; the next in
             order stands in for them while they go on trying.
         """
-        live = self.list_live(now)
-        names = [host.name for host in live if host.data_centre == self._data_centre]
-        order = order_candidates(self._data_centre, [*names, self._name])
+        order = self._order_hosts(self._data_centre, now)
         before = order[: order.index(self._name)]
         if len(before) >= COLLECTORS + RESERVE_WATCHERS:
             return False
-        alone = all(host.data_centre == self._data_centre for host in live)
+        alone = all(
+            host.data_centre == self._data_centre for host in self.list_live(now)
+        )
         watching = [name for name in before if name not in lost]
         return len(watching) < (LONE_WATCHERS if alone else WATCHERS)
 
--- a/src/rosemarystream/_internal/gateway/answering.py
+++ b/src/rosemarystream/_internal/gateway/answering.py
@@ -7,10 +7,9 @@
 from gevent import socket
 
 from rosemarystream._internal.exceptions import ANSWERS, ErrorKind
+from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.platform.headers import encode_retry_after
 
-Headers = list[tuple[bytes, bytes]]
-
 
 class CallerGoneError(BaseException):
     """The caller has closed its connection, or doesn't read.
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -19,7 +19,6 @@
 )
 
 MAX_SKIPPED_ANSWERS = 3
-MISDIRECTED = 421
 
 
 class NotRunError(Exception):
@@ -29,14 +28,11 @@
     ----------
     sent : bool
         Whether the server has seen the request and turned it away.
-    status : int
-        Status of the server's answer; 0 if there is none.
     """
 
-    def __init__(self, message: str, *, sent: bool, status: int = 0) -> None:
+    def __init__(self, message: str, *, sent: bool) -> None:
         super().__init__(message)
         self.sent = sent
-        self.status = status
 
 
 class OutcomeUnknownError(Exception):
@@ -148,9 +144,7 @@
         self._head = head
         if head.not_run:
             self._finish_unread(deadline)
-            raise NotRunError(
-                f"turned away with {head.status}", sent=True, status=head.status
-            )
+            raise NotRunError(f"turned away with {head.status}", sent=True)
         if head.encoded or not head.sealed or head.request_id == "":
             raise OutcomeUnknownError(f"answer {head.status} is not the server's own")
         return head
@@ -158,8 +152,7 @@
     def _finish_unread(self, deadline: float) -> None:
         """Read the rest of an answer nobody wants, so the connection stays."""
         try:
-            while self.read_piece(deadline) is not None:
-                pass
+            self.read_body(deadline)
         except OutcomeUnknownError:
             self.close()
 
@@ -186,6 +179,10 @@
                 self._pool.put(self.endpoint, connection, keep_alive_s=keep_alive_s)
         return piece
 
+    def read_body(self, deadline: float) -> bytes:
+        """Return the whole body; raises as `read_piece` does."""
+        return b"".join(iter(lambda: self.read_piece(deadline), None))
+
     def close(self) -> None:
         """Give up; the server drops what it still works on."""
         if self._connection is not None:
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -257,7 +257,8 @@
         self._fleet.note_answer(attempt.endpoint)
         failed = head.status >= SERVER_ERROR
         if failed and more and route.repeatable:
-            self._keep_failure(attempt, head)
+            # Passed on if no other attempt does better.
+            self._kept = (head, attempt.read_body(self._deadline))
             raise OutcomeUnknownError(f"failed with {head.status}")
         if head.events and not failed:
             return self._pass_events(attempt, head, route)
@@ -265,17 +266,6 @@
             raise OutcomeUnknownError("a stream can't go on as an answer")
         return self._pass_body(attempt, head)
 
-    def _keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
-        """Read a failure that is passed on if no other attempt does better."""
-        body = self._read_whole(attempt)
-        self._kept = (head, body)
-
-    def _read_whole(self, attempt: Attempt) -> bytes:
-        pieces = []
-        while (piece := attempt.read_piece(self._deadline)) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def _pass_body(self, attempt: Attempt, head: AnswerHead) -> str:
         pieces: list[bytes] = []
         size = 0
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -178,16 +178,18 @@
         share: float,
     ) -> Placement | None:
         rates = self._list_failure_rates(candidates, now)
+        numbers = {e.name: e.number for e in candidates}
+        unread = self.contexts.list_unread(
+            call.model, call.parts, numbers.values(), now
+        )
         loads = {
-            e.name: ContextLoad(
-                requests=load.counts[e.number],
-                reading=int(share * load.reading[e.number]),
-                unread=self.contexts.count_unread(
-                    call.model, call.parts, e.number, now
-                ),
-                failure_rate=rates[e.name],
+            name: ContextLoad(
+                requests=load.counts[number],
+                reading=int(share * load.reading[number]),
+                unread=unread[number],
+                failure_rate=rates[name],
             )
-            for e in candidates
+            for name, number in numbers.items()
         }
         shared = choose_shared_parts(call.parts)
         key = f"{call.model}/{shared[-1].name}"
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -147,7 +147,7 @@
         try:
             request = self._read_request(protocol, limits)
         except _RefusedError as error:
-            self._refuse(protocol, error)
+            self._refuse(error)
             return False
         if request is None:
             return False
@@ -175,7 +175,7 @@
         self._buffer += watch.data
         return answer.finished and not answer.closing
 
-    def _refuse(self, protocol: h11.Connection, error: _RefusedError) -> None:
+    def _refuse(self, error: _RefusedError) -> None:
         log.info("request refused unread", kind=error.kind, reason=str(error))
         fresh = h11.Connection(h11.SERVER)
         answer = Answer(
--- a/src/rosemarystream/_internal/gateway/logs.py
+++ b/src/rosemarystream/_internal/gateway/logs.py
@@ -11,8 +11,9 @@
 from gevent import os as gevent_os
 from gevent.event import Event
 
+from rosemarystream._internal.logs import MAX_VALUE_CHARACTERS, shorten_value
+
 MAX_LINES = 2_000
-MAX_VALUE_CHARACTERS = 512
 
 
 class QueuedLinesHandler(logbook.Handler):
@@ -44,7 +45,7 @@
             "message": record.message[:MAX_VALUE_CHARACTERS],
         }
         for key, value in record.kwargs.items():
-            line[key] = _shorten(value)
+            line[key] = shorten_value(value)
         if record.exc_info:
             line["exception"] = record.formatted_exception
         self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
@@ -71,10 +72,6 @@
                 data = data[gevent_os.nb_write(self._descriptor, data) :]
 
 
-def _shorten(value: Any) -> Any:
-    return value[:MAX_VALUE_CHARACTERS] if isinstance(value, str) else value
-
-
 def set_up_gateway_logs(*, host: str, level: str) -> QueuedLinesHandler:
     """Send all logs of the process to standard output as JSON lines."""
     logbook.concurrency.enable_gevent()
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -155,11 +155,14 @@
 
     def _tell_near(self, now: float, rumours: list[Rumour]) -> None:
         names = self._list_names(now) if self._beats % NAMES_EVERY == 0 else []
-        for host in self._neighbours.list_live(now):
-            if host.data_centre == self._me.data_centre:
-                load = self._loads.sum_others(host.name, now)
-                beat = self._make_beat(Scope.OTHERS, load, rumours=rumours, names=names)
-                self._send(host.ip, beat)
+        near = {
+            host.name: host.ip
+            for host in self._neighbours.list_live(now)
+            if host.data_centre == self._me.data_centre
+        }
+        for name, load in self._loads.list_others(near, now).items():
+            beat = self._make_beat(Scope.OTHERS, load, rumours=rumours, names=names)
+            self._send(near[name], beat)
 
     def _tell_far(self, now: float, rumours: list[Rumour]) -> None:
         load = self._loads.sum_data_centre(now)
--- a/src/rosemarystream/_internal/gateway/pulls.py
+++ b/src/rosemarystream/_internal/gateway/pulls.py
@@ -15,11 +15,8 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.watching import accept_document
 from rosemarystream._internal.models.beat import PullAnswer, PullRequest
-from rosemarystream._internal.platform.documents import (
-    DocumentError,
-    decode_configuration,
-)
 
 log = Logger(__name__)
 
@@ -119,14 +116,13 @@
             log.info("learnt from a host", news=news, revision=answer.revision)
             self._on_news()
 
-    def _accept_document(self, document: bytes) -> bool:
+    def _accept_document(self, packed: bytes) -> bool:
         try:
-            document = zlib.decompressobj().decompress(document, MAX_DOCUMENT_BYTES)
-            configuration = decode_configuration(document)
-        except (DocumentError, zlib.error) as error:
-            log.error("a host sent an unusable configuration", error=str(error))
+            document = zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES)
+        except zlib.error as error:
+            log.error("a host sent an unreadable configuration", error=str(error))
             return False
-        return self._replica.accept_configuration(configuration, document)
+        return accept_document(self._replica, document)
 
     def _serve(self, connection: socket.socket, _: object) -> None:
         try:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -63,7 +63,7 @@
             self._note(call, exchange, answer, outcome)
 
     def _note(
-        self, call: Call, exchange: "Exchange", answer: Answer, outcome: str
+        self, call: Call, exchange: Exchange, answer: Answer, outcome: str
     ) -> None:
         took_s = self._clock() - exchange.received_at
         self._fleet.metrics.count_request(outcome, took_s)
--- a/src/rosemarystream/_internal/gateway/watching.py
+++ b/src/rosemarystream/_internal/gateway/watching.py
@@ -31,6 +31,16 @@
 GATHER_S = 0.1
 
 
+def accept_document(replica: Replica, document: bytes) -> bool:
+    """Take a configuration as the store holds it; True if it is news."""
+    try:
+        configuration = decode_configuration(document)
+    except DocumentError as error:
+        log.error("configuration can't be used", error=str(error))
+        return False
+    return replica.accept_configuration(configuration, document)
+
+
 class StoreWatch:
     """Keeps one kind of objects current while this host watches.
 
@@ -146,14 +156,9 @@
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted or item.name != CONFIGURATION_NAME:
             return False
-        try:
-            configuration = decode_configuration(item.spec)
-        except DocumentError as error:
-            log.error("configuration can't be used", error=str(error))
-            return False
-        news = self._replica.accept_configuration(configuration, item.spec)
+        news = accept_document(self._replica, item.spec)
         if news:
-            log.info("configuration in force", version=configuration.version)
+            log.info("configuration in force", version=self._replica.version)
         return news
 
 
--- a/src/rosemarystream/_internal/logs.py
+++ b/src/rosemarystream/_internal/logs.py
@@ -26,13 +26,14 @@
             "logger": record.channel,
             "message": record.message[:MAX_VALUE_CHARACTERS],
         }
-        extra = {key: _shorten(value) for key, value in record.extra.items()}
+        extra = {key: shorten_value(value) for key, value in record.extra.items()}
         if record.exc_info:
             line["exception"] = record.formatted_exception
         return msgspec.json.encode({**line, **extra}).decode()
 
 
-def _shorten(value: Any) -> Any:
+def shorten_value(value: Any) -> Any:
+    """Return a value for a log line, long text cut off."""
     if isinstance(value, str):
         return value[:MAX_VALUE_CHARACTERS]
     return value
--- a/src/rosemarystream/_internal/models/call.py
+++ b/src/rosemarystream/_internal/models/call.py
@@ -25,8 +25,6 @@
         How long the caller waits, in seconds.
     parts : tuple of PromptPart
         Parts of the prompt in order; the last one is the request's own.
-    prompt_tokens, output_tokens : int
-        Tokens of the whole prompt and at most in the answer.
     resume_after : bytes
         Identifier of the last event the caller has, or empty.
     """
@@ -41,6 +39,4 @@
     wait_s: float | None
     model: str
     parts: tuple[PromptPart, ...]
-    prompt_tokens: int
-    output_tokens: int
     resume_after: bytes
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -15,7 +15,6 @@
 NOT_RUN = b"x-rosemarystream-not-executed"
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-rosemarystream-model"
-TOKENS = b"x-rosemarystream-token-counts"
 URGENCY = b"x-rosemarystream-request-priority"
 KEY = b"api-key"
 
@@ -58,14 +57,6 @@
 MAX_URGENCY = 9
 
 
-class ServerLoad(NamedTuple):
-    """Requests at a server when it sent an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class AnswerHead(NamedTuple):
     """What the head of a server's answer says.
 
@@ -77,16 +68,12 @@
         Whether the server promises that the request has not run.
     sealed : bool
         Whether the server vouches for the answer with its seal.
-    load : ServerLoad or None
-        Requests at the server.
     keep_alive_s : float or None
         Idle time after which the server closes the connection, in seconds.
     closes : bool
         Whether the server closes the connection after this answer.
     events : bool
         Whether the body is a stream of events.
-    length : int or None
-        Length of the body in bytes, if the head states it.
     """
 
     status: int
@@ -95,20 +82,15 @@
     not_run: bool
     sealed: bool
     encoded: bool
-    load: ServerLoad | None
     keep_alive_s: float | None
     closes: bool
     events: bool
-    length: int | None
 
 
 def decode_call(method: bytes, target: bytes, headers: Headers) -> Call:
     """Return a caller's request; header names are in lower case."""
-    first: dict[bytes, bytes] = {}
-    for name, value in headers:
-        first.setdefault(name, value)
+    first = _index_headers(headers)
     dropped = _HOP_BY_HOP | _list_connection_headers(headers) | _SET_BY_HOSTS
-    prompt_tokens, output_tokens = _parse_counts(first.get(TOKENS, b""))
     key = first.get(KEY)
     return Call(
         request_id=_decode(first.get(REQUEST_ID, b"")),
@@ -121,20 +103,15 @@
         wait_s=_parse_ms(first.get(DEADLINE)),
         model=_decode(first.get(MODEL, b"")),
         parts=_parse_parts(first.get(PROMPT_PARTS, b"")),
-        prompt_tokens=prompt_tokens,
-        output_tokens=output_tokens,
         resume_after=first.get(RESUME_AFTER, b""),
     )
 
 
 def decode_answer(status: int, headers: Headers) -> AnswerHead:
     """Return the head of a server's answer; header names are in lower case."""
-    first: dict[bytes, bytes] = {}
-    for name, value in headers:
-        first.setdefault(name, value)
+    first = _index_headers(headers)
     named = _list_connection_headers(headers)
     dropped = _DROPPED_FROM_ANSWERS | named
-    length = first.get(b"content-length", b"")
     return AnswerHead(
         status=status,
         headers=[pair for pair in headers if pair[0] not in dropped],
@@ -142,11 +119,9 @@
         not_run=NOT_RUN in first or status == 421,
         sealed=INTEGRITY_SEAL in first,
         encoded=first.get(b"content-encoding", b"identity") != b"identity",
-        load=_parse_load(first.get(SERVER_LOAD)),
         keep_alive_s=_parse_keep_alive(first.get(b"keep-alive")),
         closes=b"close" in named,
         events=first.get(b"content-type", b"").startswith(b"text/event-stream"),
-        length=int(length) if length.isdigit() else None,
     )
 
 
@@ -180,6 +155,11 @@
     return value.decode("latin-1")
 
 
+def _index_headers(headers: Headers) -> dict[bytes, bytes]:
+    """Return the first value of each header."""
+    return dict(reversed(headers))
+
+
 def _list_connection_headers(headers: Headers) -> frozenset[bytes]:
     return frozenset(
         word.strip().lower()
@@ -195,13 +175,6 @@
     return int(value) / _MS_PER_S
 
 
-def _parse_counts(value: bytes) -> tuple[int, int]:
-    prompt, _, output = value.partition(b",")
-    if not prompt.strip().isdigit() or not output.strip().isdigit():
-        return 0, 0
-    return int(prompt), int(output)
-
-
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b","):
@@ -211,15 +184,6 @@
     return tuple(parts)
 
 
-def _parse_load(value: bytes | None) -> ServerLoad | None:
-    if value is None:
-        return None
-    numbers = [number.strip() for number in value.split(b",")]
-    if len(numbers) != 3 or not all(number.isdigit() for number in numbers):
-        return None
-    return ServerLoad(*(int(number) for number in numbers))
-
-
 def _parse_keep_alive(value: bytes | None) -> float | None:
     for word in (value or b"").split(b","):
         name, _, seconds = word.strip().partition(b"=")
--- a/src/rosemarystream/_internal/utils/connection.py
+++ b/src/rosemarystream/_internal/utils/connection.py
@@ -70,7 +70,7 @@
         self._clock = clock
         self._socket: socket.socket | None = None
         self._protocol = h11.Connection(h11.CLIENT)
-        self._request: h11.Request | None = None
+        self._events: list[h11.Event] = []
         self._sender: gevent.Greenlet | None = None
 
     def connect(self, deadline: float) -> None:
@@ -105,12 +105,11 @@
         framed = [*headers]
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             framed.append((b"content-length", b"%d" % len(body)))
-        request = h11.Request(method=method, target=target, headers=framed)
-        data = self._protocol.send(request)
+        self._events = [h11.Request(method=method, target=target, headers=framed)]
         if body:
-            data += self._protocol.send(h11.Data(data=body))
-        data += self._protocol.send(h11.EndOfMessage())
-        self._request = request
+            self._events.append(h11.Data(data=body))
+        self._events.append(h11.EndOfMessage())
+        data = self._start_cycle()
         try:
             sent = self._socket._sock.send(data)
         except BlockingIOError:
@@ -120,6 +119,10 @@
         if sent < len(data):
             self._sender = gevent.spawn(self._send_rest, data[sent:])
 
+    def _start_cycle(self) -> bytes:
+        """Return the bytes of the request; its answer is due from then on."""
+        return b"".join(self._protocol.send(event) for event in self._events)
+
     def _send_rest(self, data: bytes) -> None:
         assert self._socket is not None
         try:
@@ -178,22 +181,18 @@
         BrokenError
             If the connection can't be used for the answer that is due.
         """
-        assert self._request is not None
         self.read_body(deadline)
         waiting = self._protocol.trailing_data[0]
         if self._sender is not None and not self._sender.ready():
             raise BrokenError(f"{self.address} answered before it had the request")
         try:
-            protocol = h11.Connection(h11.CLIENT)
-            protocol.send(self._request)
-            if self._request.method not in (b"GET", b"HEAD", b"DELETE"):
-                length = dict(self._request.headers).get(b"content-length", b"0")
-                protocol.send(h11.Data(data=bytes(int(length))))
-            protocol.send(h11.EndOfMessage())
-            protocol.receive_data(waiting) if waiting else None
+            # The request is out already; only the protocol has to start anew.
+            self._protocol = h11.Connection(h11.CLIENT)
+            self._start_cycle()
+            if waiting:
+                self._protocol.receive_data(waiting)
         except h11.ProtocolError as error:
             raise BrokenError(f"{self.address}: {error}") from error
-        self._protocol = protocol
 
     def _read_event(self, deadline: float) -> object:
         assert self._socket is not None
@@ -222,6 +221,8 @@
         if self._sender is not None and not self._sender.ready():
             return False
         self._sender = None
+        # An idle connection holds no body.
+        self._events = []
         if self._protocol.trailing_data[0]:
             return False
         try:
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -24,7 +24,7 @@
     collector.accept_host("member", Report(1, 0.0, {1: 1}))
     collector.accept_host("third", Report(1, 0.0, {1: 4}))
     collector.accept_data_centre("b", Report(1, 0.0, {3: 2}))
-    others = collector.sum_others("member", 0.1)
+    others = collector.list_others(["member"], 0.1)["member"]
     member.accept_others("collector", Report(1, 0.1, others.counts, others.reading))
     assert member.sum_all(0.1).counts == collector.sum_all(0.1).counts
     member.begin(1)
