--- a/src/rosemarystream/_internal/cli/gateway.py
+++ b/src/rosemarystream/_internal/cli/gateway.py
@@ -6,7 +6,7 @@
 
 import cappa
 
-from rosemarystream._internal.cli.base_command import EXIT_OK, BaseCommand
+from rosemarystream._internal.cli.base_command import BaseCommand
 
 
 @cappa.command(
@@ -21,17 +21,9 @@
     settings: Annotated[
         Path, cappa.Arg(long="--settings", help="Settings file (TOML).")
     ]
-    check: Annotated[
-        bool, cappa.Arg(long="--check", help="Only check the settings, then stop.")
-    ] = False
 
     def run(self) -> int:
-        """Serve, or check the settings; returns the exit code."""
+        """Serve; returns the exit code."""
         from rosemarystream._internal.gateway.process import run_gateway
-        from rosemarystream._internal.gateway.settings import load_gateway_settings
 
-        if self.check:
-            load_gateway_settings(self.settings)
-            print(f"{self.settings}: in order")
-            return EXIT_OK
         return run_gateway(self.settings)
--- a/src/rosemarystream/_internal/cli/host.py
+++ b/src/rosemarystream/_internal/cli/host.py
@@ -1,45 +1,99 @@
 """``rosemarystream status``, ``dump`` and ``drain``: one host."""
 
 from dataclasses import dataclass
+from typing import Annotated, Any
 
 import cappa
 
 from rosemarystream._internal.cli.base_command import EXIT_OK, print_json
-from rosemarystream._internal.cli.operator_command import OperatorCommand
+from rosemarystream._internal.cli.operator_command import OperatorCommand, ask_host
+
+STATE_PATH = "/v1/state"
+
+
+@dataclass(kw_only=True)
+class StateCommand(OperatorCommand):
+    """A command that shows the state of a host of either kind."""
+
+    gateway: Annotated[
+        str,
+        cappa.Arg(long="--gateway", help="Metrics address of an entry host, IP:PORT."),
+    ] = ""
+
+    def ask_gateway(self) -> Any:
+        """Return the state dump of an entry host."""
+        return ask_host(self.gateway, "GET", STATE_PATH, body=None, headers={})
 
 
 @cappa.command(
     name="status",
     help="Show what a host does and sees.",
-    description="Example: rosemarystream status --host 10.0.0.1:7002 --key-file key",
+    description=(
+        "Example: rosemarystream status --gateway 10.0.0.1:9102; or --host "
+        "10.0.0.1:7002 --key-file key"
+    ),
 )
 @dataclass(kw_only=True)
-class StatusCommand(OperatorCommand):
+class StatusCommand(StateCommand):
     """Shows a short account of a host."""
 
     def run(self) -> int:
         """Show."""
+        if self.gateway:
+            dump = self.ask_gateway()
+            self.show(dump, describe_state(dump))
+            return EXIT_OK
         status = self.ask("GET", "/v1/status")
-        lines = [f"{name}: {value}" for name, value in status.items()]
-        self.show(status, lines)
+        self.show(status, [f"{name}: {value}" for name, value in status.items()])
         return EXIT_OK
 
 
 @cappa.command(
     name="dump",
     help="Print the state dump of a host as JSON.",
-    description="Example: rosemarystream dump --host 10.0.0.1:7002 --key-file key",
+    description=(
+        "Example: rosemarystream dump --gateway 10.0.0.1:9102; or --host "
+        "10.0.0.1:7002 --key-file key"
+    ),
 )
 @dataclass(kw_only=True)
-class DumpCommand(OperatorCommand):
+class DumpCommand(StateCommand):
     """Prints a host's state."""
 
     def run(self) -> int:
         """Print."""
-        print_json(self.ask("GET", "/v1/debug/state"))
+        if self.gateway:
+            print_json(self.ask_gateway())
+        else:
+            print_json(self.ask("GET", "/v1/debug/state"))
         return EXIT_OK
 
 
+def describe_state(dump: dict[str, Any]) -> list[str]:
+    """Return the account of an entry host as lines of text."""
+    figures = dump["figures"]
+    state = "leaving" if dump["leaving"] else "ready" if dump["ready"] else "not ready"
+    store = figures["store_lost_s"]
+    lines = [
+        f"host: {dump['host']} in {dump['data_centre']}, {state}",
+        f"configuration: version {figures['version']}, in force for "
+        f"{figures['configuration_age_s']} s",
+        f"store: {f'lost for {store} s' if store else 'answers, or others watch it'}",
+        f"hosts: {figures['live_hosts']} alive; others' counts are "
+        f"{figures['counts_age_s']} s old",
+        f"requests in progress: {figures['in_progress']}",
+    ]
+    if dump["out_of_reach"]:
+        lines.append(f"out of reach: {', '.join(dump['out_of_reach'])}")
+    lines += [
+        f"service {name}: {service['ready']} servers ready, {service['set_aside']} "
+        f"set aside, load {service['load_share']:.0%} of the bound, "
+        f"{service['retries_left']} retries left"
+        for name, service in figures["services"].items()
+    ]
+    return lines
+
+
 @cappa.command(
     name="drain",
     help="Let a host leave: it finishes its requests, then its process ends.",
--- a/src/rosemarystream/_internal/cli/operator_command.py
+++ b/src/rosemarystream/_internal/cli/operator_command.py
@@ -29,7 +29,7 @@
 
     host: Annotated[
         str, cappa.Arg(long="--host", help="Operator address of any host, IP:PORT.")
-    ]
+    ] = ""
     key_file: Annotated[
         Path | None,
         cappa.Arg(
@@ -47,21 +47,10 @@
         RosemarystreamError
             With the kind and message of the host's error answer.
         """
-        host, port = split_address(self.host)
-        connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_SECONDS)
-        data = None if body is None else msgspec.json.encode(body)
+        if not self.host:
+            raise RequestError("no host: give --host IP:PORT")
         headers = {"Authorization": f"Bearer {self._read_key()}"}
-        try:
-            connection.request(method, path, body=data, headers=headers)
-            answer = connection.getresponse()
-            content = answer.read()
-        except (OSError, http.client.HTTPException) as error:
-            raise PlatformError(
-                f"no answer from {self.host}: {error}; name another host"
-            ) from error
-        finally:
-            connection.close()
-        return _decode(answer.status, content)
+        return ask_host(self.host, method, path, body=body, headers=headers)
 
     def _read_key(self) -> str:
         if self.key_file is not None:
@@ -81,6 +70,32 @@
             print("\n".join(lines))
 
 
+def ask_host(
+    address: str, method: str, path: str, *, body: Any, headers: dict[str, str]
+) -> Any:
+    """Send one request to a host and return the JSON of the answer.
+
+    Raises
+    ------
+    RosemarystreamError
+        With the kind and message of the host's error answer.
+    """
+    host, port = split_address(address)
+    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_SECONDS)
+    data = None if body is None else msgspec.json.encode(body)
+    try:
+        connection.request(method, path, body=data, headers=headers)
+        answer = connection.getresponse()
+        content = answer.read()
+    except (OSError, http.client.HTTPException) as error:
+        raise PlatformError(
+            f"no answer from {address}: {error}; name another host"
+        ) from error
+    finally:
+        connection.close()
+    return _decode(answer.status, content)
+
+
 def _decode(status: int, content: bytes) -> Any:
     value = msgspec.json.decode(content)
     if status < HTTP_ERROR:
--- a/src/rosemarystream/_internal/cli/parser.py
+++ b/src/rosemarystream/_internal/cli/parser.py
@@ -10,6 +10,7 @@
 from rosemarystream._internal.cli.recall import RecallCommand
 from rosemarystream._internal.cli.serve import ServeCommand
 from rosemarystream._internal.cli.sheet import SheetCommand
+from rosemarystream._internal.cli.trace import TraceCommand
 
 
 @cappa.command(
@@ -33,6 +34,7 @@
         | StatusCommand
         | DumpCommand
         | DrainCommand
+        | TraceCommand
     ]
 
 
--- /dev/null
+++ b/src/rosemarystream/_internal/cli/trace.py
@@ -0,0 +1,76 @@
+"""``rosemarystream trace``: what the logs tell of one request."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from rosemarystream._internal.cli.base_command import (
+    EXIT_FAILED,
+    EXIT_OK,
+    BaseCommand,
+    print_json,
+)
+from rosemarystream._internal.operators.tracing import (
+    LoggedLine,
+    Trace,
+    trace_request,
+)
+
+HEAD_KEYS = ("time", "level", "host", "logger", "message", "request")
+
+
+@cappa.command(
+    name="trace",
+    help="Tell from the logs of all hosts what happened to a request.",
+    description="Example: rosemarystream trace 7f3a19 --logs host-1.log host-2.log",
+)
+@dataclass(kw_only=True)
+class TraceCommand(BaseCommand):
+    """Puts the lines of a request in order and sums them up."""
+
+    request: Annotated[str, cappa.Arg(help="Identifier of the request.")]
+    logs: Annotated[
+        list[Path], cappa.Arg(long="--logs", num_args=-1, help="Log files of hosts.")
+    ]
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")] = False
+
+    def run(self) -> int:
+        """Trace; exit code 1 if there is no line of the request."""
+        trace = trace_request(self.request, self.logs)
+        if self.json:
+            print_json(
+                {
+                    "request": trace.request,
+                    "summary": trace.summary,
+                    "lines": [line.raw for line in trace.lines],
+                    "context": [line.raw for line in trace.context],
+                }
+            )
+        else:
+            print("\n".join(format_trace(trace)))
+        return EXIT_OK if trace.lines else EXIT_FAILED
+
+
+def format_trace(trace: Trace) -> list[str]:
+    """Return a trace as text, the summary first."""
+    text = [trace.summary]
+    if trace.lines:
+        text += ["", "Lines of the request:", *map(_format_line, trace.lines)]
+    if trace.context:
+        text += ["", "Around it on the same hosts:", *map(_format_line, trace.context)]
+    return text
+
+
+def _format_line(line: LoggedLine) -> str:
+    fields = {
+        key: value
+        for key, value in line.raw.items()
+        if key not in HEAD_KEYS and value not in (None, "", [])
+    }
+    shown = " ".join(
+        f"{key}={msgspec.json.encode(value).decode()}" for key, value in fields.items()
+    )
+    return f"  {line.time} {line.host} {line.message}: {shown}"
--- a/src/rosemarystream/_internal/decisions/health.py
+++ b/src/rosemarystream/_internal/decisions/health.py
@@ -41,23 +41,32 @@
         self._states: dict[str, _State] = {}
         self._silent: dict[str, dict[str, float]] = {}
 
-    def note_outcome(self, server: str, *, failed: bool, now: float) -> None:
-        """Count a request that a server has answered, well or badly."""
+    def note_outcome(self, server: str, *, failed: bool, now: float) -> bool:
+        """Count a request that a server has answered, well or badly.
+
+        Returns whether this ends its being left alone.
+        """
         state = self._states.get(server, _UNKNOWN)
         rate = self.failure_rate(server, now)
         rate += OUTCOME_WEIGHT * ((1.0 if failed else 0.0) - rate)
         rest_s = state.rest_s if failed else 0.0
         rest_until = state.rest_until if failed else 0.0
         self._states[server] = _State(rate, now, rest_until, rest_s)
+        return bool(state.rest_s) and not failed
+
+    def note_unreachable(self, server: str, now: float) -> float:
+        """Note that a server could not be reached or has fallen silent.
 
-    def note_unreachable(self, server: str, now: float) -> None:
-        """Note that a server could not be reached or has fallen silent."""
+        Returns the time for which it is left alone from now on, in seconds; 0 if
+        it is already.
+        """
         state = self._states.get(server, _UNKNOWN)
         if now < state.rest_until:
-            return
+            return 0.0
         rest_s = min(LONGEST_REST_S, max(FIRST_REST_S, 2 * state.rest_s))
         rate = max(self.failure_rate(server, now), 0.5)
         self._states[server] = _State(rate, now, now + rest_s, rest_s)
+        return rest_s
 
     def note_silent_place(self, data_centre: str, server: str, now: float) -> None:
         """Note that a server of a data centre could not be reached."""
--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -122,6 +122,18 @@
             return _add(self.sum_own(), {"others": newest})
         return self._sum_told(now)
 
+    def measure_age(self, now: float) -> float:
+        """Return the age of the newest word of other hosts' load, in seconds.
+
+        0 if no other host has told anything of late.
+        """
+        told_at = [
+            report.told_at
+            for reports in (self._others, self._hosts, self._data_centres)
+            for report in reports.values()
+        ]
+        return now - max(told_at, default=now)
+
     def forget_others(self) -> None:
         """Drop collectors' sums, as this host adds up for itself."""
         self._others.clear()
--- a/src/rosemarystream/_internal/decisions/neighbours.py
+++ b/src/rosemarystream/_internal/decisions/neighbours.py
@@ -44,6 +44,13 @@
     named_at: float
 
 
+class Turnover(NamedTuple):
+    """Hosts that are heard now and were not before, and the reverse."""
+
+    found: list[Neighbour]
+    lost: list[Neighbour]
+
+
 class Neighbours:
     """The hosts known to one host."""
 
@@ -51,6 +58,7 @@
         self._name = name
         self._data_centre = data_centre
         self._hosts: dict[str, Neighbour] = {}
+        self._heard: dict[str, Neighbour] = {}
 
     def name_host(self, name: str, data_centre: str, ip: str, now: float) -> None:
         """Note a host that somebody else has named."""
@@ -89,6 +97,15 @@
         """Return hosts that are alive, or new and not yet heard."""
         return [host for host in self._hosts.values() if _is_live(host, now)]
 
+    def take_changes(self, now: float) -> Turnover:
+        """Return the hosts that were found or lost since the last call."""
+        heard = {host.name: host for host in self.list_live(now) if host.heard_at}
+        before, self._heard = self._heard, heard
+        return Turnover(
+            found=[host for name, host in heard.items() if name not in before],
+            lost=[host for name, host in before.items() if name not in heard],
+        )
+
     def count_live(self, now: float) -> int:
         """Return the number of live hosts, this one included."""
         return 1 + len(self.list_live(now))
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -115,6 +115,8 @@
         Server that was taken for the home of the prompt.
     home_requests, home_reading : int
         Load of the home.
+    counts_age_s : float
+        Age of what other hosts had told of the load, in seconds.
     """
 
     endpoint: Endpoint
@@ -125,6 +127,7 @@
     home: str | None = None
     home_requests: int = 0
     home_reading: int = 0
+    counts_age_s: float = 0.0
 
 
 def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
--- a/src/rosemarystream/_internal/decisions/retry_budget.py
+++ b/src/rosemarystream/_internal/decisions/retry_budget.py
@@ -43,11 +43,15 @@
         hosts : int
             Live hosts, among which the slack is divided.
         """
+        if self.count_left(now, hosts=hosts) < 1.0:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def count_left(self, now: float, *, hosts: int) -> float:
+        """Return how many repeats this host may still make."""
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
         allowed = self._ratio * len(self._requests) + self._slack / max(1, hosts)
-        if len(self._repeats) + 1 > USED_SHARE * allowed:
-            return False
-        self._repeats.append(now)
-        return True
+        return USED_SHARE * allowed - len(self._repeats)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -16,8 +16,10 @@
 )
 from rosemarystream._internal.gateway.fleet import Fleet
 from rosemarystream._internal.gateway.listener import Request
+from rosemarystream._internal.gateway.logs import write_line
 from rosemarystream._internal.gateway.pool import Pool
 from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.lines import AttemptBroke, AttemptNotRun
 from rosemarystream._internal.models.route import FleetConfiguration, Route, Workspace
 from rosemarystream._internal.platform.headers import AnswerHead
 from rosemarystream._internal.utils.events import EventSplitter, find_identifier
@@ -60,6 +62,9 @@
     ) -> None:
         self.received_at = request.received_at
         self.route: Route | None = None
+        self.service: str | None = None
+        self.workspace: str | None = None
+        self.priority = 0
         self.tried: list[str] = []
         self.sends = 0
         self.reason = ""
@@ -94,8 +99,9 @@
         self.rank = route.rank
         if workspace is not None and workspace.rank is not None:
             self.rank = workspace.rank
-        self._workspace = workspace.name if workspace else None
-        service = self._fleet.choose_service(route, self._call)
+        self.workspace = workspace.name if workspace else None
+        self.priority = self._fleet.find_urgency(self.rank, route).level
+        service = self.service = self._fleet.choose_service(route, self._call)
         self._fleet.note_request(service)
         try:
             while True:
@@ -184,13 +190,13 @@
             self._reading = None
 
     def _note_not_run(self, attempt: Attempt, error: NotRunError) -> None:
-        log.info(
-            "attempt not run",
+        line = AttemptNotRun(
             request=self._call.request_id,
             server=attempt.endpoint.name,
             sent=error.sent,
             reason=str(error),
         )
+        write_line(log, line)
         if error.sent:
             self.sends += 1
             self._fleet.note_turned_away(attempt.endpoint)
@@ -199,8 +205,7 @@
             self._fleet.note_unreachable(attempt.endpoint)
 
     def _note_unknown(self, attempt: Attempt, error: OutcomeUnknownError) -> None:
-        log.info(
-            "attempt broke",
+        line = AttemptBroke(
             request=self._call.request_id,
             server=attempt.endpoint.name,
             reused=attempt.reused,
@@ -208,6 +213,7 @@
             unreachable=error.unreachable,
             reason=str(error),
         )
+        write_line(log, line)
         self.sends += 1
         self._may_have_run = True
         if error.unreachable:
@@ -246,8 +252,8 @@
         attempt.send(
             self._body,
             deadline=self._deadline,
-            workspace=self._workspace,
-            level=self._fleet.find_urgency(self.rank, route).level,
+            workspace=self.workspace,
+            level=self.priority,
             resume_after=self._last_event,
         )
         limit = limit_attempt(
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+from logbook import Logger
 from xxhash import xxh3_64_intdigest
 
 from rosemarystream._internal.decisions.context_map import ContextMap, number_part
@@ -28,12 +29,16 @@
     UrgencyOrder,
     order_urgency,
 )
-from rosemarystream._internal.gateway.metrics import GatewayMetrics
+from rosemarystream._internal.gateway.logs import write_line
+from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceFigures
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.lines import ServerInUseAgain, ServerSetAside
 from rosemarystream._internal.models.route import Route
 
+log = Logger(__name__)
+
 RETURN_S = 0.1
 _MS_PER_S = 1000
 
@@ -113,6 +118,7 @@
                 objective_s=route.objective_s,
                 share=share,
             )
+        counts_age_s = self._loads.measure_age(now)
         endpoint = place_by_load(
             candidates,
             loads={e.name: load.counts[e.number] for e in candidates},
@@ -122,7 +128,9 @@
         )
         if endpoint is None:
             return None
-        return Placement(endpoint, load.counts[endpoint.number])
+        return Placement(
+            endpoint, load.counts[endpoint.number], counts_age_s=counts_age_s
+        )
 
     def _select_reachable(
         self, service: str, endpoints: Sequence[Endpoint], now: float
@@ -158,7 +166,7 @@
 
     def note_reached(self, endpoint: Endpoint) -> None:
         """Note that a server that seemed silent takes connections."""
-        self.health.note_outcome(endpoint.name, failed=False, now=self._clock())
+        self._note_outcome(endpoint, failed=False)
         self.note_answer(endpoint)
 
     def _list_failure_rates(
@@ -218,6 +226,7 @@
             home=home,
             home_requests=at_home.requests,
             home_reading=at_home.reading,
+            counts_age_s=self._loads.measure_age(now),
         )
 
     def begin_reading(self, placement: Placement, call: Call) -> None:
@@ -225,6 +234,9 @@
         if not call.parts:
             return
         endpoint = placement.endpoint
+        tokens = sum(part.tokens for part in call.parts)
+        self.metrics.prompt_tokens.inc(tokens)
+        self.metrics.prompt_tokens_unread.inc(placement.unread)
         self._loads.begin_reading(endpoint.number, placement.unread)
         self.contexts.note_use(
             [number_part(call.model, part) for part in choose_shared_parts(call.parts)],
@@ -264,7 +276,7 @@
         now = self._clock()
         hosts = self._neighbours.count_live(now)
         taken = self._find_budget(service).take(now, hosts=hosts)
-        self.metrics.count("retries" if taken else "retries_refused")
+        (self.metrics.retries if taken else self.metrics.retries_refused).inc()
         return taken
 
     def _find_budget(self, service: str) -> RetryBudget:
@@ -304,19 +316,52 @@
 
     def note_turned_away(self, endpoint: Endpoint) -> None:
         """Note that a server has not run a request it was sent."""
-        self.metrics.count("turned_away")
-        self.health.note_outcome(endpoint.name, failed=True, now=self._clock())
+        self.metrics.attempts.labels("turned_away").inc()
+        self._note_outcome(endpoint, failed=True)
 
     def note_unreachable(self, endpoint: Endpoint) -> None:
         """Note that a server can't be reached or is silent."""
-        self.metrics.count("unreachable")
+        self.metrics.attempts.labels("unreachable").inc()
         now = self._clock()
-        self.health.note_unreachable(endpoint.name, now)
+        rest_s = self.health.note_unreachable(endpoint.name, now)
+        if rest_s:
+            line = ServerSetAside(server=endpoint.name, for_ms=rest_s * _MS_PER_S)
+            write_line(log, line)
         self.health.note_silent_place(endpoint.data_centre, endpoint.name, now)
 
     def note_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
         """Note how a server has dealt with a request."""
-        self.health.note_outcome(endpoint.name, failed=failed, now=self._clock())
+        self.metrics.attempts.labels("failed" if failed else "answered").inc()
+        self._note_outcome(endpoint, failed=failed)
+
+    def _note_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
+        now = self._clock()
+        if self.health.note_outcome(endpoint.name, failed=failed, now=now):
+            write_line(log, ServerInUseAgain(server=endpoint.name))
+
+    def list_figures(self) -> dict[str, ServiceFigures]:
+        """Return the present state of each service."""
+        return {name: self._describe_service(name) for name in self._list_services()}
+
+    def _list_services(self) -> list[str]:
+        return sorted({e.service for e in self.replica.list_endpoints()})
+
+    def _describe_service(self, service: str) -> ServiceFigures:
+        now = self._clock()
+        ready = self.replica.list_ready(service)
+        counts = self._loads.sum_all(now).counts
+        loads = [counts[endpoint.number] for endpoint in ready]
+        bound = bound_load(loads, self._bounds.load_multiple)
+        return ServiceFigures(
+            ready=len(ready),
+            set_aside=sum(self.health.is_resting(e.name, now) for e in ready),
+            load_share=round(max(loads) / bound, 3) if bound else 0.0,
+            retries_left=round(self._count_retries(service, now), 1),
+        )
+
+    def _count_retries(self, service: str, now: float) -> float:
+        hosts = self._neighbours.count_live(now)
+        return self._find_budget(service).count_left(now, hosts=hosts)
 
     def suggest_return(self) -> float:
         """Return the time after which a refused caller comes back, in seconds."""
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -11,6 +11,8 @@
 
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answering import Answer, CallerGoneError
+from rosemarystream._internal.gateway.logs import write_line
+from rosemarystream._internal.models.lines import CallerConnectionBroke, RefusedUnread
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.heads import HeadError, check_head, find_head_end
@@ -129,7 +131,7 @@
         except CallerGoneError:
             pass
         except OSError as error:
-            log.debug("caller's connection broke", error=str(error))
+            write_line(log, CallerConnectionBroke(error=str(error)))
         finally:
             self._socket.close()
 
@@ -176,7 +178,7 @@
         return answer.finished and not answer.closing
 
     def _refuse(self, error: _RefusedError) -> None:
-        log.info("request refused unread", kind=error.kind, reason=str(error))
+        write_line(log, RefusedUnread(kind_of_error=error.kind, reason=str(error)))
         fresh = h11.Connection(h11.SERVER)
         answer = Answer(
             connection=self._socket,
--- a/src/rosemarystream/_internal/gateway/logs.py
+++ b/src/rosemarystream/_internal/gateway/logs.py
@@ -1,6 +1,7 @@
 """Logs as JSON lines on standard output that never hold a request up."""
 
 import sys
+import time
 from collections import deque
 from typing import Any
 
@@ -10,17 +11,41 @@
 import msgspec
 from gevent import os as gevent_os
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
+from rosemarystream._internal.decisions.log_limits import LogLimits
 from rosemarystream._internal.logs import MAX_VALUE_CHARACTERS, shorten_value
+from rosemarystream._internal.models.lines import LinesLeftOut, LogLine
 
+log = logbook.Logger(__name__)
+
+# Lines that wait to be written; memory is bounded by lines of the next size.
 MAX_LINES = 2_000
+MAX_LINE_BYTES = 4_096
+MAX_LIST_ITEMS = 40
+# Time between two lines that count what was left out.
+NOTE_S = 1.0
+# Time that the last lines are given at the end of the process.
+END_S = 0.3
+_NO_FIELDS = b"{}"
+
+
+def write_line(log: logbook.Logger, line: LogLine, exc_info: bool = False) -> None:
+    """Log a line of a known kind.
+
+    Parameters
+    ----------
+    exc_info : bool
+        Whether the exception that is being handled goes along.
+    """
+    log.log(line.level, line.message, line=line, exc_info=exc_info)
 
 
 class QueuedLinesHandler(logbook.Handler):
     """Queues each record as a line; a greenlet writes them out.
 
-    Lines that find the queue full are counted, and the count is written as a
-    line of its own.
+    Lines beyond the limit of their kind, or that find the queue full, are
+    counted, and the counts are written as a line.
     """
 
     def __init__(self, *, host: str, level: str, descriptor: int) -> None:
@@ -28,28 +53,38 @@
         self._host = host
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
-        self._left_out = 0
+        self._limits = LogLimits()
+        self._lost = LogLimits()
         self._waiting = Event()
+        self._writing = BoundedSemaphore()
+        self.left_out = 0
         gevent_os.make_nonblocking(descriptor)
 
     def emit(self, record: Any) -> None:
-        """Queue one record."""
-        if len(self._lines) >= MAX_LINES:
-            self._left_out += 1
-            return
-        line = {
+        """Queue one record, unless there are too many."""
+        line = record.kwargs.get("line")
+        kind = line.kind if line is not None else record.msg
+        limit = (line or LogLine).limit_per_s
+        if not self._limits.allow(kind, limit, time.monotonic()):
+            self.left_out += 1
+        elif len(self._lines) >= MAX_LINES:
+            self._lost.count_lost(kind)
+            self.left_out += 1
+        else:
+            self._lines.append(self._encode(record, line))
+            self._waiting.set()
+
+    def _encode(self, record: Any, line: LogLine | None) -> bytes:
+        head = {
             "time": record.time.isoformat(timespec="milliseconds"),
             "level": record.level_name.lower(),
             "host": self._host,
             "logger": record.channel.rpartition(".")[2],
-            "message": record.message[:MAX_VALUE_CHARACTERS],
+            "message": line.message if line is not None else shorten(record.message),
         }
-        for key, value in record.kwargs.items():
-            line[key] = shorten_value(value)
         if record.exc_info:
-            line["exception"] = record.formatted_exception
-        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
-        self._waiting.set()
+            head["exception"] = record.formatted_exception
+        return _join(msgspec.json.encode(head), _encode_fields(line)) + b"\n"
 
     def write_lines(self) -> None:
         """Write queued lines for ever."""
@@ -60,16 +95,63 @@
 
     def flush_lines(self) -> None:
         """Write what is queued; waits without blocking others."""
-        while self._lines:
-            data = b"".join(self._lines)
-            self._lines.clear()
-            if self._left_out:
-                note = {"host": self._host, "message": "lines left out"}
-                note["count"] = str(self._left_out)
-                self._left_out = 0
-                data += msgspec.json.encode(note) + b"\n"
-            while data:
-                data = data[gevent_os.nb_write(self._descriptor, data) :]
+        with self._writing:
+            while self._lines:
+                data = b"".join(self._lines)
+                self._lines.clear()
+                while data:
+                    data = data[gevent_os.nb_write(self._descriptor, data) :]
+
+    def note_left_out(self) -> None:
+        """Log the counts of lines left out, for ever."""
+        while True:
+            gevent.sleep(NOTE_S)
+            self._note_counts()
+
+    def _note_counts(self) -> None:
+        for why, limits in (
+            ("too many of a kind", self._limits),
+            ("reader too slow", self._lost),
+        ):
+            counts = limits.take_left_out()
+            if counts:
+                write_line(log, LinesLeftOut(why=why, counts=counts))
+
+    def flush_at_end(self) -> None:
+        """Write what is queued unless the reader is too slow."""
+        self._note_counts()
+        with gevent.Timeout(END_S, False):
+            self.flush_lines()
+
+
+def shorten(text: str) -> str:
+    """Return text with the end cut off if it is too long for a log line."""
+    return text[:MAX_VALUE_CHARACTERS]
+
+
+def _encode_fields(line: LogLine | None) -> bytes:
+    if line is None:
+        return _NO_FIELDS
+    encoded = msgspec.json.encode(line)
+    if len(encoded) <= MAX_LINE_BYTES:
+        return encoded
+    fields = msgspec.structs.asdict(line)
+    return msgspec.json.encode({key: _cut(value) for key, value in fields.items()})
+
+
+def _cut(value: Any) -> Any:
+    if isinstance(value, list):
+        kept = [shorten_value(item) for item in value[:MAX_LIST_ITEMS]]
+        left = len(value) - len(kept)
+        return [*kept, f"and {left} more"] if left else kept
+    return shorten_value(value)
+
+
+def _join(first: bytes, second: bytes) -> bytes:
+    """Return one JSON object made of two."""
+    if second == _NO_FIELDS:
+        return first
+    return first[:-1] + b"," + second[1:]
 
 
 def set_up_gateway_logs(*, host: str, level: str) -> QueuedLinesHandler:
@@ -78,4 +160,5 @@
     handler = QueuedLinesHandler(host=host, level=level, descriptor=sys.stdout.fileno())
     handler.push_application()
     gevent.spawn(handler.write_lines)
+    gevent.spawn(handler.note_left_out)
     return handler
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -1,45 +1,196 @@
-"""Counters and latency histograms of an entry host, as text."""
+"""Counters, gauges and latency histograms of an entry host.
 
-from bisect import bisect_left
-from collections import Counter
+``docs/operators/metrics.md`` is made from the registry of this module.
+"""
+
+from typing import TypedDict
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
 
 BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 PREFIX = "rosemarystream"
 
 
+class ServiceFigures(TypedDict):
+    """Present state of one service, as a host sees it.
+
+    Attributes
+    ----------
+    ready, set_aside : int
+        Servers that take requests, and those of them that are left alone.
+    load_share : float
+        Highest load of a server against its bound; over 1 if the bound was passed.
+    retries_left : float
+        Repeats that this host may still make in the window.
+    """
+
+    ready: int
+    set_aside: int
+    load_share: float
+    retries_left: float
+
+
+class HostFigures(TypedDict):
+    """Present state of a host; ages in seconds."""
+
+    in_progress: int
+    version: int
+    configuration_age_s: float
+    counts_age_s: float
+    store_lost_s: float
+    live_hosts: int
+    lines_left_out: int
+    services: dict[str, ServiceFigures]
+
+
 class GatewayMetrics:
     """Counts events and times of requests."""
 
     def __init__(self) -> None:
-        self._counts: Counter[str] = Counter()
-        self._outcomes: Counter[str] = Counter()
-        self._buckets = [0] * (len(BOUNDS_S) + 1)
-        self._total_s = 0.0
+        self.registry = CollectorRegistry()
+        self._labels: dict[str, tuple[str, ...]] = {}
+        counter, gauge = self._make_counter, self._make_gauge
+        self.requests = counter(
+            "requests", "Requests that are over, by outcome", "outcome"
+        )
+        self.attempts = counter(
+            "attempts",
+            "Attempts at servers: answered, failed, turned_away or unreachable",
+            "result",
+        )
+        self.retries = counter("retries", "Repeats made, of the retry budget")
+        self.retries_refused = counter(
+            "retries_refused", "Repeats not made because the budget was used up"
+        )
+        self.prompt_tokens = counter(
+            "prompt_tokens", "Prompt tokens sent to engines that keep context"
+        )
+        self.prompt_tokens_unread = counter(
+            "prompt_tokens_unread", "Those of them that the engine did not hold"
+        )
+        self.store_calls = counter(
+            "store_calls", "Calls of the platform's store, by result", "result"
+        )
+        self.beats_bytes = counter(
+            "beats_bytes", "Bytes of reports sent to other hosts"
+        )
+        self.request_seconds = self._make_histogram(
+            "request_seconds", "Time until a request was over, in seconds"
+        )
+        self.first_event_seconds = self._make_histogram(
+            "first_event_seconds", "Time until the first event of a stream, in seconds"
+        )
+        self._in_progress = gauge("requests_in_progress", "Requests under way")
+        self._version = gauge("configuration_version", "Configuration in force")
+        self._configuration_age = gauge(
+            "configuration_age_seconds", "Time since it came into force"
+        )
+        self._counts_age = gauge(
+            "counts_age_seconds", "Age of what other hosts have told of their load"
+        )
+        self._store_lost = gauge(
+            "store_lost_seconds", "Time since the store was lost; 0 if it answers"
+        )
+        self._live_hosts = gauge("live_hosts", "Hosts that are alive, this one too")
+        self._left_out = gauge(
+            "log_lines_left_out", "Log lines not written since the start"
+        )
+        self._ready = gauge("servers_ready", "Servers taking requests", "service")
+        self._set_aside = gauge(
+            "servers_set_aside", "Servers left alone for a while", "service"
+        )
+        self._load_share = gauge(
+            "load_share", "Highest load of a server against its bound", "service"
+        )
+        self._retries_left = gauge(
+            "retries_left", "Repeats this host may still make", "service"
+        )
+
+    def _make_counter(self, name: str, text: str, *labels: str) -> Counter:
+        self._labels[f"{PREFIX}_{name}"] = labels
+        return Counter(f"{PREFIX}_{name}", text, labels, registry=self.registry)
+
+    def _make_gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        self._labels[f"{PREFIX}_{name}"] = labels
+        return Gauge(f"{PREFIX}_{name}", text, labels, registry=self.registry)
 
-    def count(self, name: str, value: int = 1) -> None:
-        """Add to a counter."""
-        self._counts[name] += value
+    def _make_histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"{PREFIX}_{name}", text, registry=self.registry, buckets=BOUNDS_S
+        )
 
-    def count_request(self, outcome: str, seconds: float) -> None:
+    def list_labels(self, name: str) -> tuple[str, ...]:
+        """Return the names of a metric's labels."""
+        return self._labels.get(name, ())
+
+    def count_request(
+        self, outcome: str, seconds: float, first_event_s: float | None
+    ) -> None:
         """Count a request that is over."""
-        self._outcomes[outcome] += 1
-        self._buckets[bisect_left(BOUNDS_S, seconds)] += 1
-        self._total_s += seconds
+        self.requests.labels(outcome).inc()
+        self.request_seconds.observe(seconds)
+        if first_event_s is not None:
+            self.first_event_seconds.observe(first_event_s)
+
+    def set_figures(self, figures: HostFigures) -> None:
+        """Take the present state of the host."""
+        self._in_progress.set(figures["in_progress"])
+        self._version.set(figures["version"])
+        self._configuration_age.set(figures["configuration_age_s"])
+        self._counts_age.set(figures["counts_age_s"])
+        self._store_lost.set(figures["store_lost_s"])
+        self._live_hosts.set(figures["live_hosts"])
+        self._left_out.set(figures["lines_left_out"])
+        for name, service in figures["services"].items():
+            self._ready.labels(name).set(service["ready"])
+            self._set_aside.labels(name).set(service["set_aside"])
+            self._load_share.labels(name).set(service["load_share"])
+            self._retries_left.labels(name).set(service["retries_left"])
 
-    def format_text(self) -> str:
+    def format_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        lines = [
-            f"{PREFIX}_{name}_total {value}"
-            for name, value in sorted(self._counts.items())
-        ]
-        lines += [
-            f'{PREFIX}_requests_total{{outcome="{name}"}} {value}'
-            for name, value in sorted(self._outcomes.items())
-        ]
-        running = 0
-        for bound, count in zip((*BOUNDS_S, "+Inf"), self._buckets, strict=True):
-            running += count
-            lines.append(f'{PREFIX}_request_seconds_bucket{{le="{bound}"}} {running}')
-        lines.append(f"{PREFIX}_request_seconds_sum {self._total_s:.6f}")
-        lines.append(f"{PREFIX}_request_seconds_count {running}")
-        return "\n".join(lines) + "\n"
+        return generate_latest(self.registry)
+
+
+class StatsdSender:
+    """Sends what has changed to a statsd server.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where the server listens.
+    host : str
+        Name of this host; part of every metric's name.
+    """
+
+    def __init__(
+        self, *, address: tuple[str, int], host: str, metrics: GatewayMetrics
+    ) -> None:
+        # Imported here, as most hosts send none and their memory is small.
+        from statsd import StatsClient
+
+        self._client = StatsClient(
+            host=address[0], port=address[1], prefix=f"{PREFIX}.{host}"
+        )
+        self._metrics = metrics
+        self._sent: dict[str, float] = {}
+
+    def send(self) -> None:
+        """Send counters by what was added to them, and gauges."""
+        with self._client.pipeline() as pipe:
+            for family in self._metrics.registry.collect():
+                for sample in family.samples:
+                    if sample.name.endswith(("_bucket", "_created")):
+                        continue
+                    name = _name_sample(sample.name, sample.labels)
+                    if family.type == "gauge":
+                        pipe.gauge(name, sample.value)
+                    else:
+                        pipe.incr(name, sample.value - self._sent.get(name, 0.0))
+                        self._sent[name] = sample.value
+
+
+def _name_sample(name: str, labels: dict[str, str]) -> str:
+    parts = [name.removeprefix(f"{PREFIX}_"), *labels.values()]
+    return ".".join(parts)
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -17,8 +17,11 @@
 from rosemarystream._internal.decisions.load_table import Load, LoadTable, Report
 from rosemarystream._internal.decisions.neighbours import Neighbour, Neighbours
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.logs import write_line
+from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.pulls import Pulls
 from rosemarystream._internal.models.beat import Beat, HostName, Scope
+from rosemarystream._internal.models.lines import BeatsFailed, BeatUnreadable
 
 log = Logger(__name__)
 
@@ -82,6 +85,7 @@
         pulls: Pulls,
         list_resting: Callable[[], list[int]],
         on_resting: Callable[[list[int]], None],
+        metrics: GatewayMetrics,
     ) -> None:
         self._me = me
         self._port = port
@@ -95,6 +99,7 @@
         self._pulls = pulls
         self._list_resting = list_resting
         self._on_resting = on_resting
+        self._metrics = metrics
         self._beats = 0
         self._told_requests = 0
         self._told_at = 0.0
@@ -220,9 +225,10 @@
 
     def _send(self, ip: str, beat: Beat) -> None:
         try:
-            self._socket.sendto(_encode(beat), (ip, self._port))
+            sent = self._socket.sendto(_encode(beat), (ip, self._port))
+            self._metrics.beats_bytes.inc(sent)
         except OSError as error:
-            log.debug("beat not sent", ip=ip, error=str(error))
+            write_line(log, BeatsFailed(ip=ip, error=str(error)))
 
     # Receiving
 
@@ -232,10 +238,10 @@
                 data, (ip, _) = self._socket.recvfrom(DATAGRAM_BYTES)
                 beat = _decoder.decode(data)
             except msgspec.DecodeError as error:
-                log.warning("a beat can't be read", ip=ip, error=str(error))
+                write_line(log, BeatUnreadable(ip=ip, error=str(error)))
                 continue
             except OSError as error:
-                log.debug("beats not received", error=str(error))
+                write_line(log, BeatsFailed(error=str(error)))
                 gevent.sleep(BEAT_S)
                 continue
             if beat.sender.name != self._me.name:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -4,9 +4,11 @@
 import os
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import gevent
+import msgspec
 from gevent.event import Event
 from logbook import Logger
 
@@ -19,21 +21,38 @@
 from rosemarystream._internal.gateway.answering import Answer
 from rosemarystream._internal.gateway.fleet import Fleet
 from rosemarystream._internal.gateway.listener import Listener, Request
-from rosemarystream._internal.gateway.logs import set_up_gateway_logs
-from rosemarystream._internal.gateway.metrics import GatewayMetrics
+from rosemarystream._internal.gateway.logs import set_up_gateway_logs, write_line
+from rosemarystream._internal.gateway.metrics import GatewayMetrics, StatsdSender
 from rosemarystream._internal.gateway.peering import Peering
 from rosemarystream._internal.gateway.pool import Pool
 from rosemarystream._internal.gateway.pulls import Pulls
 from rosemarystream._internal.gateway.relay import Relay
 from rosemarystream._internal.gateway.settings import (
+    START_SECTIONS,
     GatewaySettings,
+    list_changes,
     load_gateway_settings,
 )
+from rosemarystream._internal.gateway.state import StateReport
 from rosemarystream._internal.gateway.watching import ConfigurationWatch, ServerWatch
 from rosemarystream._internal.models.beat import HostName
 from rosemarystream._internal.models.endpoint import ServerState
+from rosemarystream._internal.models.lines import (
+    HostFound,
+    HostLost,
+    HostsNotExchanged,
+    Leaving,
+    ServersNotBack,
+    ServerStillOutOfReach,
+    ServicesOutOfReach,
+    SettingsKept,
+    SettingsReloaded,
+    Started,
+    Stopped,
+)
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
+from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.connection import ConnectError
 
 log = Logger(__name__)
@@ -52,6 +71,12 @@
 LEAVE_POLL_S = 0.05
 # Time between two looks for servers that have gone out of reach.
 SEARCH_S = 0.25
+# Time between two reports to a statsd server.
+STATSD_S = 10.0
+METRICS_TYPE = b"text/plain; version=0.0.4"
+JSON_TYPE = b"application/json"
+STATE_TARGET = b"/v1/state"
+_MS_PER_S = 1000
 
 
 class Gateway:
@@ -63,9 +88,17 @@
         Checked settings.
     path : Path
         File they came from; read again at SIGHUP.
+    count_lines_left_out : callable
+        Returns the log lines not written since the start.
     """
 
-    def __init__(self, *, settings: GatewaySettings, path: Path) -> None:
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        path: Path,
+        count_lines_left_out: Callable[[], int] = lambda: 0,
+    ) -> None:
         self._settings = settings
         self._path = path
         self._incarnation = int(time.time() * 1000)
@@ -112,6 +145,7 @@
             pulls=self._pulls,
             list_resting=self._fleet.list_resting,
             on_resting=self._fleet.learn_resting,
+            metrics=self._metrics,
         )
         self._watches = [
             watch(
@@ -138,13 +172,28 @@
         )
         self._figures = Listener(
             address=f"{host.ip}:{host.metrics_port}",
-            handler=self._answer_metrics,
+            handler=self._answer_state,
             get_limits=CallerLimits,
             clock=self._clock,
         )
+        self.state = StateReport(
+            name=host.name,
+            data_centre=host.data_centre,
+            clock=self._clock,
+            replica=self._replica,
+            neighbours=self._neighbours,
+            loads=self._loads,
+            fleet=self._fleet,
+            count_busy=self._callers.count_busy,
+            count_lines_left_out=count_lines_left_out,
+        )
 
     def _make_store(self) -> Store:
-        return Store(address=self._settings.platform.address, clock=self._clock)
+        return Store(
+            address=self._settings.platform.address,
+            clock=self._clock,
+            on_call=lambda result: self._metrics.store_calls.labels(result).inc(),
+        )
 
     def run(self) -> int:
         """Serve until SIGTERM; returns the exit code."""
@@ -159,7 +208,7 @@
 
     def start(self) -> None:
         """Begin to serve; ready once a configuration is known."""
-        log.info("start", pid=os.getpid(), incarnation=self._incarnation)
+        write_line(log, Started(pid=os.getpid(), incarnation=self._incarnation))
         self._callers.start()
         self._health.start()
         self._figures.start()
@@ -170,6 +219,8 @@
             gevent.spawn(self._keep_house),
             gevent.spawn(self._look_for_servers),
         ]
+        if self._settings.metrics.statsd:
+            self._tasks.append(gevent.spawn(self._send_statsd))
 
     def stop(self) -> None:
         """Stop at once, as a killed process would."""
@@ -253,7 +304,7 @@
                     registered = True
                     self._learn_hosts(store)
                 except StoreError as error:
-                    log.info("hosts not exchanged in the store", error=str(error))
+                    write_line(log, HostsNotExchanged(error=str(error)))
             store.close()
             gevent.sleep(HOSTS_S if registered else REGISTER_PAUSE_S)
 
@@ -272,7 +323,7 @@
             gevent.sleep(SEARCH_S)
             cut_off = self._fleet.list_cut_off()
             if cut_off != self._cut_off:
-                log.warning("services out of reach", services=cut_off)
+                write_line(log, ServicesOutOfReach(services=cut_off))
             self._cut_off = cut_off
             for service in cut_off:
                 self._try_server(service)
@@ -286,7 +337,8 @@
         try:
             connection = self._pool.open(endpoint, self._clock() + SEARCH_S)
         except ConnectError as error:
-            log.debug("server still out of reach", reason=str(error))
+            line = ServerStillOutOfReach(server=endpoint.name, reason=str(error))
+            write_line(log, line)
             return
         connection.close()
         self._fleet.note_reached(endpoint)
@@ -298,32 +350,73 @@
             self._neighbours.forget_old(now)
             gone = self._replica.expire(now)
             if gone:
-                log.info("servers did not come back", servers=gone)
+                write_line(log, ServersNotBack(servers=gone))
                 self._announce()
+            self._note_hosts(now)
+            self.state.note_version()
             lost = [watch.lost_at for watch in self._watches if watch.lost_at]
-            self._peering.store_lost_ms = int((now - min(lost)) * 1000) if lost else 0
+            self.state.store_lost_s = now - min(lost) if lost else 0.0
+            self._peering.store_lost_ms = int(self.state.store_lost_s * _MS_PER_S)
+
+    def _note_hosts(self, now: float) -> None:
+        turnover = self._neighbours.take_changes(now)
+        for host in turnover.found:
+            write_line(log, HostFound(peer=host.name, data_centre=host.data_centre))
+        for host in turnover.lost:
+            line = HostLost(
+                peer=host.name,
+                data_centre=host.data_centre,
+                silent_ms=round((now - host.heard_at) * _MS_PER_S, 1),
+            )
+            write_line(log, line)
 
-    def _answer_ready(self, request: Request, answer: Answer) -> None:
-        ready = (
+    def _send_statsd(self) -> None:
+        sender = StatsdSender(
+            address=split_address(self._settings.metrics.statsd),
+            host=self._me.name,
+            metrics=self._metrics,
+        )
+        while True:
+            gevent.sleep(STATSD_S)
+            self._metrics.set_figures(self.state.make_figures())
+            sender.send()
+
+    def _is_ready(self) -> bool:
+        return (
             self._replica.configuration is not None
             and not self._leaving.is_set()
             and not self._cut_off
         )
-        answer.send_whole(200 if ready else 503, [], b"")
 
-    def _answer_metrics(self, request: Request, answer: Answer) -> None:
-        body = self._metrics.format_text().encode()
-        answer.send_whole(200, [(b"content-type", b"text/plain; version=0.0.4")], body)
+    def _answer_ready(self, request: Request, answer: Answer) -> None:
+        answer.send_whole(200 if self._is_ready() else 503, [], b"")
+
+    def _answer_state(self, request: Request, answer: Answer) -> None:
+        """Answer with the state dump at its path, else with the metrics."""
+        if request.target == STATE_TARGET:
+            dump = self.state.make_dump(
+                ready=self._is_ready(), leaving=self._leaving.is_set()
+            )
+            body = msgspec.json.encode(dump)
+            answer.send_whole(200, [(b"content-type", JSON_TYPE)], body)
+            return
+        self._metrics.set_figures(self.state.make_figures())
+        body = self._metrics.format_text()
+        answer.send_whole(200, [(b"content-type", METRICS_TYPE)], body)
 
     def _reload(self) -> None:
         try:
             settings = load_gateway_settings(self._path)
         except SettingsError as error:
-            log.error("settings not reloaded", error=str(error))
+            write_line(log, SettingsKept(error=str(error)))
             return
-        if settings.host != self._settings.host:
-            log.warning("settings of the host take effect at the next start")
-        log.info("settings reloaded", changed=settings != self._settings)
+        changes = list_changes(self._settings, settings)
+        late = [change for change in changes if change.section in START_SECTIONS]
+        line = SettingsReloaded(
+            changed=[str(change) for change in changes],
+            at_next_start=[str(change) for change in late],
+        )
+        write_line(log, line)
         if settings.bounds != self._settings.bounds:
             self._fleet.set_bounds(settings.bounds)
         self._settings = settings
@@ -332,7 +425,8 @@
         """Finish what runs, then close; the end is the settings' shutdown time."""
         begun = self._clock()
         end = begun + self._settings.bounds.shutdown_ms / 1000 - END_MARGIN_S
-        log.info("leaving", busy=self._callers.count_busy())
+        left_ms = round((end - begun) * _MS_PER_S, 1)
+        write_line(log, Leaving(busy=self._callers.count_busy(), end_in_ms=left_ms))
         self._leaving.set()
         self._callers.leaving = True
         while self._clock() < end:
@@ -343,13 +437,16 @@
             self._callers.close_idle()
             if not self._callers.count_busy():
                 break
-        log.info("stop", busy=self._callers.count_busy())
+        write_line(log, Stopped(busy=self._callers.count_busy()))
 
 
 def run_gateway(path: Path) -> int:
     """Run an entry host with the settings of a file; returns the exit code."""
     settings = load_gateway_settings(path)
     handler = set_up_gateway_logs(host=settings.host.name, level=settings.log.level)
-    code = Gateway(settings=settings, path=path).run()
-    handler.flush_lines()
+    gateway = Gateway(
+        settings=settings, path=path, count_lines_left_out=lambda: handler.left_out
+    )
+    code = gateway.run()
+    handler.flush_at_end()
     return code
--- a/src/rosemarystream/_internal/gateway/pulls.py
+++ b/src/rosemarystream/_internal/gateway/pulls.py
@@ -15,8 +15,15 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.logs import write_line
 from rosemarystream._internal.gateway.watching import accept_document
 from rosemarystream._internal.models.beat import PullAnswer, PullRequest
+from rosemarystream._internal.models.lines import (
+    ConfigurationUnusable,
+    LearntFromHost,
+    PullFailed,
+    PullUnanswered,
+)
 
 log = Logger(__name__)
 
@@ -94,7 +101,7 @@
                 _send_frame(connection, _encode(request))
                 answer = _answer_decoder.decode(_receive_frame(connection))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
-            log.info("pull from a host failed", kind=kind, ip=ip, error=str(error))
+            write_line(log, PullFailed(state=kind, ip=ip, error=str(error)))
             self._not_before = self._clock() + PAUSE_S
             return
         finally:
@@ -113,14 +120,14 @@
                 news.append(name)
         self._replica.advance(answer.revision)
         if news:
-            log.info("learnt from a host", news=news, revision=answer.revision)
+            write_line(log, LearntFromHost(news=news, revision=answer.revision))
             self._on_news()
 
     def _accept_document(self, packed: bytes) -> bool:
         try:
             document = zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES)
         except zlib.error as error:
-            log.error("a host sent an unreadable configuration", error=str(error))
+            write_line(log, ConfigurationUnusable(error=f"not compressed: {error}"))
             return False
         return accept_document(self._replica, document)
 
@@ -132,7 +139,7 @@
                 with gevent.Timeout(_limit(request)):
                     _send_frame(connection, _encode(self._select(request)))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
-            log.info("a pull was not answered", error=str(error))
+            write_line(log, PullUnanswered(error=str(error)))
 
     def _select(self, request: PullRequest) -> PullAnswer:
         document = b""
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -1,6 +1,7 @@
 """Answers callers' requests, and logs how each has ended."""
 
 from collections.abc import Callable
+from typing import Any
 
 from logbook import Logger
 
@@ -9,8 +10,10 @@
 from rosemarystream._internal.gateway.exchange import Exchange, RequestEndedError
 from rosemarystream._internal.gateway.fleet import Fleet
 from rosemarystream._internal.gateway.listener import Request
+from rosemarystream._internal.gateway.logs import write_line
 from rosemarystream._internal.gateway.pool import Pool
 from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.lines import RequestEnded
 from rosemarystream._internal.platform.headers import decode_call
 
 log = Logger(__name__)
@@ -66,31 +69,36 @@
         self, call: Call, exchange: Exchange, answer: Answer, outcome: str
     ) -> None:
         took_s = self._clock() - exchange.received_at
-        self._fleet.metrics.count_request(outcome, took_s)
-        log.info(
-            "request",
+        first_s = exchange.first_event_s
+        self._fleet.metrics.count_request(outcome, took_s, first_s)
+        line = RequestEnded(
             request=call.request_id,
             route=exchange.route.name if exchange.route else None,
+            service=exchange.service,
+            workspace=exchange.workspace,
             outcome=outcome,
             status=answer.status,
             ms=_round_ms(took_s),
-            first_ms=_round_ms(exchange.first_event_s),
+            first_ms=None if first_s is None else _round_ms(first_s),
+            wait_ms=None if call.wait_s is None else _round_ms(call.wait_s),
             rank=exchange.rank,
+            priority=exchange.priority,
             tried=exchange.tried,
             sends=exchange.sends,
-            **_describe_placement(exchange.placement),
             version=self._fleet.replica.version,
             revision=self._fleet.replica.revision,
             prompt=[f"{part.name}:{part.tokens}" for part in call.parts],
             reason=exchange.reason,
+            **_describe_placement(exchange.placement),
         )
+        write_line(log, line)
 
 
-def _round_ms(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds * 1000, 1)
+def _round_ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
 
 
-def _describe_placement(placement: Placement | None) -> dict[str, object]:
+def _describe_placement(placement: Placement | None) -> dict[str, Any]:
     if placement is None:
         return {}
     return {
@@ -102,4 +110,5 @@
         "bound": placement.bound,
         "reading": placement.reading,
         "unread": placement.unread,
+        "counts_age_ms": _round_ms(placement.counts_age_s),
     }
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -0,0 +1,171 @@
+"""State of an entry host, as figures for metrics and as a dump for operators."""
+
+from collections.abc import Callable
+from typing import TypedDict
+
+from rosemarystream._internal.decisions.load_table import LoadTable
+from rosemarystream._internal.decisions.neighbours import Neighbours
+from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.fleet import Fleet
+from rosemarystream._internal.gateway.metrics import HostFigures
+
+NEVER_HEARD_MS = -1.0
+_MS_PER_S = 1000
+
+
+class ServerState(TypedDict):
+    """A backend server as a host sees it.
+
+    Attributes
+    ----------
+    requests : int
+        Requests in progress there, over all hosts.
+    reading : int
+        Prompt tokens that it has yet to read.
+    """
+
+    service: str
+    state: str
+    address: str
+    data_centre: str
+    incarnation: int
+    requests: int
+    reading: int
+    failure_rate: float
+    set_aside: bool
+
+
+class PeerState(TypedDict):
+    """Another host; `heard_ms` is the age of its last sign of life, -1 if none."""
+
+    data_centre: str
+    ip: str
+    heard_ms: float
+
+
+class Dump(TypedDict):
+    """All that a host believes; holds no keys and no content of requests."""
+
+    host: str
+    data_centre: str
+    ready: bool
+    leaving: bool
+    figures: HostFigures
+    revision: int
+    routes: dict[str, list[str]]
+    workspaces: list[str]
+    out_of_reach: list[str]
+    is_collector: bool
+    collectors: list[str]
+    servers: dict[str, ServerState]
+    peers: dict[str, PeerState]
+
+
+class StateReport:
+    """Describes what a host believes.
+
+    Parameters
+    ----------
+    count_busy : callable
+        Returns the requests under way.
+    count_lines_left_out : callable
+        Returns the log lines not written since the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        clock: Callable[[], float],
+        replica: Replica,
+        neighbours: Neighbours,
+        loads: LoadTable,
+        fleet: Fleet,
+        count_busy: Callable[[], int],
+        count_lines_left_out: Callable[[], int],
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._clock = clock
+        self._replica = replica
+        self._neighbours = neighbours
+        self._loads = loads
+        self._fleet = fleet
+        self._count_busy = count_busy
+        self._count_lines_left_out = count_lines_left_out
+        self._version = 0
+        self._version_at = clock()
+        self.store_lost_s = 0.0
+
+    def note_version(self) -> None:
+        """Note the time if another configuration has come into force."""
+        if self._replica.version != self._version:
+            self._version = self._replica.version
+            self._version_at = self._clock()
+
+    def make_figures(self) -> HostFigures:
+        """Return the present state in figures."""
+        now = self._clock()
+        return HostFigures(
+            in_progress=self._count_busy(),
+            version=self._replica.version,
+            configuration_age_s=round(now - self._version_at, 1),
+            counts_age_s=round(self._loads.measure_age(now), 3),
+            store_lost_s=round(self.store_lost_s, 1),
+            live_hosts=self._neighbours.count_live(now),
+            lines_left_out=self._count_lines_left_out(),
+            services=self._fleet.list_figures(),
+        )
+
+    def make_dump(self, *, ready: bool, leaving: bool) -> Dump:
+        """Return all that the host believes."""
+        now = self._clock()
+        configuration = self._replica.configuration
+        routes = configuration.routes if configuration else {}
+        workspaces = configuration.workspaces.values() if configuration else ()
+        return Dump(
+            host=self._name,
+            data_centre=self._data_centre,
+            ready=ready,
+            leaving=leaving,
+            figures=self.make_figures(),
+            revision=self._replica.revision,
+            routes={host: [r.name for r in group] for host, group in routes.items()},
+            workspaces=sorted({workspace.name for workspace in workspaces}),
+            out_of_reach=self._fleet.list_cut_off(),
+            is_collector=self._neighbours.is_collector(now),
+            collectors=self._neighbours.list_collectors(self._data_centre, now),
+            servers=self._list_servers(now),
+            peers=self._list_peers(now),
+        )
+
+    def _list_servers(self, now: float) -> dict[str, ServerState]:
+        load = self._loads.sum_all(now)
+        health = self._fleet.health
+        return {
+            endpoint.name: ServerState(
+                service=endpoint.service,
+                state=endpoint.state,
+                address=endpoint.address,
+                data_centre=endpoint.data_centre,
+                incarnation=endpoint.incarnation,
+                requests=load.counts[endpoint.number],
+                reading=load.reading[endpoint.number],
+                failure_rate=round(health.failure_rate(endpoint.name, now), 3),
+                set_aside=health.is_resting(endpoint.name, now),
+            )
+            for endpoint in self._replica.list_endpoints()
+        }
+
+    def _list_peers(self, now: float) -> dict[str, PeerState]:
+        return {
+            host.name: PeerState(
+                data_centre=host.data_centre,
+                ip=host.ip,
+                heard_ms=round((now - host.heard_at) * _MS_PER_S, 1)
+                if host.heard_at
+                else NEVER_HEARD_MS,
+            )
+            for host in self._neighbours.list_known()
+        }
--- a/src/rosemarystream/_internal/gateway/watching.py
+++ b/src/rosemarystream/_internal/gateway/watching.py
@@ -6,7 +6,19 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.logs import write_line
 from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.lines import (
+    ConfigurationInForce,
+    ConfigurationUnusable,
+    HistoryGone,
+    ServerChanged,
+    ServerEntryUnusable,
+    ServerRemoved,
+    ServersListed,
+    StoreLost,
+    StoreRegained,
+)
 from rosemarystream._internal.platform.documents import (
     DocumentError,
     decode_configuration,
@@ -36,7 +48,7 @@
     try:
         configuration = decode_configuration(document)
     except DocumentError as error:
-        log.error("configuration can't be used", error=str(error))
+        write_line(log, ConfigurationUnusable(error=str(error)))
         return False
     return replica.accept_configuration(configuration, document)
 
@@ -92,7 +104,7 @@
             try:
                 self._step()
             except HistoryGoneError:
-                log.info("history is gone, listing again", kind=self.kind)
+                write_line(log, HistoryGone(watched=self.kind))
                 self._revision = None
             except StoreError as error:
                 self._note_lost(error)
@@ -126,14 +138,14 @@
     def _note_lost(self, error: StoreError) -> None:
         if self.lost_at is None:
             self.lost_at = self._clock()
-            log.warning("store lost", kind=self.kind, error=str(error))
+            write_line(log, StoreLost(watched=self.kind, error=str(error)))
         # What was missed meanwhile is only certain from a list.
         self._revision = None
 
     def _note_found(self) -> None:
         if self.lost_at is not None:
-            away_s = self._clock() - self.lost_at
-            log.notice("store regained", kind=self.kind, away_s=round(away_s, 3))
+            away_ms = round((self._clock() - self.lost_at) * 1000, 1)
+            write_line(log, StoreRegained(watched=self.kind, away_ms=away_ms))
             self.lost_at = None
 
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
@@ -158,7 +170,7 @@
             return False
         news = accept_document(self._replica, item.spec)
         if news:
-            log.info("configuration in force", version=self._replica.version)
+            write_line(log, ConfigurationInForce(version=self._replica.version))
         return news
 
 
@@ -175,24 +187,22 @@
         ]
         news = self._replica.accept_listing(endpoints, revision, self._clock())
         if news:
-            log.info("servers listed", news=news, revision=revision)
+            write_line(log, ServersListed(news=news, revision=revision))
             self._on_news()
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted:
             news = self._replica.accept_removal(item.name, revision)
             if news:
-                log.info("server removed", server=item.name, revision=revision)
+                write_line(log, ServerRemoved(server=item.name, revision=revision))
         else:
             endpoint = self._decode(item)
             news = endpoint is not None and self._replica.accept_endpoint(endpoint)
             if news:
-                log.info(
-                    "server changed",
-                    server=item.name,
-                    state=endpoint.state,
-                    revision=item.revision,
+                line = ServerChanged(
+                    server=item.name, state=endpoint.state, revision=item.revision
                 )
+                write_line(log, line)
         self._replica.advance(revision)
         return bool(news)
 
@@ -200,5 +210,5 @@
         try:
             return decode_endpoint(item.name, item.spec, item.revision)
         except DocumentError as error:
-            log.info("server entry passed over", error=str(error))
+            write_line(log, ServerEntryUnusable(error=str(error)))
             return None
--- /dev/null
+++ b/src/rosemarystream/_internal/operators/pages.py
@@ -0,0 +1,97 @@
+"""Operators' pages that are made from the code they describe.
+
+``python -m rosemarystream._internal.operators.pages docs/operators`` writes them.
+"""
+
+import inspect
+import re
+import sys
+from pathlib import Path
+
+import msgspec
+from logbook import get_level_name
+
+from rosemarystream._internal.gateway.metrics import GatewayMetrics
+from rosemarystream._internal.models.lines import LINES, LogLine
+
+LOGS_HEAD = """# Log lines of an entry host
+
+Made from `models/lines.py`. JSON, one object a line, on standard output. Each
+line has `time` (time of day), `level`, `host`, `logger` and `message`; the
+fields below go with the message. Lines of a kind beyond its limit in a second
+are counted, and the counts are a line of their own; a reader that is too slow
+costs lines and never holds a request up.
+"""
+
+METRICS_HEAD = """# Metrics of an entry host
+
+Made from `gateway/metrics.py`. `GET /metrics` on `host.metrics_port`, in the
+Prometheus text format; with `metrics.statsd` set also sent there every ten
+seconds as `rosemarystream.HOST.NAME.LABEL`. What to look at stands in
+[OPERATIONS](../OPERATIONS.md). `GET /v1/state` on the same port is the state dump.
+
+| metric | kind | labels | meaning |
+|---|---|---|---|
+"""
+
+
+def describe_lines() -> str:
+    """Return the page of all log lines."""
+    return "\n".join([LOGS_HEAD, *map(_describe_line, LINES.values())])
+
+
+def _describe_line(kind: type[LogLine]) -> str:
+    text = inspect.cleandoc(kind.__doc__ or "")
+    summary, _, fields = text.partition("Attributes\n----------\n")
+    level = get_level_name(kind.level).lower()
+    return "\n".join(
+        [
+            f"## {kind.message}",
+            "",
+            summary.strip(),
+            "",
+            f"Level {level}, at most {kind.limit_per_s} a second. "
+            f"Fields: {_list_fields(kind)}.",
+            "",
+            *_describe_fields(fields),
+        ]
+    )
+
+
+def _list_fields(kind: type[LogLine]) -> str:
+    names = [f"`{field.name}`" for field in msgspec.structs.fields(kind)]
+    return ", ".join(names) or "none"
+
+
+def _describe_fields(text: str) -> list[str]:
+    """Return the fields of a numpy docstring as a list of items."""
+    items: list[str] = []
+    for line in text.splitlines():
+        named = re.match(r"(\S.*?) : (.*)", line)
+        if named:
+            names = ", ".join(f"`{name}`" for name in named.group(1).split(", "))
+            items.append(f"- {names} ({named.group(2)}):")
+        elif line.strip():
+            items[-1] += f" {line.strip()}"
+    return [*items, ""] if items else []
+
+
+def describe_metrics() -> str:
+    """Return the page of all metrics."""
+    metrics = GatewayMetrics()
+    rows = []
+    for family in sorted(metrics.registry.collect(), key=lambda f: f.name):
+        name = f"{family.name}_total" if family.type == "counter" else family.name
+        labels = ", ".join(f"`{label}`" for label in metrics.list_labels(family.name))
+        rows.append(f"| `{name}` | {family.type} | {labels} | {family.documentation} |")
+    return METRICS_HEAD + "\n".join(rows) + "\n"
+
+
+def write_pages(folder: Path) -> None:
+    """Write the pages into a folder."""
+    (folder / "logs.md").write_text(describe_lines(), encoding="utf-8")
+    (folder / "metrics.md").write_text(describe_metrics(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    write_pages(Path(sys.argv[1]))
--- a/src/rosemarystream/_internal/platform/store.py
+++ b/src/rosemarystream/_internal/platform/store.py
@@ -112,11 +112,20 @@
         ``ip:port`` of the store.
     clock : callable
         Returns the present time in seconds.
+    on_call : callable
+        Called after each call with its result: a status, or ``unanswered``.
     """
 
-    def __init__(self, *, address: str, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: Callable[[], float],
+        on_call: Callable[[str], None] = lambda result: None,
+    ) -> None:
         self._address = address
         self._clock = clock
+        self._on_call = on_call
         self._connection: ClientConnection | None = None
 
     def list(self, kind: str) -> Listing:
@@ -184,7 +193,9 @@
             answer = connection.read_body(deadline)
         except (ConnectError, BrokenError) as error:
             self.close()
+            self._on_call("unanswered")
             raise StoreError(str(error)) from error
+        self._on_call(str(head.status))
         if not connection.finish():
             self.close()
         if head.status == _GONE:
--- /dev/null
+++ b/tests/lib/host_process.py
@@ -0,0 +1,73 @@
+"""Entry hosts as processes of their own."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.lib.entry_world import (
+    CALLER_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READY_PORT,
+    get,
+    wait_until,
+)
+
+ROOT = Path(__file__).parents[2]
+
+
+class HostProcess:
+    """An entry host as a process of its own."""
+
+    def __init__(
+        self, *, name, data_centre, ip, store, seeds, folder, more="", stdout=None
+    ):
+        self.name = name
+        self.ip = ip
+        self.log = folder / f"{name}.log"
+        self.settings = folder / f"{name}.toml"
+        self.settings.write_text(
+            f'[host]\nname = "{name}"\ndata_centre = "{data_centre}"\nip = "{ip}"\n'
+            f'caller_address = "{ip}:{CALLER_PORT}"\n'
+            f'ready_address = "{ip}:{READY_PORT}"\n'
+            f"peer_port = {PEER_PORT}\nmetrics_port = {METRICS_PORT}\n"
+            f"seeds = {seeds!r}\n".replace("'", '"')
+            + f'[platform]\naddress = "{store}"\n[bounds]\nshutdown_ms = 3000\n'
+            + more
+        )
+        self.process = None
+        self._stdout = stdout
+
+    def start(self):
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "launch.py")],
+                env={**os.environ, "ROSEMARYSTREAM_SETTINGS": str(self.settings)},
+                stdout=self._stdout or log,
+                stderr=log,
+            )
+
+    def send(self, number):
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def restart(self, number):
+        """End the process and start another, unless that is under way already."""
+        ending = self.process
+        self.send(number)
+        wait_until(lambda: ending.poll() is not None, seconds=15.0)
+        if self.process is ending:
+            self.start()
+
+    def is_ready(self):
+        try:
+            return get(self.ip, READY_PORT, "/v1/readyz").status == 200
+        except OSError:
+            return False
+
+    def stop(self):
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        self.process.wait()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,11 +1,8 @@
 """One run of the soak: traffic, faults drawn from a seed, and the checks."""
 
 import itertools
-import os
 import random
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -17,18 +14,14 @@
 from standins.link import Link, Mode
 from standins.object_store import Trouble
 from tests.lib.entry_world import (
-    CALLER_PORT,
-    METRICS_PORT,
-    PEER_PORT,
-    READY_PORT,
     SERVER_PORT,
     Caller,
     Reply,
     World,
-    get,
     make_configuration,
     wait_until,
 )
+from tests.lib.host_process import HostProcess
 from tests.soak.checks import Exchange, list_violations
 
 ROOT = Path(__file__).parents[2]
@@ -64,52 +57,6 @@
         return "\n".join(lines)
 
 
-class HostProcess:
-    """An entry host as a process of its own."""
-
-    def __init__(self, *, name, data_centre, ip, store, seeds, folder):
-        self.name = name
-        self.ip = ip
-        self._log = folder / f"{name}.log"
-        self._settings = folder / f"{name}.toml"
-        self._settings.write_text(
-            f'[host]\nname = "{name}"\ndata_centre = "{data_centre}"\nip = "{ip}"\n'
-            f'caller_address = "{ip}:{CALLER_PORT}"\n'
-            f'ready_address = "{ip}:{READY_PORT}"\n'
-            f"peer_port = {PEER_PORT}\nmetrics_port = {METRICS_PORT}\n"
-            f"seeds = {seeds!r}\n".replace("'", '"')
-            + f'[platform]\naddress = "{store}"\n[bounds]\nshutdown_ms = 3000\n'
-        )
-        self.process = None
-
-    def start(self):
-        with self._log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "launch.py")],
-                env={**os.environ, "ROSEMARYSTREAM_SETTINGS": str(self._settings)},
-                stdout=log,
-                stderr=log,
-            )
-
-    def send(self, number):
-        if self.process.poll() is None:
-            os.kill(self.process.pid, number)
-
-    def restart(self, number):
-        """End the process and start another, unless that is under way already."""
-        ending = self.process
-        self.send(number)
-        wait_until(lambda: ending.poll() is not None, seconds=15.0)
-        if self.process is ending:
-            self.start()
-
-    def is_ready(self):
-        try:
-            return get(self.ip, READY_PORT, "/v1/readyz").status == 200
-        except OSError:
-            return False
-
-
 class Soak:
     """Everything that runs during one soak."""
 
--- /dev/null
+++ b/tests/unit/test_gateway_logs.py
@@ -0,0 +1,98 @@
+"""Log lines of an entry host: form, size and a reader that is too slow."""
+
+import os
+
+import gevent
+import logbook
+import msgspec
+import pytest
+
+from rosemarystream._internal.gateway.logs import (
+    MAX_LINE_BYTES,
+    MAX_LINES,
+    QueuedLinesHandler,
+    write_line,
+)
+from rosemarystream._internal.models.lines import (
+    LINES,
+    LogLine,
+    ServerRemoved,
+    ServersListed,
+    StoreLost,
+)
+
+log = logbook.Logger("rosemarystream._internal.gateway.tested")
+
+
+@pytest.fixture
+def pipe():
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+@pytest.fixture
+def handler(pipe):
+    handler = QueuedLinesHandler(host="h1", level="info", descriptor=pipe[1])
+    with handler.applicationbound():
+        yield handler
+
+
+def read_all(pipe, handler):
+    handler.flush_lines()
+    return [msgspec.json.decode(x) for x in os.read(pipe[0], 1_000_000).splitlines()]
+
+
+def test_a_line_has_its_head_and_its_fields(pipe, handler):
+    write_line(log, ServerRemoved(server="e1", revision=7))
+    (line,) = read_all(pipe, handler)
+    assert line.pop("time")
+    assert line == {
+        "level": "info",
+        "host": "h1",
+        "logger": "tested",
+        "message": "server removed",
+        "server": "e1",
+        "revision": 7,
+    }
+
+
+def test_a_long_line_is_cut(pipe, handler):
+    write_line(log, StoreLost(watched="x", error="e" * 100_000))
+    write_line(
+        log, ServersListed(news=[f"server-{n}" for n in range(9_000)], revision=1)
+    )
+    for line in read_all(pipe, handler):
+        assert len(msgspec.json.encode(line)) < MAX_LINE_BYTES
+
+
+def test_the_count_of_lines_left_out_is_a_line(pipe, handler):
+    for number in range(StoreLost.limit_per_s + 20):
+        write_line(log, StoreLost(watched=str(number), error=""))
+    handler._note_counts()
+    *lines, note = read_all(pipe, handler)
+    assert len(lines) == StoreLost.limit_per_s
+    assert note["message"] == "lines left out"
+    assert note["counts"] == {"store lost": 20}
+    assert handler.left_out == 20
+
+
+def test_a_reader_that_does_not_read_costs_lines_only(handler, monkeypatch):
+    monkeypatch.setattr(StoreLost, "limit_per_s", 10 * MAX_LINES)
+    writer = gevent.spawn(handler.write_lines)
+    with gevent.Timeout(5):
+        for number in range(3 * MAX_LINES):
+            write_line(log, StoreLost(watched=str(number), error="e" * 100))
+            gevent.sleep(0)
+        handler.flush_at_end()
+    writer.kill()
+    assert handler.left_out > 0
+    assert len(handler._lines) <= MAX_LINES + 1
+
+
+@pytest.mark.parametrize("kind", LINES.values(), ids=LINES)
+def test_no_field_hides_one_of_the_head(kind):
+    head = {"time", "level", "host", "logger", "message", "exception"}
+    assert not head & {field.name for field in msgspec.structs.fields(kind)}
+    assert issubclass(kind, LogLine)
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -1,9 +1,15 @@
 """Settings of an entry host are checked whole."""
 
+import subprocess
+import sys
+
 import pytest
 
 from rosemarystream._internal.exceptions import SettingsError
-from rosemarystream._internal.gateway.settings import load_gateway_settings
+from rosemarystream._internal.gateway.settings import (
+    list_changes,
+    load_gateway_settings,
+)
 
 GOOD = """
 [host]
@@ -40,6 +46,31 @@
     message = str(error.value)
     for part in ("host.peer_port", "host.ip: missing", "host.colour: unknown", "extra"):
         assert part in message
+    assert f"{tmp_path / 'gateway.toml'}:8: host.peer_port: Expected `int`" in message
+
+
+def test_changes_are_named_with_old_and_new_value(tmp_path):
+    old = load(tmp_path, GOOD)
+    new = load(tmp_path, GOOD + "[bounds]\nload_multiple = 1.5\n")
+    assert [str(change) for change in list_changes(old, new)] == [
+        "bounds.load_multiple: 2.0 to 1.5"
+    ]
+    assert list_changes(old, old) == []
+
+
+def test_the_command_names_three_mistakes(tmp_path):
+    path = tmp_path / "gateway.toml"
+    text = GOOD.replace("peer_port = 7002", "peer_port = 70020")
+    path.write_text(text.replace('name = "h1"', 'nam = "h1"'))
+    command = [sys.executable, "-m", "rosemarystream", "config", "check", str(path)]
+    ended = subprocess.run(
+        [*command, "--gateway"], capture_output=True, text=True, check=False
+    )
+    assert ended.returncode == 2
+    mistakes = ended.stderr.splitlines()
+    assert len(mistakes) == 3
+    for mistake, part in zip(sorted(mistakes), ("name", "nam:", "65535"), strict=True):
+        assert part in mistake
 
 
 def test_a_file_that_is_missing_is_named(tmp_path):
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -59,3 +59,11 @@
     health.note_silent_place("far", "s2", 0.0)
     health.note_heard_place("far")
     assert not health.is_doubted("far", 0.1)
+
+
+def test_being_left_alone_and_its_end_are_told_once():
+    health = ServerHealth()
+    assert health.note_unreachable("e1", 10.0) > 0
+    assert health.note_unreachable("e1", 10.1) == 0.0
+    assert health.note_outcome("e1", failed=False, now=11.0)
+    assert not health.note_outcome("e1", failed=False, now=11.1)
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -59,3 +59,11 @@
     table.end(1)
     assert table.sum_all(0.0).counts == {}
     assert table.sum_all(0.0).reading == {}
+
+
+def test_the_age_of_others_counts_is_that_of_the_newest():
+    table = LoadTable()
+    assert table.measure_age(5.0) == 0.0
+    table.accept_host("h2", Report(1, 4.0, {}))
+    table.accept_others("h3", Report(1, 4.75, {}))
+    assert table.measure_age(5.0) == 0.25
--- a/tests/unit/test_neighbours.py
+++ b/tests/unit/test_neighbours.py
@@ -84,3 +84,13 @@
     view = make_views(5.0)[NAMES[0]]
     view.hear_host(NAMES[1], "a", "10.0.9.9", 5.0)
     assert view.find(NAMES[1]).ip == "10.0.9.9"
+
+
+def test_a_host_that_falls_silent_and_returns_is_told_once_each():
+    neighbours = Neighbours(name="a1", data_centre="a")
+    neighbours.hear_host("a2", "a", "10.0.0.2", 1.0)
+    assert [host.name for host in neighbours.take_changes(1.0).found] == ["a2"]
+    assert neighbours.take_changes(1.5) == ([], [])
+    assert [host.name for host in neighbours.take_changes(3.0).lost] == ["a2"]
+    neighbours.hear_host("a2", "a", "10.0.0.2", 4.0)
+    assert [host.name for host in neighbours.take_changes(4.0).found] == ["a2"]
--- /dev/null
+++ b/tests/unit/test_operators_pages.py
@@ -0,0 +1,26 @@
+"""Pages that are made from the code agree with it."""
+
+import re
+from pathlib import Path
+
+from rosemarystream._internal.operators.pages import describe_lines, describe_metrics
+
+ROOT = Path(__file__).parents[2]
+PAGES = ROOT / "docs" / "operators"
+GATEWAY = ROOT / "src" / "rosemarystream" / "_internal" / "gateway"
+REMAKE = "run python -m rosemarystream._internal.operators.pages docs/operators"
+
+
+def test_the_page_of_log_lines_is_current():
+    assert (PAGES / "logs.md").read_text(encoding="utf-8") == describe_lines(), REMAKE
+
+
+def test_the_page_of_metrics_is_current():
+    page = (PAGES / "metrics.md").read_text(encoding="utf-8")
+    assert page == describe_metrics(), REMAKE
+
+
+def test_the_gateway_logs_lines_of_known_kinds_only():
+    untyped = re.compile(r"\blog\.(debug|info|notice|warning|error|exception)\(")
+    for path in GATEWAY.glob("*.py"):
+        assert not untyped.search(path.read_text(encoding="utf-8")), path.name
--- a/tests/unit/test_retry_budget.py
+++ b/tests/unit/test_retry_budget.py
@@ -32,3 +32,11 @@
 def test_a_quiet_host_may_still_repeat():
     budget = RetryBudget(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
     assert budget.take(1.0, hosts=8)
+
+
+def test_what_is_left_of_the_budget_is_told():
+    budget = RetryBudget(ratio=0.2, window_s=10.0, slack=10)
+    assert budget.count_left(0.0, hosts=1) == 8.5
+    assert budget.take(0.0, hosts=1)
+    assert budget.count_left(0.0, hosts=1) == 7.5
+    assert budget.count_left(11.0, hosts=1) == 8.5
