Walks with trace, clear reasons of broken answers, cheaper logs in a flood

Cause: reasons of broken answers quoted the HTTP library; a line cost a write call of its own; 250 lines a second of one outcome are more than a flood needs.

Change: 'closed before its answer was whole'; lines gather for 50 ms; 100 lines a second of one kind and outcome. Three functional tests follow a refusal, a cut stream and an unknown outcome from the request id to the server.

--- a/bench/logs.py
+++ b/bench/logs.py
@@ -16,9 +16,9 @@
 
 CALLERS = 4
 # Requests of one caller to one host, and pauses between them.
-FLOOD_REQUESTS, FLOOD_PAUSE_S = 3_000, 0.0
-QUIET_REQUESTS, QUIET_PAUSE_S = 400, 0.02
-ROUNDS = 12
+FLOOD_REQUESTS, FLOOD_PAUSE_S = 1_600, 0.0
+QUIET_REQUESTS, QUIET_PAUSE_S = 160, 0.02
+ROUNDS = 40
 NS_PER_S = 1e9
 
 
@@ -55,6 +55,14 @@
     caller.close()
 
 
+def list_turns(hosts: list[HostProcess], rounds: int) -> list[HostProcess]:
+    """Return the hosts in turns, the first one last in every second round."""
+    turns: list[HostProcess] = []
+    for number in range(rounds):
+        turns += hosts if number % 2 else reversed(hosts)
+    return turns
+
+
 def measure(
     hosts: list[HostProcess], pattern: str, path: str, count: int, pause_s: float
 ) -> LogCost:
@@ -62,8 +70,7 @@
     logged, silent = hosts
     used = {host.name: 0.0 for host in hosts}
     size = logged.log.stat().st_size
-    for turn in range(2 * ROUNDS):
-        host = hosts[turn % 2]
+    for host in list_turns(hosts, ROUNDS):
         before = read_processor_s(host.process.pid)
         gevent.joinall(
             [
--- a/src/rosemarystream/_internal/gateway/logs.py
+++ b/src/rosemarystream/_internal/gateway/logs.py
@@ -23,6 +23,8 @@
 MAX_LINES = 2_000
 MAX_LINE_BYTES = 4_096
 MAX_LIST_ITEMS = 40
+# Time for which lines gather before they are written.
+GATHER_S = 0.05
 # Time between two lines that count what was left out.
 NOTE_S = 1.0
 # Time that the last lines are given at the end of the process.
@@ -120,6 +122,8 @@
         """Write queued lines for ever."""
         while True:
             self._waiting.wait()
+            # Lines that come together are written in one call.
+            gevent.sleep(GATHER_S)
             self._waiting.clear()
             self.flush_lines()
 
--- a/src/rosemarystream/_internal/models/lines.py
+++ b/src/rosemarystream/_internal/models/lines.py
@@ -11,7 +11,7 @@
 
 # Lines a second of one kind that a host writes at most; more are counted.
 LINES_PER_S = 50
-REQUEST_LINES_PER_S = 250
+REQUEST_LINES_PER_S = 100
 
 
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -28,8 +28,9 @@
 
 log = Logger(__name__)
 
-# Time before a request from which lines of its host are shown too.
-CONTEXT_S = 5.0
+# Time before and after a request from which lines of its host are shown too.
+BEFORE_S = 5.0
+AFTER_S = 1.0
 # Kinds of lines that explain a request though they don't name it.
 CONTEXT_KINDS = frozenset(
     {
@@ -160,8 +161,7 @@
     hosts = {line.host for line in lines}
     servers = {line.raw.get("server") for line in lines}
     servers.update(*(line.raw.get("tried", ()) for line in lines))
-    begin = _find_begin(lines)
-    end = lines[-1].time
+    begin, end = _find_span(lines)
     found = [
         line
         for line in read_lines(paths)
@@ -173,11 +173,12 @@
     return sorted(found, key=lambda line: line.time)
 
 
-def _find_begin(lines: Sequence[LoggedLine]) -> str:
-    first = datetime.fromisoformat(lines[0].time)
+def _find_span(lines: Sequence[LoggedLine]) -> tuple[str, str]:
     took_ms = max(line.raw.get("ms", 0.0) for line in lines)
-    begin = first - timedelta(milliseconds=took_ms) - timedelta(seconds=CONTEXT_S)
-    return begin.isoformat(timespec="milliseconds")
+    begin = datetime.fromisoformat(lines[0].time) - timedelta(milliseconds=took_ms)
+    end = datetime.fromisoformat(lines[-1].time) + timedelta(seconds=AFTER_S)
+    begin -= timedelta(seconds=BEFORE_S)
+    return tuple(x.isoformat(timespec="milliseconds") for x in (begin, end))
 
 
 def summarize(
@@ -188,7 +189,7 @@
     if ended is None:
         return _summarize_unended(request, lines)
     parts = [_tell_end(ended.host, ended.line), *_tell_attempts(lines)]
-    if ended.line.reason:
+    if ended.line.reason and not any(ended.line.reason in part for part in parts):
         parts.append(f"the reason given: {ended.line.reason}")
     parts += _tell_context(context)
     return "; ".join(parts) + "."
--- a/src/rosemarystream/_internal/utils/connection.py
+++ b/src/rosemarystream/_internal/utils/connection.py
@@ -199,17 +199,21 @@
 
     def _read_event(self, deadline: float) -> object:
         assert self._socket is not None
+        closed = False
         while True:
             try:
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
                 self._socket.settimeout(max(MIN_WAIT_S, deadline - self._clock()))
-                self._protocol.receive_data(self._socket.recv(READ_BYTES))
+                data = self._socket.recv(READ_BYTES)
+                closed = not data
+                self._protocol.receive_data(data)
             except OSError as error:
                 raise self._convert(error) from error
             except h11.ProtocolError as error:
-                raise BrokenError(f"{self.address}: {error}") from error
+                what = "closed before its answer was whole" if closed else error
+                raise BrokenError(f"{self.address}: {what}") from error
 
     def _convert(self, error: OSError) -> BrokenError:
         # gevent's own timeouts have no number; the kernel's have.
--- a/tests/functional/test_entry_operations.py
+++ b/tests/functional/test_entry_operations.py
@@ -12,9 +12,15 @@
 from rosemarystream._internal.cli.host import describe_state
 from rosemarystream._internal.gateway.metrics import StatsdSender
 from rosemarystream._internal.operators.tracing import read_lines, trace_request
+from standins.backend_server import Fault
 from tests.lib.entry_world import KEY, METRICS_PORT, Caller, World, get, wait_until
 from tests.lib.host_process import HostProcess
 
+STREAM_HEADERS = (
+    ("X-Rosemarystream-Model", "m"),
+    ("X-Rosemarystream-Prompt-Prefix", "a:9,b:1"),
+)
+
 
 @pytest.fixture
 def world():
@@ -154,6 +160,51 @@
     assert KEY not in host.log.read_text()
 
 
+def trace_in(host, request_id):
+    wait_until(lambda: trace_request(request_id, [host.log]).lines)
+    return trace_request(request_id, [host.log])
+
+
+def call(host, path, **changes):
+    caller = Caller(host.ip)
+    request_id = caller.send(path, **changes)
+    reply = caller.read()
+    caller.close()
+    return request_id, reply
+
+
+def test_a_refusal_is_traced_to_servers_that_cannot_be_reached(world, start):
+    host = start()
+    world.servers["p1"].stop()
+    request_id, reply = call(host, "/book/1")
+    assert reply.status == 503
+    trace = trace_in(host, request_id)
+    assert "ended it as no_backend, status 503" in trace.summary
+    assert "has not run and never will; p1 could not be reached" in trace.summary
+    assert "server set aside" in [line.message for line in trace.context]
+
+
+def test_a_stream_that_ends_early_is_traced_to_its_server(world, start):
+    host = start()
+    world.servers["e1"].faults = [Fault.CUT]
+    request_id, reply = call(host, "/brief/1", headers=STREAM_HEADERS)
+    assert not reply.complete
+    trace = trace_in(host, request_id)
+    assert "ended it as stream_broken, status 200" in trace.summary
+    assert "e1 broke off" in trace.summary
+    assert "closed before its answer was whole" in trace.summary
+
+
+def test_an_unknown_outcome_is_traced_to_the_server_that_may_have_run_it(world, start):
+    host = start()
+    world.servers["p1"].faults = [Fault.CLOSE]
+    request_id, reply = call(host, "/book/1")
+    assert reply.status == 502
+    trace = trace_in(host, request_id)
+    assert "it may have run; the records of p1 tell" in trace.summary
+    assert [run.request_id for run in world.servers["p1"].runs] == [request_id]
+
+
 def test_a_blocked_standard_output_harms_no_request(start):
     # Nobody reads the pipe; it holds some 64 KiB, about 150 lines.
     host = start(stdout=subprocess.PIPE)
