--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -166,7 +166,9 @@
         self._fleet.begin_reading(placement, self._call)
         self._reading = placement
         try:
-            return self._run_attempt(attempt, route)
+            outcome = self._run_attempt(attempt, route)
+            self.sends += 1
+            return outcome
         except NotRunError as error:
             self._note_not_run(attempt, error)
             self._check_retry(route, service, sent=error.sent, reason=str(error))
--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -191,7 +191,8 @@
     parts = [_tell_end(ended.host, ended.line), *_tell_attempts(lines)]
     if ended.line.reason and not any(ended.line.reason in part for part in parts):
         parts.append(f"the reason given: {ended.line.reason}")
-    parts += _tell_context(context)
+    if ended.line.outcome != "answered":
+        parts += _tell_context(context)
     return "; ".join(parts) + "."
 
 
