Copy the memory of shared prompt parts instead of reading them again

Change: choose_source names a server that holds more of the prompt than the one that takes the request; its address goes along, and the server copies. Sources drain as well, and count 0.6 s after they were first sent a part. The request's line names the source.

Ruled out: counting copied tokens for 0.2 or 0.5 of read ones when placing (up to twice the bytes moved, callers no better); copies from any holder at once (slow when that one is still reading: 5,450 tokens in 793 ms against 3,231 in 26).

--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -27,10 +27,19 @@
 
 
 class _Holding(NamedTuple):
-    """When a server last used a part, and when hosts were last told so."""
+    """When a server last used a part.
+
+    Attributes
+    ----------
+    told_at : float
+        When other hosts were last told so.
+    since : float
+        When it began to read the part.
+    """
 
     used_at: float
     told_at: float
+    since: float
 
 
 def number_part(model: str, part: PromptPart) -> int:
@@ -38,7 +47,7 @@
     return number_name(f"{model}/{part.name}")
 
 
-_NEVER = _Holding(-inf, -inf)
+_NEVER = _Holding(-inf, -inf, inf)
 
 
 class ContextMap:
@@ -73,7 +82,12 @@
         self._holders.move_to_end(part)
         known = holders.get(server, _NEVER)
         news = now - known.told_at > FRESH_S
-        holders[server] = _Holding(now, now if news else known.told_at)
+        kept = now - known.used_at <= LIFE_S
+        holders[server] = _Holding(
+            used_at=now,
+            told_at=now if news else known.told_at,
+            since=known.since if kept else now,
+        )
         if len(self._holders) > MAX_PARTS:
             self._holders.popitem(last=False)
         return news
@@ -105,13 +119,22 @@
         parts: Sequence[PromptPart],
         servers: Iterable[int],
         now: float,
+        *,
+        held_for_s: float = 0.0,
     ) -> dict[int, int]:
-        """Return the tokens of a prompt that each server has yet to read."""
+        """Return the tokens of a prompt that each server has yet to read.
+
+        Parameters
+        ----------
+        held_for_s : float
+            Only parts count as read that a server began to read so long ago.
+        """
         held = [
             (part.tokens, self._holders.get(number_part(model, part), {}))
             for part in reversed(parts)
         ]
-        return {server: _count_unread(held, server, now) for server in servers}
+        since = now - held_for_s
+        return {server: _count_unread(held, server, now, since) for server in servers}
 
     def count_unread(
         self, model: str, parts: Sequence[PromptPart], server: int, now: float
@@ -126,7 +149,10 @@
 
 
 def _count_unread(
-    held: Sequence[tuple[int, Mapping[int, _Holding]]], server: int, now: float
+    held: Sequence[tuple[int, Mapping[int, _Holding]]],
+    server: int,
+    now: float,
+    since: float,
 ) -> int:
     """Count the tokens after the last part that a server holds.
 
@@ -137,7 +163,8 @@
     """
     unread = 0
     for tokens, holders in held:
-        if now - holders.get(server, _NEVER).used_at <= LIFE_S:
+        holding = holders.get(server, _NEVER)
+        if now - holding.used_at <= LIFE_S and holding.since <= since:
             break
         unread += tokens
     return unread
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -33,6 +33,10 @@
 # Cost of each step away from the first home, for prompts no server holds yet.
 STRAY_MS = 4.0
 MAX_STRAYS = 5
+# Tokens from which a copy of what another server holds goes before reading.
+LEAST_COPY_TOKENS = 64
+# Time after which a server has read what it was sent, so that it can be copied.
+READ_S = 0.6
 # Age at which a server has settled, whatever the age of the others.
 SETTLED_MS = 600_000.0
 # Part of the oldest server's age at which another one has settled.
@@ -117,6 +121,8 @@
         Load of the home.
     counts_age_s : float
         Age of what other hosts had told of the load, in seconds.
+    source : Endpoint or None
+        Server from which it copies what that one holds of the prompt.
     """
 
     endpoint: Endpoint
@@ -128,6 +134,7 @@
     home_requests: int = 0
     home_reading: int = 0
     counts_age_s: float = 0.0
+    source: Endpoint | None = None
 
 
 def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
@@ -195,6 +202,27 @@
     return min(names, key=costs.__getitem__)
 
 
+def choose_source(unread: Mapping[int, int], tokens: int) -> int | None:
+    """Return the server to copy the memory of a prompt from.
+
+    Answers a prompt whose holders are full, or about to leave: the server that
+    takes the request need not read all of it. None if a copy isn't worth it.
+
+    Parameters
+    ----------
+    unread : mapping of int to int
+        Tokens of the prompt that other servers don't hold, by their numbers.
+    tokens : int
+        Tokens that the server which takes the request doesn't hold.
+    """
+    if not unread:
+        return None
+    source = min(unread, key=lambda number: (unread[number], number))
+    if tokens - unread[source] < LEAST_COPY_TOKENS:
+        return None
+    return source
+
+
 def place_by_load(
     endpoints: Sequence[Endpoint],
     *,
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -96,9 +96,15 @@
         workspace: str | None,
         level: int,
         resume_after: bytes,
+        source: str | None,
     ) -> None:
         """Send the request.
 
+        Parameters
+        ----------
+        source : str or None
+            Address of a server from which the prompt's memory is copied.
+
         Raises
         ------
         NotRunError
@@ -121,6 +127,7 @@
             workspace=workspace,
             level=level,
             resume_after=resume_after,
+            source=source,
         )
         try:
             connection.send(self._call.method, self._call.target, headers, body)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -257,6 +257,7 @@
             workspace=self.workspace,
             level=self.priority,
             resume_after=self._last_event,
+            source=self._find_source(),
         )
         limit = limit_attempt(
             route, now=self._clock(), deadline=self._deadline, more_attempts=more
@@ -274,6 +275,11 @@
             raise OutcomeUnknownError("a stream can't go on as an answer")
         return self._pass_body(attempt, head)
 
+    def _find_source(self) -> str | None:
+        assert self.placement is not None
+        source = self.placement.source
+        return source.address if source else None
+
     def _pass_body(self, attempt: Attempt, head: AnswerHead) -> str:
         pieces: list[bytes] = []
         size = 0
--- a/src/rosemarystream/_internal/gateway/fleet.py
+++ b/src/rosemarystream/_internal/gateway/fleet.py
@@ -12,11 +12,14 @@
 from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.neighbours import Neighbours
 from rosemarystream._internal.decisions.placement import (
+    LEAST_COPY_TOKENS,
+    READ_S,
     ContextLoad,
     Placement,
     bound_load,
     choose_home,
     choose_shared_parts,
+    choose_source,
     place_by_context,
     place_by_load,
     presume_held,
@@ -227,8 +230,31 @@
             home_requests=at_home.requests,
             home_reading=at_home.reading,
             counts_age_s=self._loads.measure_age(now),
+            source=self._find_source(call, endpoint, met.unread, now),
         )
 
+    def _find_source(
+        self, call: Call, endpoint: Endpoint, unread: int, now: float
+    ) -> Endpoint | None:
+        """Return a server that holds more of a prompt than the one that takes it.
+
+        One that drains serves as well: it has its memory until it is gone.
+        """
+        if unread - call.parts[-1].tokens < LEAST_COPY_TOKENS:
+            return None
+        others = {
+            other.number: other
+            for other in self.replica.list_endpoints()
+            if other.service == endpoint.service
+            and other.name != endpoint.name
+            and not self._is_silent(other, now)
+        }
+        held = self.contexts.list_unread(
+            call.model, call.parts, others, now, held_for_s=READ_S
+        )
+        source = choose_source(held, unread)
+        return None if source is None else others[source]
+
     def begin_reading(self, placement: Placement, call: Call) -> None:
         """Count a prompt that a server has to read."""
         if not call.parts:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -110,5 +110,6 @@
         "bound": placement.bound,
         "reading": placement.reading,
         "unread": placement.unread,
+        "source": placement.source.name if placement.source else None,
         "counts_age_ms": _round_ms(placement.counts_age_s),
     }
--- a/src/rosemarystream/_internal/models/lines.py
+++ b/src/rosemarystream/_internal/models/lines.py
@@ -60,6 +60,8 @@
         Prompt tokens it had yet to read for others, and of this request.
     counts_age_ms : float
         Age of what other hosts had told of that.
+    source : str or None
+        Server that it was told to copy the memory of the prompt from.
     home, home_requests, home_reading : str or None, int, int
         Server that is first choice for the prompt, and its load.
     version, revision : int
@@ -91,6 +93,7 @@
     reading: int = 0
     unread: int = 0
     counts_age_ms: float = 0.0
+    source: str | None = None
     home: str | None = None
     home_requests: int = 0
     home_reading: int = 0
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -16,6 +16,7 @@
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-rosemarystream-model"
 URGENCY = b"x-rosemarystream-request-priority"
+COPY_FROM = b"kv-fetch"
 KEY = b"api-key"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -48,7 +49,7 @@
         b"x-rosemarystream-kv-backup",
         b"x-rosemarystream-expect-version",
         b"kv-from",
-        b"kv-fetch",
+        COPY_FROM,
     }
 )
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {SERVER_LOAD}
@@ -133,14 +134,23 @@
     workspace: str | None,
     level: int,
     resume_after: bytes,
+    source: str | None,
 ) -> Headers:
-    """Return the headers of a request to a server, without its framing."""
+    """Return the headers of a request to a server, without its framing.
+
+    Parameters
+    ----------
+    source : str or None
+        Address of a server from which memory of the prompt is copied.
+    """
     headers = list(call.headers)
     headers.append((DEADLINE, b"%d" % max(1, int(wait_s * _MS_PER_S))))
     headers.append((EXPECTED_SERVER, server.encode("latin-1")))
     headers.append((URGENCY, b"%d" % min(max(level, 0), MAX_URGENCY)))
     if workspace is not None:
         headers.append((WORKSPACE, workspace.encode("latin-1")))
+    if source is not None:
+        headers.append((COPY_FROM, source.encode("latin-1")))
     if resume_after:
         headers.append((RESUME_AFTER, resume_after))
     return headers
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from rosemarystream._internal.decisions.placement import READ_S
 from standins.backend_server import Fault
 from tests.lib.entry_world import Caller, World, wait_until
 
@@ -234,3 +235,16 @@
     for _ in range(4):
         assert host.call("/look/1").status == 200
     assert host.is_ready()
+
+
+def test_a_prompt_is_copied_from_a_server_that_drains(world, host):
+    assert host.call("/chat/1", headers=STREAM).status == 200
+    first = next(name for name, server in world.servers.items() if server.runs)
+    gevent.sleep(READ_S)
+    drained = world.servers[first]
+    world.store.write("servers", first, drained.describe("draining", seq=2))
+    wait_until(lambda: first not in host.gateway.list_servers("engines"))
+    long = (STREAM[0], ("X-Rosemarystream-Prompt-Prefix", "a:900,c:1"))
+    assert host.call("/chat/2", headers=long).status == 200
+    run = list_runs(world)[-1]
+    assert run.headers[b"kv-fetch"] == drained.address.encode()
--- a/tests/unit/test_context_map.py
+++ b/tests/unit/test_context_map.py
@@ -71,3 +71,17 @@
     contexts.note_use([A], S1, 0.0)
     contexts.forget_server(S1)
     assert contexts.count_unread("m", PARTS, S1, 0.1) == 9000
+
+
+def test_a_part_that_is_still_being_read_is_not_there_to_be_copied():
+    contexts = ContextMap()
+    parts = [PromptPart("a", 900), PromptPart("own", 50)]
+    numbers = [number_part("m", part) for part in parts[:1]]
+    contexts.note_use(numbers, 1, 10.0)
+    contexts.note_use(numbers, 1, 10.3)
+
+    def list_unread(now):
+        return contexts.list_unread("m", parts, [1], now, held_for_s=0.6)
+
+    assert list_unread(10.4) == {1: 950}
+    assert list_unread(10.7) == {1: 50}
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,9 +3,11 @@
 from collections import Counter
 
 from rosemarystream._internal.decisions.placement import (
+    LEAST_COPY_TOKENS,
     ContextLoad,
     bound_load,
     choose_home,
+    choose_source,
     place_by_context,
     place_by_load,
     presume_held,
@@ -128,3 +130,12 @@
     )
     assert chosen["far"] == 0
     assert min(chosen["s1"], chosen["s2"]) > 20
+
+
+def test_a_prompt_is_copied_from_the_server_that_holds_most_of_it():
+    assert choose_source({1: 9_000, 2: 400, 3: 900}, 9_000) == 2
+
+
+def test_a_few_tokens_are_read_rather_than_copied():
+    assert choose_source({1: 400}, 400 + LEAST_COPY_TOKENS - 1) is None
+    assert choose_source({}, 9_000) is None
