--- a/tests/functional/test_binary.py
+++ b/tests/functional/test_binary.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from tests.lib import entry_world
 from tests.lib.callers import Caller
 from tests.lib.fleets import start_fleet
+from tests.lib.host_process import HostProcess
 
 ROOT = Path(__file__).parents[2]
 BINARY = ROOT / "dist" / "rosemarystream"
@@ -36,6 +38,35 @@
     assert ended.returncode == 0, ended.stdout + ended.stderr
 
 
+def list_children(pid):
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return "".join((task / "children").read_text() for task in tasks).split()
+
+
+def test_the_binary_runs_an_entry_host_in_the_process_that_was_started(tmp_path):
+    world = entry_world.World()
+    world.add_server("p1")
+    host = HostProcess(
+        name="h1",
+        data_centre="a",
+        ip=f"{world.net}.200",
+        store=world.store.address,
+        seeds=[],
+        folder=tmp_path,
+        program=[str(BINARY), "gateway", "--settings", str(tmp_path / "h1.toml")],
+    )
+    host.start()
+    try:
+        entry_world.wait_until(host.is_ready, seconds=30)
+        caller = entry_world.Caller(host.ip)
+        assert caller.call("/look/1").status == 200
+        caller.close()
+        assert list_children(host.process.pid) == []
+    finally:
+        host.stop()
+        world.stop()
+
+
 def test_the_binary_starts_no_other_process(monkeypatch):
     monkeypatch.setattr("standins.fleet.HOST_PROGRAM", [str(BINARY)])
     fleet = start_fleet(hosts={"h1": "dc1"})
@@ -44,9 +75,7 @@
         caller = Caller(workspace="depot")
         caller.send_turn(host.address, chat="c1")
         caller.check_answers()
-        tasks = Path(f"/proc/{host.child.pid}/task")
-        children = [(task / "children").read_text() for task in tasks.iterdir()]
-        assert not "".join(children).strip()
+        assert list_children(host.child.pid) == []
         executable = Path(f"/proc/{host.child.pid}/exe").resolve()
         assert executable == BINARY
     finally:
--- a/tests/lib/host_process.py
+++ b/tests/lib/host_process.py
@@ -22,7 +22,17 @@
     """An entry host as a process of its own."""
 
     def __init__(
-        self, *, name, data_centre, ip, store, seeds, folder, more="", stdout=None
+        self,
+        *,
+        name,
+        data_centre,
+        ip,
+        store,
+        seeds,
+        folder,
+        more="",
+        stdout=None,
+        program=(sys.executable, str(ROOT / "deploy" / "launch.py")),
     ):
         self.name = name
         self.ip = ip
@@ -38,12 +48,13 @@
             + more
         )
         self.process = None
+        self._program = program
         self._stdout = stdout
 
     def start(self):
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "launch.py")],
+                [*self._program],
                 env={**os.environ, "ROSEMARYSTREAM_SETTINGS": str(self.settings)},
                 stdout=self._stdout or log,
                 stderr=log,
