Bound every read of bytes that may have no end

Cause: a read that always finds data never yields, so no timeout fires and other greenlets stand still; bodies of refusals, kept failures and late answers were read whole, an event without its blank line was searched anew at each piece, blank lines before a request and the bytes after a refused one were read without end. A refused body stayed in memory while the host lingered (frames of the traceback). A stalled resumable stream that sent a byte now and then was never moved: each piece moved the stall timeout.

Change: LoopShare pauses a greenlet after 1 ms without the loop; the deadline is checked at each step, with 0.1 s more for bytes that have arrived; bounds on 1xx heads, discarded and kept bodies, events, store answers, pulled frames, blank lines, wire bytes of a body, and on the bodies that a host holds at once (64 MB).

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -21,7 +21,9 @@
     encode_call,
 )
 from rosemarystream._internal.utils.http_connection import (
+    MAX_DISCARDED_BYTES,
     AnswerTimeoutError,
+    AnswerTooLongError,
     ClientConnection,
     ConnectionBrokenError,
     ServerUnreachableError,
@@ -29,6 +31,8 @@
 
 # Answers read per attempt; late answers to earlier requests are skipped.
 MAX_SKIPPED_ANSWERS = 3
+# Time in which the rest of a refusal is read, so that its connection stays usable.
+DISCARD_TIMEOUT_S = 0.1
 
 
 class NotRunError(RefusedError):
@@ -173,18 +177,28 @@
             raise _convert(error) from error
         self._head = head
         if head.not_run:
-            self._discard_answer(deadline)
-            raise NotRunError(f"turned away with {head.status}", sent=True)
+            rest = self._discard_answer(
+                min(deadline, self._clock() + DISCARD_TIMEOUT_S)
+            )
+            raise NotRunError(f"turned away with {head.status}{rest}", sent=True)
         if head.is_encoded or not head.is_sealed or head.request_id == "":
             raise OutcomeUnknownError(f"answer {head.status} is not the server's own")
         return head
 
-    def _discard_answer(self, deadline: float) -> None:
-        """Read the rest of an unwanted answer, so that the connection stays usable."""
+    def _discard_answer(self, deadline: float) -> str:
+        """Read the rest of a refusal, so that the connection stays usable.
+
+        Returns
+        -------
+        str
+            Why the connection had to be closed; the refusal is valid all the same.
+        """
         try:
-            self.read_body(deadline)
-        except OutcomeUnknownError:
+            self.read_body(deadline, max_bytes=MAX_DISCARDED_BYTES)
+        except OutcomeUnknownError as error:
             self.close()
+            return f"; the rest was not read: {error}"
+        return ""
 
     def read_piece(self, deadline: float) -> bytes | None:
         """Return the next piece of the body, or None once it is complete.
@@ -209,9 +223,22 @@
                 self._pool.put(self.endpoint, connection, keep_alive_s=keep_alive_s)
         return piece
 
-    def read_body(self, deadline: float) -> bytes:
-        """Return the whole body; raises as `read_piece` does."""
-        return b"".join(iter(lambda: self.read_piece(deadline), None))
+    def read_body(self, deadline: float, *, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If it is longer than `max_bytes`, or as `read_piece` does.
+        """
+        body = bytearray()
+        while (piece := self.read_piece(deadline)) is not None:
+            body += piece
+            if len(body) > max_bytes:
+                raise _convert(
+                    AnswerTooLongError(f"a body of over {max_bytes} bytes came")
+                )
+        return bytes(body)
 
     def close(self) -> None:
         """Close the connection if it is still open; the server cancels its work."""
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -32,6 +32,7 @@
 from rosemarystream._internal.platform.headers import AnswerHead
 from rosemarystream._internal.utils.server_sent_events import (
     EventSplitter,
+    EventTooLongError,
     find_event_id,
 )
 
@@ -324,7 +325,8 @@
         failed = head.status >= SERVER_ERROR
         if failed and has_more_attempts and route.is_repeatable:
             # Relayed to the caller if no later attempt succeeds.
-            self._failed_answer = (head, attempt.read_body(self._deadline))
+            body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
+            self._failed_answer = (head, body)
             raise OutcomeUnknownError(f"failed with {head.status}")
         if head.is_event_stream and not failed:
             return self._relay_events(attempt, head, route)
@@ -369,22 +371,27 @@
     def _relay_events(self, attempt: Attempt, head: AnswerHead, route: Route) -> str:
         splitter = EventSplitter()
         stall_s = compute_stall_timeout(route)
+        stalled_at = self._clock() + stall_s
         while True:
             attempt_deadline = self._deadline
             if route.resumable:
-                attempt_deadline = min(attempt_deadline, self._clock() + stall_s)
+                attempt_deadline = min(attempt_deadline, stalled_at)
             try:
                 piece = attempt.read_piece(attempt_deadline)
+                events = splitter.split(piece or b"")
             except OutcomeUnknownError as error:
-                if route.resumable or not self._answer.has_begun:
-                    raise
-                self._record_unknown_outcome(attempt, error)
-                raise RequestEndedError(ErrorKind.STREAM_BROKEN, str(error)) from error
+                self._check_resumable(attempt, error, route)
+                raise
+            except EventTooLongError as error:
+                unknown = OutcomeUnknownError(str(error))
+                self._check_resumable(attempt, unknown, route)
+                raise unknown from error
             if piece is None:
                 break
             self._record_first_event()
-            for event in splitter.split(piece):
-                self._relay_event(event, head)
+            # Only events that the caller gets are progress, not any bytes.
+            if any([self._relay_event(event, head) for event in events]):
+                stalled_at = self._clock() + stall_s
         if splitter.remainder:
             raise OutcomeUnknownError("the stream ended within an event")
         if not self._answer.has_begun:
@@ -393,14 +400,30 @@
         self._router.record_outcome(attempt.endpoint, failed=False)
         return "answered"
 
-    def _relay_event(self, event: bytes, head: AnswerHead) -> None:
+    def _check_resumable(
+        self, attempt: Attempt, error: OutcomeUnknownError, route: Route
+    ) -> None:
+        """Check that a stream that broke may go on at another server.
+
+        Raises
+        ------
+        RequestEndedError
+            If it may not.
+        """
+        if route.resumable or not self._answer.has_begun:
+            return
+        self._record_unknown_outcome(attempt, error)
+        raise RequestEndedError(ErrorKind.STREAM_BROKEN, str(error)) from error
+
+    def _relay_event(self, event: bytes, head: AnswerHead) -> bool:
+        """Relay an event; return False if the caller has it already."""
         identifier = find_event_id(event)
         if identifier:
             expected = self._last_event
             if expected.isdigit() and identifier.isdigit():
                 ahead = int(identifier) - int(expected)
                 if ahead <= 0:
-                    return
+                    return False
                 if ahead > 1:
                     raise OutcomeUnknownError(
                         f"event {identifier!r} came after {expected!r}"
@@ -409,3 +432,4 @@
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(event)
+        return True
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -30,6 +30,7 @@
     check_http_head,
     find_head_end,
 )
+from rosemarystream._internal.utils.loop_share import LoopShare
 
 log = Logger(__name__)
 
@@ -39,6 +40,17 @@
 MAX_PIPELINED_BYTES = 262_144
 # Time in which the rest of a refused request is read and discarded.
 LINGER_TIMEOUT_S = 0.5
+LINGER_BYTES = 1_000_000
+# Line ends that are skipped before a request.
+MAX_LEADING_BYTES = 64
+# Bytes on the wire allowed for each byte of a body, as chunks add some to each, and
+# bytes allowed besides.
+MAX_WIRE_FACTOR = 16
+EXTRA_WIRE_BYTES = 65_536
+# Bytes of request bodies that a host holds at the same time.
+MAX_HELD_BYTES = 64_000_000
+# Delay advised to a caller whose body found no room, in seconds.
+NO_ROOM_RETRY_S = 0.5
 
 
 class Request(NamedTuple):
@@ -65,8 +77,18 @@
 class _RefusedRequestError(RequestError):
     """A request is refused before it was read completely."""
 
-    def __init__(self, kind: ErrorKind, message: str) -> None:
-        super().__init__(message, kind=kind)
+    def __init__(
+        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(message, kind=kind, retry_after=retry_after_s)
+
+
+class _Refusal(NamedTuple):
+    """Error answer to a request that was not read completely."""
+
+    kind: ErrorKind
+    message: str
+    retry_after_s: float | None
 
 
 class Listener:
@@ -85,6 +107,8 @@
     leaving : bool
         Whether the host is shutting down, so that each connection is closed after
         its answer.
+    held_bytes : int
+        Bytes of request bodies that are held now, for all connections.
     """
 
     def __init__(
@@ -99,6 +123,7 @@
         self.get_limits = get_limits
         self.clock = clock
         self.leaving = False
+        self.held_bytes = 0
         self._connections: set[_CallerConnection] = set()
         self._server = StreamServer(
             split_address(address), self._serve, backlog=BACKLOG
@@ -140,6 +165,9 @@
         self._received_at = 0.0
         self.busy = False
         self._closed = False
+        self._held_bytes = 0
+        self._refusal: _Refusal | None = None
+        self._loop_share = LoopShare()
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def run(self) -> None:
@@ -147,6 +175,8 @@
         try:
             while not self._closed and self._serve_next():
                 pass
+            if self._refusal is not None:
+                self._refuse(self._refusal)
         except CallerDisconnectedError:
             pass
         except OSError as error:
@@ -167,16 +197,18 @@
         )
         try:
             request = self._read_request(protocol, limits)
+            if request is None:
+                return False
+            self.busy = True
+            return self._answer(protocol, request)
         except _RefusedRequestError as error:
-            self._refuse(error)
+            # Only its text is kept: the frames of its traceback hold the body.
+            self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
-        if request is None:
-            return False
-        self.busy = True
-        try:
-            return self._answer(protocol, request)
         finally:
             self.busy = False
+            self._listener.held_bytes -= self._held_bytes
+            self._held_bytes = 0
 
     def _answer(self, protocol: h11.Connection, request: Request) -> bool:
         self._buffer = protocol.trailing_data[0]
@@ -196,9 +228,10 @@
         self._buffer += watch.data
         return answer.is_finished and not answer.is_closing
 
-    def _refuse(self, error: _RefusedRequestError) -> None:
+    def _refuse(self, refusal: _Refusal) -> None:
         write_log_entry(
-            log, RequestRefusedEarly(kind_of_error=error.kind, reason=str(error))
+            log,
+            RequestRefusedEarly(kind_of_error=refusal.kind, reason=refusal.message),
         )
         new_protocol = h11.Connection(h11.SERVER)
         answer = AnswerWriter(
@@ -208,14 +241,28 @@
             is_leaving=lambda: True,
         )
         self._socket.settimeout(LINGER_TIMEOUT_S)
-        answer.send_error(error.kind, str(error))
-        # Closing with unread bytes would reset the connection and discard the answer.
+        answer.send_error(
+            refusal.kind, refusal.message, retry_after_s=refusal.retry_after_s
+        )
+        self._linger()
+
+    def _linger(self) -> None:
+        """Read on for a while after a refusal.
+
+        Closing with unread bytes would reset the connection and discard the answer.
+        """
+        deadline = self._listener.clock() + LINGER_TIMEOUT_S
+        received = 0
         try:
             self._socket.shutdown(socket.SHUT_WR)
-            with gevent.Timeout(LINGER_TIMEOUT_S, False):
-                while self._socket.recv(READ_BYTES):
-                    pass
+            while received < LINGER_BYTES and self._listener.clock() < deadline:
+                self._loop_share.take_step()
+                data = self._socket.recv(READ_BYTES)
+                if not data:
+                    return
+                received += len(data)
         except OSError:
+            # The caller has closed, or sends nothing more.
             return
 
     def _read_request(
@@ -240,8 +287,16 @@
     def _read_head(self, limits: CallerLimits) -> bytes | None:
         self._socket.settimeout(limits.idle_timeout_s)
         deadline: float | None = None
+        skipped = 0
         while True:
+            self._loop_share.take_step()
+            received = len(self._buffer)
             self._buffer = self._buffer.lstrip(b"\r\n")
+            skipped += received - len(self._buffer)
+            if skipped > MAX_LEADING_BYTES:
+                raise _RefusedRequestError(
+                    ErrorKind.BAD_REQUEST, "too many line ends before the request"
+                )
             if self._buffer and deadline is None:
                 self._received_at = self._listener.clock()
                 deadline = self._received_at + limits.head_timeout_s
@@ -271,24 +326,26 @@
             self._buffer += data
 
     def _read_body(self, protocol: h11.Connection, limits: CallerLimits) -> bytes:
-        pieces: list[bytes] = []
-        size = 0
+        body = bytearray()
+        received = len(self._buffer)
+        max_received = MAX_WIRE_FACTOR * limits.body_bytes + EXTRA_WIRE_BYTES
         self._socket.settimeout(limits.idle_timeout_s)
         if self._buffer:
             protocol.receive_data(self._buffer)
             self._buffer = b""
         while True:
+            self._loop_share.take_step()
             try:
                 event = protocol.next_event()
                 if isinstance(event, h11.EndOfMessage):
-                    return b"".join(pieces)
+                    return bytes(body)
                 if isinstance(event, h11.Data):
-                    pieces.append(bytes(event.data))
-                    size += len(event.data)
-                    if size > limits.body_bytes:
+                    body += event.data
+                    if len(body) > limits.body_bytes or received > max_received:
                         raise _RefusedRequestError(
                             ErrorKind.TOO_LARGE, f"over {limits.body_bytes} bytes"
                         )
+                    self._hold(len(event.data))
                     continue
                 if protocol.they_are_waiting_for_100_continue:
                     continue_response = h11.InformationalResponse(
@@ -304,8 +361,26 @@
                 ) from None
             if not data:
                 raise CallerDisconnectedError("closed before its request was whole")
+            received += len(data)
             protocol.receive_data(data)
 
+    def _hold(self, size: int) -> None:
+        """Count bytes of a body that this host holds until it has answered.
+
+        Raises
+        ------
+        _RefusedRequestError
+            If all requests together hold too many.
+        """
+        self._held_bytes += size
+        self._listener.held_bytes += size
+        if self._listener.held_bytes > MAX_HELD_BYTES:
+            raise _RefusedRequestError(
+                ErrorKind.OVERLOADED,
+                "too many large requests at once",
+                retry_after_s=NO_ROOM_RETRY_S,
+            )
+
 
 class _DisconnectWatch:
     """Detects a caller's disconnect while its request is served.
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -31,8 +31,10 @@
 DOCUMENT_TIMEOUT_S = 4.0
 # Time after a failed pull in which no other one is started.
 FAILURE_PAUSE_S = 0.25
-MAX_FRAME_BYTES = 16_000_000
-MAX_DOCUMENT_BYTES = 64_000_000
+# An object of the store has at most about 1 MB, and the servers of a large fleet take
+# less than that.
+MAX_FRAME_BYTES = 4_000_000
+MAX_DOCUMENT_BYTES = 4_000_000
 READ_BYTES = 65_536
 _LENGTH = struct.Struct("!I")
 
--- a/src/rosemarystream/_internal/platform/store.py
+++ b/src/rosemarystream/_internal/platform/store.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # Time allowed for the answer, on top of the wait of a long poll.
 ANSWER_TIMEOUT_S = 2.0
+# Largest answer: a page of objects has about 1 MB, and so has one object.
+MAX_ANSWER_BYTES = 8_000_000
 
 _OK = 200
 _CONFLICT = 409
@@ -194,7 +196,7 @@
                 headers.append((b"content-type", b"application/json"))
             connection.send(method, path.encode(), headers, body)
             head = connection.read_head(deadline)
-            answer = connection.read_body(deadline)
+            answer = connection.read_body(deadline, max_bytes=MAX_ANSWER_BYTES)
         except (ConnectError, ConnectionBrokenError) as error:
             self.close()
             self._on_call("unanswered")
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -16,11 +16,19 @@
 from rosemarystream._internal.exceptions import BackendError, ConnectError
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.utils.address import split_address
+from rosemarystream._internal.utils.loop_share import LoopShare
 
 Clock = Callable[[], float]
 
 READ_BYTES = 65_536
 MIN_WAIT_S = 0.001
+# Heads with a 1xx status that are read before the final one of an answer.
+MAX_INFORMATIONAL_HEADS = 8
+# Time after the deadline in which bytes that have arrived are still read. An answer
+# that was ready is then read whole, although this process was late.
+LATE_READ_S = 0.1
+# Largest body that is read to its end only to keep a connection usable.
+MAX_DISCARDED_BYTES = 65_536
 # A server whose TCP acknowledges nothing for this time counts as unreachable.
 UNACKNOWLEDGED_MS = 900
 PROBE_IDLE_S = 1
@@ -36,6 +44,10 @@
     """Nothing arrived before the deadline; the server may only be slow."""
 
 
+class AnswerTooLongError(ConnectionBrokenError):
+    """The answer exceeds a bound, and may have no end."""
+
+
 class ServerUnreachableError(ConnectionBrokenError):
     """The server's machine no longer acknowledges TCP segments."""
 
@@ -69,6 +81,8 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._request_events: list[h11.Event] = []
         self._send_greenlet: gevent.Greenlet | None = None
+        self._loop_share = LoopShare()
+        self._late_until: float | None = None
 
     def connect(self, deadline: float) -> None:
         """Open the connection.
@@ -99,6 +113,7 @@
             If sending fails.
         """
         assert self._socket is not None
+        self._late_until = None
         framed_headers = [*headers]
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             framed_headers.append((b"content-length", b"%d" % len(body)))
@@ -140,15 +155,20 @@
         ------
         AnswerTimeoutError
             If it does not arrive by the deadline.
+        AnswerTooLongError
+            If too many 1xx heads come before it.
         ConnectionBrokenError
             If the connection fails or the bytes are not an HTTP answer.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = self._read_event(deadline)
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if isinstance(event, h11.ConnectionClosed):
                 raise ConnectionBrokenError(f"{self.address} closed without an answer")
+        raise AnswerTooLongError(
+            f"{self.address} sent over {MAX_INFORMATIONAL_HEADS} informational heads"
+        )
 
     def read_piece(self, deadline: float) -> bytes | None:
         """Read the next piece of the body; None at its regular end.
@@ -167,12 +187,24 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
 
-    def read_body(self, deadline: float) -> bytes:
-        """Read the whole body; raises the errors of `read_piece`."""
-        pieces = []
+    def read_body(self, deadline: float, *, max_bytes: int) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        AnswerTooLongError
+            If it is longer than `max_bytes`.
+        ConnectionBrokenError
+            As `read_piece` does.
+        """
+        body = bytearray()
         while (piece := self.read_piece(deadline)) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
+            body += piece
+            if len(body) > max_bytes:
+                raise AnswerTooLongError(
+                    f"{self.address} sent a body of over {max_bytes} bytes"
+                )
+        return bytes(body)
 
     def discard_late_answer(self, deadline: float) -> None:
         """Discard a late answer to an earlier request; the expected one follows it.
@@ -182,7 +214,7 @@
         ConnectionBrokenError
             If the connection cannot be used for the answer that is due.
         """
-        self.read_body(deadline)
+        self.read_body(deadline, max_bytes=MAX_DISCARDED_BYTES)
         waiting = self._protocol.trailing_data[0]
         if self._send_greenlet is not None and not self._send_greenlet.ready():
             raise ConnectionBrokenError(
@@ -201,11 +233,13 @@
         assert self._socket is not None
         is_closed = False
         while True:
+            self._loop_share.take_step()
+            wait_s = self._compute_wait(deadline)
             try:
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._socket.settimeout(max(MIN_WAIT_S, deadline - self._clock()))
+                self._socket.settimeout(wait_s)
                 data = self._socket.recv(READ_BYTES)
                 is_closed = not data
                 self._protocol.receive_data(data)
@@ -215,6 +249,24 @@
                 reason = "closed before its answer was whole" if is_closed else error
                 raise ConnectionBrokenError(f"{self.address}: {reason}") from error
 
+    def _compute_wait(self, deadline: float) -> float:
+        """Return how long the next read may wait, in seconds.
+
+        Raises
+        ------
+        AnswerTimeoutError
+            If the deadline has passed, and so has the time for late reads.
+        """
+        now = self._clock()
+        if now < deadline:
+            self._late_until = None
+            return max(MIN_WAIT_S, deadline - now)
+        if self._late_until is None:
+            self._late_until = now + LATE_READ_S
+        if now >= self._late_until:
+            raise AnswerTimeoutError(f"{self.address} was still sending")
+        return MIN_WAIT_S
+
     def _classify_error(self, error: OSError) -> ConnectionBrokenError:
         # Timeouts of gevent have no errno; timeouts of the operating system have.
         if error.errno in _UNREACHABLE:
--- a/src/rosemarystream/_internal/utils/server_sent_events.py
+++ b/src/rosemarystream/_internal/utils/server_sent_events.py
@@ -2,31 +2,51 @@
 
 import re
 
+from rosemarystream._internal.exceptions import BackendError
+
+# Largest event; longer ones are no events of a backend server.
+MAX_EVENT_BYTES = 262_144
+# Bytes before new data at which the end of an event may begin.
+_END_OVERLAP_BYTES = 3
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _IDENTIFIER = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+class EventTooLongError(BackendError):
+    """An event is longer than `MAX_EVENT_BYTES`."""
+
+
 class EventSplitter:
     """Splits a stream into complete events and buffers an incomplete one."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def split(self, data: bytes) -> list[bytes]:
-        """Return the events completed by `data`, each with its blank line."""
+        """Return the events completed by `data`, each with its blank line.
+
+        Raises
+        ------
+        EventTooLongError
+            If the event before `data` is incomplete and already too long.
+        """
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        # The bytes buffered before hold no end of an event.
+        search_from = max(0, len(self._buffer) - _END_OVERLAP_BYTES)
         self._buffer += data
         events = []
         start = 0
-        for match in _END.finditer(self._buffer):
-            events.append(self._buffer[start : match.end()])
+        for match in _END.finditer(self._buffer, search_from):
+            events.append(bytes(self._buffer[start : match.end()]))
             start = match.end()
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
         return events
 
     @property
     def remainder(self) -> bytes:
         """Bytes of the incomplete event at the end of the stream."""
-        return self._buffer
+        return bytes(self._buffer)
 
 
 def find_event_id(event: bytes) -> bytes:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -15,6 +15,8 @@
 
 READ_BYTES = 65_536
 EVENTS = 8
+# Interval of the bytes of a stalled stream.
+TRICKLE_S = 0.05
 
 
 class Fault(StrEnum):
@@ -32,6 +34,7 @@
     UNSEALED = "unsealed"
     UNFRAMED = "unframed"
     CORRUPT_EVENT = "spoilt_event"
+    TRICKLE = "trickle"
 
 
 class Run(NamedTuple):
@@ -191,6 +194,8 @@
                 half = event[: len(event) // 2]
                 connection.sendall(protocol.send(h11.Data(data=half)))
                 return False
+            if fault is Fault.TRICKLE and sent == self._cut_after:
+                return _trickle(connection, protocol, run)
             if fault is Fault.CORRUPT_EVENT and sent == self._cut_after:
                 connection.sendall(b"zz\r\nnot a chunk\r\n")
                 return False
@@ -201,6 +206,13 @@
         return True
 
 
+def _trickle(connection, protocol, run) -> bool:
+    """Send a byte now and then that completes no event, until the host closes."""
+    while not _wait_for_close(connection, run, TRICKLE_S):
+        connection.sendall(protocol.send(h11.Data(data=b":")))
+    return False
+
+
 def _read_request(connection, protocol):
     request, body = None, b""
     while True:
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -5,7 +5,13 @@
 
 from rosemarystream._internal.decisions.placement import PREFILL_S
 from standins.backend_server import Fault
-from tests.lib.entry_world import Caller, World, wait_until
+from tests.lib.entry_world import (
+    Caller,
+    World,
+    make_configuration,
+    make_route,
+    wait_until,
+)
 
 
 @pytest.fixture
@@ -51,6 +57,7 @@
     ]
 
 
+STREAM = {"sticky": True, "resumable": True}
 STREAM_HEADERS = (
     ("X-Rosemarystream-Model", "m"),
     ("X-Rosemarystream-Prompt-Prefix", "a:9,b:1"),
@@ -167,6 +174,34 @@
     assert list_event_ids(reply.body) == [*range(1, 9)]
 
 
+@pytest.fixture
+def short_pauses(world, host):
+    """Let a stream of the route stall after a second."""
+    changes = {"gap-aim-ms": 100, "timeout-ms": 4000}
+    route = make_route("chat", "streaming", service="engines", **STREAM, **changes)
+    world.store.write("config", "main", make_configuration(4, [route]))
+    wait_until(lambda: host.get_version() == 4)
+
+
+@pytest.mark.usefixtures("short_pauses")
+def test_a_stalled_stream_that_sends_single_bytes_is_resumed(world, host):
+    set_faults(world, Fault.TRICKLE)
+    reply = host.call("/chat/1", headers=STREAM_HEADERS, wait_ms=4000)
+    assert reply.complete
+    assert list_event_ids(reply.body) == [*range(1, 9)]
+
+
+@pytest.mark.usefixtures("short_pauses")
+def test_a_slow_but_sound_stream_is_not_cut(world, host):
+    """Pauses just below the stall timeout, longer in sum than that timeout."""
+    for name in ("e1", "e2"):
+        world.servers[name].work_s = 0.4
+    reply = host.call("/chat/1", headers=STREAM_HEADERS, wait_ms=4000)
+    assert reply.complete
+    assert list_event_ids(reply.body) == [*range(1, 9)]
+    assert sum(server.arrivals for server in world.servers.values()) == 1
+
+
 def test_a_stream_that_is_not_resumable_ends_incomplete(world, host):
     set_faults(world, Fault.CUT)
     caller = Caller(host.ip)
--- a/tests/unit/test_server_sent_events.py
+++ b/tests/unit/test_server_sent_events.py
@@ -1,10 +1,13 @@
 """Streams are split into complete events only."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from rosemarystream._internal.utils.server_sent_events import (
+    MAX_EVENT_BYTES,
     EventSplitter,
+    EventTooLongError,
     find_event_id,
 )
 
@@ -32,3 +35,11 @@
 def test_the_identifier_of_an_event_is_found():
     assert find_event_id(b"id: 12\ndata: x\n\n") == b"12"
     assert find_event_id(b"data: id: 3\n\n") == b""
+
+
+def test_an_event_without_an_end_is_refused():
+    splitter = EventSplitter()
+    with pytest.raises(EventTooLongError):
+        for _ in range(MAX_EVENT_BYTES):
+            splitter.split(b"x" * 1024)
+    assert len(splitter.remainder) <= MAX_EVENT_BYTES + 1024
