Count the hosts of a large fleet, and hear a data centre again after a cut

Cause: a collector named 48 hosts at most, so each host of a larger fleet took too large a share of the retry slack (4 times at 195 hosts), and hosts of a data centre of over 48 hosts chose different collectors. Names of all hosts were also half of what a collector sends. After a cut of more than 1.2 s the collectors of two data centres never contacted each other again until they were forgotten (120 s): loads of the other data centres were missing all that time. A host that restarted with its clock back was ignored until its old report expired.

Ruled out: naming all hosts in turn (liveness of 1.2 s is shorter than a turn).

Change: collectors tell counts; names are the next eight in order, the collectors of other data centres, and four others in turn, known but not live. Unheard data centres are contacted each second. A sequence number that is lower by over 50 is a restarted host's.

--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -16,6 +16,9 @@
 
 # Older reports are dropped; their hosts are gone.
 REPORT_TTL_S = 1.5
+# Messages of one sender may overtake each other by fewer than this many. A sequence
+# number that is lower by more is that of a restarted host whose clock was set back.
+MAX_OVERTAKEN = 50
 # A collector's sum of other hosts that is older is ignored in favour of the reports
 # received directly.
 SUM_TTL_S = 0.6
@@ -163,7 +166,7 @@
     reports: dict[str, LoadReport], name: str, report: LoadReport
 ) -> None:
     known = reports.get(name)
-    if known is None or report.sequence > known.sequence:
+    if known is None or not 0 <= known.sequence - report.sequence <= MAX_OVERTAKEN:
         reports[name] = report
 
 
--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -7,6 +7,7 @@
 there are more collectors.
 """
 
+from collections import Counter
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -23,6 +24,14 @@
 WATCHERS = 1
 # Collectors that watch the store in a fleet of a single data centre.
 SINGLE_DATA_CENTRE_WATCHERS = 2
+# Hosts first in the order of a data centre that a collector names to others: enough
+# for the next collectors to be known when several fail at once.
+CANDIDATES = 8
+# Time for which another host's count of live hosts is valid.
+COUNT_TTL_S = 1.5
+# Length of the periods of which the current and the previous one count for the
+# largest number of hosts seen lately.
+PEAK_PERIOD_S = 60.0
 # Hosts next in order that watch the store while the collectors can't reach it.
 RESERVE_WATCHERS = 1
 
@@ -52,14 +61,30 @@
     lost: list[Peer]
 
 
+class _HostCount(NamedTuple):
+    """Live hosts of a data centre, or of the fleet, as another host counts them."""
+
+    hosts: int
+    valid_until: float
+
+
 class PeerTable:
-    """The other hosts that one host knows."""
+    """The other hosts that one host knows.
+
+    Collectors know all hosts of their data centre. The others know the collectors
+    and the next in order, and learn from the collectors how many hosts there are.
+    """
 
     def __init__(self, *, name: str, data_centre: str) -> None:
         self._name = name
         self._data_centre = data_centre
         self._hosts: dict[str, Peer] = {}
         self._previous_live: dict[str, Peer] = {}
+        self._data_centre_counts: dict[str, _HostCount] = {}
+        self._fleet_count = _HostCount(0, 0.0)
+        self._peak_since = 0.0
+        self._peak = 0
+        self._previous_peak = 0
 
     def add_peer(self, name: str, data_centre: str, ip: str, now: float) -> None:
         """Add a host that another host or the store has named."""
@@ -112,9 +137,47 @@
             lost=[host for name, host in before.items() if name not in live],
         )
 
+    def record_data_centre_count(
+        self, data_centre: str, hosts: int, now: float
+    ) -> None:
+        """Record the number of live hosts of another data centre, as counted there."""
+        self._data_centre_counts[data_centre] = _HostCount(hosts, now + COUNT_TTL_S)
+
+    def record_fleet_count(self, hosts: int, now: float) -> None:
+        """Record how many live hosts a collector counts in the whole fleet."""
+        self._fleet_count = _HostCount(hosts, now + COUNT_TTL_S)
+
+    def count_data_centre(self, now: float) -> int:
+        """Return the number of live hosts of this data centre, this one included."""
+        return len(self._order_hosts(self._data_centre, now))
+
     def count_live(self, now: float) -> int:
-        """Return the number of live hosts, this one included."""
-        return 1 + len(self.list_live(now))
+        """Return the number of live hosts of the fleet, this one included.
+
+        Hosts that this host does not hear are counted by those that do.
+        """
+        counts = Counter(host.data_centre for host in self.list_live(now))
+        counts[self._data_centre] += 1
+        for data_centre, reported in self._data_centre_counts.items():
+            if now <= reported.valid_until and data_centre != self._data_centre:
+                counts[data_centre] = max(counts[data_centre], reported.hosts)
+        total = counts.total()
+        if now <= self._fleet_count.valid_until:
+            total = max(total, self._fleet_count.hosts)
+        return total
+
+    def count_lately_live(self, now: float) -> int:
+        """Return the largest number of hosts that were live at once lately.
+
+        Shares of a quota of the fleet are divided by it. Hosts that can't be heard
+        may still use theirs, so the number does not fall as soon as they are lost.
+        """
+        if now - self._peak_since > PEAK_PERIOD_S:
+            is_recent = now - self._peak_since <= 2 * PEAK_PERIOD_S
+            self._previous_peak = self._peak if is_recent else 0
+            self._peak, self._peak_since = 0, now
+        self._peak = max(self._peak, self.count_live(now))
+        return max(self._peak, self._previous_peak)
 
     def _order_hosts(self, data_centre: str, now: float) -> list[str]:
         """Return the live hosts of a data centre in the order that assigns roles."""
@@ -129,6 +192,16 @@
         """Return the names of a data centre's collectors."""
         return self._order_hosts(data_centre, now)[:COLLECTORS]
 
+    def list_candidates(self, data_centre: str, now: float, most: int) -> list[Peer]:
+        """Return other hosts of a data centre, first those that get its roles."""
+        names = self._order_hosts(data_centre, now)[:most]
+        return [self._hosts[name] for name in names if name != self._name]
+
+    def list_unheard(self, now: float) -> list[Peer]:
+        """Return the known hosts of the data centres in which none is live."""
+        live = {host.data_centre for host in self.list_live(now)}
+        return [host for host in self._hosts.values() if host.data_centre not in live]
+
     def is_collector(self, now: float) -> bool:
         """Return whether this host is a collector of its data centre."""
         return self._name in self.list_collectors(self._data_centre, now)
--- a/src/rosemarystream/_internal/decisions/retry_budget.py
+++ b/src/rosemarystream/_internal/decisions/retry_budget.py
@@ -2,14 +2,17 @@
 
 Handles servers that fail for all hosts at once. Every host may retry a share of the
 requests it has seen itself, plus an equal part of the fleet's fixed allowance, so
-the sum over all hosts stays within the bound.
+the sum over all hosts stays within the bound, also if hosts take the fleet for half
+as large as it is.
 """
 
 from collections import deque
 
-# Fraction of the bound that is used; the rest covers hosts with different views of the
-# fleet.
-USED_SHARE = 0.85
+# Fraction of the retries per request that is used; a host counts its requests itself.
+USED_RATIO_SHARE = 0.9
+# Fraction of the fleet's allowance that is used; hosts may misjudge their number by
+# half.
+USED_SLACK_SHARE = 0.5
 
 
 class RetryBudget:
@@ -54,5 +57,6 @@
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
-        allowed = self._ratio * len(self._requests) + self._slack / max(1, hosts)
-        return USED_SHARE * allowed - len(self._retries)
+        by_requests = USED_RATIO_SHARE * self._ratio * len(self._requests)
+        by_slack = USED_SLACK_SHARE * self._slack / max(1, hosts)
+        return by_requests + by_slack - len(self._retries)
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -16,7 +16,12 @@
 
 from rosemarystream._internal.decisions.context_map import CacheUpdate, ContextMap
 from rosemarystream._internal.decisions.load_table import Load, LoadReport, LoadTable
-from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
+from rosemarystream._internal.decisions.peer_table import (
+    CANDIDATES,
+    COLLECTORS,
+    Peer,
+    PeerTable,
+)
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
@@ -31,15 +36,21 @@
 MIN_REPORT_INTERVAL_S = 0.02
 # Change of this host's load, in requests, that is reported without delay.
 LOAD_CHANGE_REQUESTS = 2
-# Rounds between two messages to the own data centre that list live hosts by name,
-# and the most names in one message.
+# Rounds between two messages to the own data centre that name hosts.
 NAMES_EVERY_ROUNDS = 5
-MAX_NAMES = 48
+# Hosts named besides those next in order, other ones in each message.
+OTHER_NAMES = 4
+# Rounds between two attempts to contact a data centre of which no host is heard, and
+# the hosts contacted each time.
+RECONTACT_EVERY_ROUNDS = 10
+RECONTACT_HOSTS = 2
 # Rounds in which a new host contacts its seeds, unless it hears from a host, and
 # the interval between two contacts, in rounds.
 SEED_CONTACT_ROUNDS = 100
 SEED_CONTACT_EVERY_ROUNDS = 5
 MAX_DATAGRAM_BYTES = 65_000
+# Age of a host of which no message has arrived.
+UNHEARD_AGE_MS = -1
 # Time for which another host's report that it has lost the store is valid.
 STORE_REPORT_LIFE_S = 1.5
 
@@ -130,11 +141,16 @@
 
     def _run_rounds(self) -> None:
         while True:
-            self._rounds += 1
-            self._contact_seeds()
-            self._send_to_all(self._contexts.take_cache_updates())
+            self.run_round()
             gevent.sleep(GOSSIP_INTERVAL_S)
 
+    def run_round(self) -> None:
+        """Send the messages of one round."""
+        self._rounds += 1
+        self._contact_seeds()
+        self._contact_unheard()
+        self._send_to_all(self._contexts.take_cache_updates())
+
     def report_load_change(self) -> None:
         """Report this host's load to the collectors at once if it has changed much."""
         total = self._loads.count_own()
@@ -174,6 +190,7 @@
         known_hosts = (
             self._list_names(now) if self._rounds % NAMES_EVERY_ROUNDS == 0 else []
         )
+        live_hosts = self._peer_table.count_live(now)
         nearby = {
             host.name: host.ip
             for host in self._peer_table.list_live(now)
@@ -185,13 +202,17 @@
                 load,
                 cache_updates=cache_updates,
                 known_hosts=known_hosts,
+                live_hosts=live_hosts,
             )
             self._send(nearby[name], message)
 
     def _send_to_remote(self, now: float, cache_updates: list[CacheUpdate]) -> None:
         load = self._loads.sum_data_centre(now)
         message = self._make_message(
-            LoadScope.DATA_CENTRE, load, cache_updates=cache_updates
+            LoadScope.DATA_CENTRE,
+            load,
+            cache_updates=cache_updates,
+            live_hosts=self._peer_table.count_data_centre(now),
         )
         for data_centre in self._peer_table.list_data_centres():
             for name in self._peer_table.list_collectors(data_centre, now):
@@ -210,6 +231,22 @@
         for ip in self._seeds if self._rounds <= SEED_CONTACT_ROUNDS else ():
             self._send(ip, message)
 
+    def _contact_unheard(self) -> None:
+        """Contact data centres of which no host is heard, as after a network cut."""
+        if self._rounds % RECONTACT_EVERY_ROUNDS:
+            return
+        now = self._clock()
+        message = self._make_message(
+            LoadScope.NONE, self._loads.sum_own(), wants_answer=True
+        )
+        unheard: dict[str, list[Peer]] = {}
+        for host in self._peer_table.list_unheard(now):
+            unheard.setdefault(host.data_centre, []).append(host)
+        turn = self._rounds // RECONTACT_EVERY_ROUNDS
+        for hosts in unheard.values():
+            for host in _take_turn(hosts, turn, RECONTACT_HOSTS):
+                self._send(host.ip, message)
+
     def _make_message(
         self,
         scope: LoadScope,
@@ -218,6 +255,7 @@
         cache_updates: list[CacheUpdate] | None = None,
         known_hosts: list[HostAddress] | None = None,
         wants_answer: bool = False,
+        live_hosts: int = 0,
     ) -> GossipMessage:
         self._sequence += 1
         return GossipMessage(
@@ -233,17 +271,32 @@
             cache_updates=cache_updates or [],
             known_hosts=known_hosts or [],
             wants_answer=wants_answer,
+            live_hosts=live_hosts,
         )
 
     def _list_names(
         self, now: float, *, first_data_centre: str = ""
     ) -> list[HostAddress]:
+        """Return the hosts to name: those next in order, and some others in turn."""
         nearby = first_data_centre or self._this_host.data_centre
-        hosts = sorted(
-            self._peer_table.list_live(now),
-            key=lambda host: (host.data_centre != nearby, host.name),
-        )
-        return [_make_name(host, now) for host in hosts[:MAX_NAMES]]
+        table = self._peer_table
+        data_centres = {*table.list_data_centres(), self._this_host.data_centre}
+        named = table.list_candidates(nearby, now, CANDIDATES)
+        for data_centre in sorted(data_centres - {nearby}):
+            named += table.list_candidates(data_centre, now, COLLECTORS)
+        names = {host.name for host in named}
+        others = [
+            host
+            for host in table.list_live(now)
+            if host.data_centre == nearby and host.name not in names
+        ]
+        turn = self._rounds // NAMES_EVERY_ROUNDS
+        # Known only by name: whoever gets it hears nothing of them later.
+        reserves = [
+            HostAddress(host.name, host.data_centre, host.ip, UNHEARD_AGE_MS)
+            for host in _take_turn(others, turn, OTHER_NAMES)
+        ]
+        return [_make_name(host, now) for host in named] + reserves
 
     def _send_to(self, name: str, message: GossipMessage) -> None:
         host = self._peer_table.find(name)
@@ -263,16 +316,21 @@
         while True:
             try:
                 data, (ip, _) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                message = _decoder.decode(data)
-            except msgspec.DecodeError as error:
-                write_log_entry(log, GossipUnreadable(ip=ip, error=str(error)))
-                continue
             except OSError as error:
                 write_log_entry(log, GossipFailed(error=str(error)))
                 gevent.sleep(GOSSIP_INTERVAL_S)
                 continue
-            if message.sender.name != self._this_host.name:
-                self._accept(message)
+            self.accept_datagram(data, ip)
+
+    def accept_datagram(self, data: bytes, ip: str) -> None:
+        """Apply a message of another host; an unreadable one is logged."""
+        try:
+            message = _decoder.decode(data)
+        except msgspec.DecodeError as error:
+            write_log_entry(log, GossipUnreadable(ip=ip, error=str(error)))
+            return
+        if message.sender.name != self._this_host.name:
+            self._accept(message)
 
     def _accept(self, message: GossipMessage) -> None:
         now = self._clock()
@@ -280,6 +338,7 @@
         self._peer_table.record_alive(sender.name, sender.data_centre, sender.ip, now)
         self._accept_known_hosts(message.known_hosts, now)
         self._accept_load(message, now)
+        self._accept_count(message, now)
         self._contexts.accept_cache_updates(message.cache_updates, now)
         self._store_reports[sender.name] = _StoreReport(now, message.store_lost_ms)
         if message.ejected:
@@ -317,6 +376,16 @@
         elif message.scope is LoadScope.OTHERS:
             self._loads.accept_others_sum(sender.name, report)
 
+    def _accept_count(self, message: GossipMessage, now: float) -> None:
+        if not message.live_hosts:
+            return
+        if message.scope is LoadScope.DATA_CENTRE:
+            self._peer_table.record_data_centre_count(
+                message.sender.data_centre, message.live_hosts, now
+            )
+        else:
+            self._peer_table.record_fleet_count(message.live_hosts, now)
+
     def list_lost_stores(self, now: float) -> set[str]:
         """Return the hosts that have lately reported that they lost the store."""
         return {
@@ -327,5 +396,15 @@
 
 
 def _make_name(host: Peer, now: float) -> HostAddress:
-    age_ms = int((now - host.last_seen_at) * 1000) if host.last_seen_at else -1
+    age_ms = UNHEARD_AGE_MS
+    if host.last_seen_at:
+        age_ms = int((now - host.last_seen_at) * 1000)
     return HostAddress(host.name, host.data_centre, host.ip, age_ms)
+
+
+def _take_turn(hosts: list[Peer], turn: int, count: int) -> list[Peer]:
+    """Return `count` of the hosts, the next ones at each turn."""
+    if len(hosts) <= count:
+        return hosts
+    start = turn * count % len(hosts)
+    return [*hosts, *hosts][start : start + count]
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -60,6 +60,9 @@
         Numbers of prompt parts and of servers that now cache them.
     known_hosts : list of HostAddress
         Live hosts; sent with some of the messages only.
+    live_hosts : int
+        Live hosts that the sender counts: those of its data centre with the scope
+        `DATA_CENTRE`, else those of the fleet; 0 from a host that isn't a collector.
     """
 
     sender: HostAddress
@@ -74,6 +77,7 @@
     cache_updates: list[tuple[int, int]] = []
     known_hosts: list[HostAddress] = []
     wants_answer: bool = False
+    live_hosts: int = 0
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/tests/lib/gossip_world.py
@@ -0,0 +1,102 @@
+"""Entry hosts that gossip over a network in memory, with a clock of its own."""
+
+from types import SimpleNamespace
+
+from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.load_table import LoadTable
+from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S, Peering
+from rosemarystream._internal.models.gossip import HostAddress
+
+
+class GossipWorld:
+    """Hosts of a fleet; `cut` holds the data centres that hear no other one."""
+
+    def __init__(self, *, hosts, data_centres, seeds=3):
+        self.now = 100.0
+        self.cut = set()
+        self.stopped = set()
+        self.sent_bytes = {}
+        self.hosts = {}
+        self._names = {}
+        self._queue = []
+        seed_ips = [f"{make_ip(number)}:1" for number in range(seeds)]
+        for number in range(hosts):
+            self.add_host(number, f"dc{number % data_centres}", seed_ips)
+
+    def add_host(self, number, data_centre, seeds, first_sequence=1):
+        ip, name = make_ip(number), f"h{number}"
+        peer_table = PeerTable(name=name, data_centre=data_centre)
+        host = SimpleNamespace(
+            name=name,
+            data_centre=data_centre,
+            ip=ip,
+            peer_table=peer_table,
+            loads=LoadTable(),
+            contexts=ContextMap(),
+        )
+        host.peering = Peering(
+            this_host=HostAddress(name, data_centre, ip),
+            port=1,
+            seeds=seeds,
+            first_sequence=first_sequence,
+            clock=lambda: self.now,
+            replica=Replica(),
+            peer_table=peer_table,
+            loads=host.loads,
+            contexts=host.contexts,
+            puller=None,
+            list_ejected=list,
+            on_ejections=print,
+            metrics=SimpleNamespace(beats_bytes=SimpleNamespace(inc=lambda n: None)),
+        )
+        host.peering._socket.close()
+        host.peering._socket = SimpleNamespace(
+            sendto=lambda data, address: self._send(host, data, address[0])
+        )
+        self.hosts[name] = host
+        self._names[ip] = name
+        return host
+
+    def _send(self, sender, data, ip):
+        self.sent_bytes[sender.name] = self.sent_bytes.get(sender.name, 0) + len(data)
+        self._queue.append((sender, data, ip))
+        return len(data)
+
+    def _is_connected(self, sender, receiver):
+        same = sender.data_centre == receiver.data_centre
+        return same or not {sender.data_centre, receiver.data_centre} & self.cut
+
+    def run(self, seconds):
+        for _ in range(round(seconds / GOSSIP_INTERVAL_S)):
+            self.now += GOSSIP_INTERVAL_S
+            for name, host in self.hosts.items():
+                if name not in self.stopped:
+                    host.peering.run_round()
+            self._deliver()
+
+    def _deliver(self):
+        while self._queue:
+            queue, self._queue = self._queue, []
+            for sender, data, ip in queue:
+                receiver = self.hosts.get(self._names.get(ip))
+                if receiver is None or receiver.name in self.stopped:
+                    continue
+                if self._is_connected(sender, receiver):
+                    receiver.peering.accept_datagram(data, sender.ip)
+
+    def list_live(self):
+        return [host for name, host in self.hosts.items() if name not in self.stopped]
+
+    def list_collectors(self, data_centre):
+        """Return the different sets of collectors that hosts of a data centre see."""
+        return {
+            tuple(host.peer_table.list_collectors(data_centre, self.now))
+            for host in self.list_live()
+            if host.data_centre == data_centre
+        }
+
+
+def make_ip(number):
+    return f"10.0.{number // 250}.{number % 250 + 1}"
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -47,6 +47,13 @@
     assert table.sum_fleet(0.3).counts == {1: 1}
 
 
+def test_reports_of_a_restarted_host_count_although_its_clock_was_set_back():
+    table = LoadTable()
+    table.accept_host("h2", LoadReport(9_000, 0.2, {1: 5}))
+    table.accept_host("h2", LoadReport(6_600, 0.3, {1: 1}))
+    assert table.sum_fleet(0.3).counts == {1: 1}
+
+
 def test_reports_expire_after_their_ttl():
     table = LoadTable()
     table.accept_host("h2", LoadReport(5, 0.0, {1: 4}))
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -3,6 +3,7 @@
 from rosemarystream._internal.decisions.peer_table import (
     COLLECTORS,
     DEAD_AFTER_S,
+    PEAK_PERIOD_S,
     RESERVE_WATCHERS,
     WATCHERS,
     PeerTable,
@@ -94,3 +95,13 @@
     assert [host.name for host in peer_table.take_changes(3.0).lost] == ["a2"]
     peer_table.record_alive("a2", "a", "10.0.0.2", 4.0)
     assert [host.name for host in peer_table.take_changes(4.0).found] == ["a2"]
+
+
+def test_shares_of_a_quota_do_not_grow_as_soon_as_hosts_are_lost():
+    table = PeerTable(name="a1", data_centre="a")
+    for number in range(2, 11):
+        table.record_alive(f"a{number}", "a", f"10.0.0.{number}", 5.0)
+    assert table.count_lately_live(5.0) == 10
+    assert table.count_live(20.0) == 1
+    assert table.count_lately_live(20.0) == 10
+    assert table.count_lately_live(5.0 + 3 * PEAK_PERIOD_S) == 1
