Avoid servers that are slow at the moment, by the load header's fourth figure

Cause: servers share their machines; the figure alternates between 100 and 250 and keeps its value for some tenths of a second (trial with all headers printed: its autocorrelation is 0.9 at 0.1 s, 0.5 at 0.2 s, 0 at 1 s), and hosts did not read it.

Ruled out: a mean by server (it has no memory beyond a second); own observations alone (a host sees each server of the grown fleet every five seconds).

Homes of prompts no longer follow steps of the time of day.

--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -46,6 +46,8 @@
 SETTLED_AGE_SHARE = 0.5
 # Requests added to the load of a server with a failure rate of 1.
 FAILURE_PENALTY_REQUESTS = 40.0
+# Requests added to the load of a server for each time that its work takes longer.
+SLOW_PENALTY_REQUESTS = 2.0
 # Requests added to the load of a server in another data centre.
 REMOTE_PENALTY_REQUESTS = 0.4
 
@@ -112,12 +114,15 @@
         Tokens of this prompt that the server would have to prefill.
     failure_rate : float
         Fraction of its recent requests that failed, 0 to 1.
+    slowness : float
+        How much longer work takes there at this moment; 1 is usual.
     """
 
     requests: int
     prefill: int
     uncached_tokens: int
     failure_rate: float
+    slowness: float = 1.0
 
 
 class Placement(NamedTuple):
@@ -137,6 +142,8 @@
         Age of the newest load report of other hosts, in seconds.
     source : Endpoint or None
         Server from which the cached context of the prompt is copied.
+    slowness : float
+        How much longer work probably takes at the server at this moment.
     """
 
     endpoint: Endpoint
@@ -149,6 +156,7 @@
     home_prefill: int = 0
     counts_age_s: float = 0.0
     source: Endpoint | None = None
+    slowness: float = 1.0
 
 
 def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
@@ -160,11 +168,12 @@
     wait_ms = (
         load.prefill + load.uncached_tokens
     ) / PREFILL_TOKENS_PER_MS + QUEUE_MS_PER_REQUEST * load.requests
+    wait_ms *= load.slowness
     late_ms = max(0.0, wait_ms - SAFE_OBJECTIVE_SHARE * objective_ms)
     return (
         wait_ms
         + LATE_WEIGHT * late_ms
-        + PREFILL_WEIGHT * load.uncached_tokens / PREFILL_TOKENS_PER_MS
+        + PREFILL_WEIGHT * load.slowness * load.uncached_tokens / PREFILL_TOKENS_PER_MS
         + FAILURE_PENALTY_MS * load.failure_rate
     )
 
@@ -247,6 +256,7 @@
     *,
     loads: Mapping[str, int],
     failure_rates: Mapping[str, float],
+    slowness: Mapping[str, float],
     data_centre: str,
     salt: str = "",
 ) -> Endpoint | None:
@@ -254,6 +264,8 @@
 
     Parameters
     ----------
+    slowness : mapping of str to float
+        How much longer work takes at each server at this moment; 1 is usual.
     salt : str
         Key of the rendezvous order in which servers of equal load are preferred.
     """
@@ -267,7 +279,8 @@
             REMOTE_PENALTY_REQUESTS if endpoint.data_centre != data_centre else 0.0
         )
         failure_penalty = FAILURE_PENALTY_REQUESTS * failure_rates.get(name, 0.0)
-        return loads.get(name, 0) + remote_penalty + failure_penalty
+        slow_penalty = SLOW_PENALTY_REQUESTS * (slowness.get(name, 1.0) - 1.0)
+        return loads.get(name, 0) + remote_penalty + failure_penalty + slow_penalty
 
     order = order_candidates(salt, by_name)
     return by_name[min(order, key=score_load)]
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -321,7 +321,7 @@
             more_attempts=has_more_attempts,
         )
         head = attempt.read_head(attempt_deadline)
-        self._router.record_answer(attempt.endpoint)
+        self._router.record_answer(attempt.endpoint, slowness=head.slowness)
         failed = head.status >= SERVER_ERROR
         if failed and has_more_attempts and route.is_repeatable:
             # Relayed to the caller if no later attempt succeeds.
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -23,6 +23,7 @@
     PeerTable,
 )
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.server_speeds import ServerSpeeds, SpeedReport
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.state_pulls import StatePuller
@@ -78,6 +79,8 @@
         ``ip:port`` of hosts that may be up; only the IP number is used.
     first_sequence : int
         Sequence number of the first message; higher than any of an earlier process.
+    speeds : ServerSpeeds
+        Observed speeds of the servers.
     puller : StatePuller
         Fetches newer state from a host.
     list_ejected : callable
@@ -103,6 +106,7 @@
         peer_table: PeerTable,
         loads: LoadTable,
         contexts: ContextMap,
+        speeds: ServerSpeeds,
         puller: StatePuller,
         list_ejected: Callable[[], list[int]],
         on_ejections: Callable[[list[int]], None],
@@ -117,6 +121,7 @@
         self._peer_table = peer_table
         self._loads = loads
         self._contexts = contexts
+        self._speeds = speeds
         self._puller = puller
         self._list_ejected = list_ejected
         self._on_ejections = on_ejections
@@ -272,8 +277,19 @@
             known_hosts=known_hosts or [],
             wants_answer=wants_answer,
             live_hosts=live_hosts,
+            slowness=self._list_slowness(scope),
         )
 
+    def _list_slowness(self, scope: LoadScope) -> dict[int, SpeedReport]:
+        now = self._clock()
+        if scope is LoadScope.HOST:
+            return self._speeds.list_own(now)
+        if scope is LoadScope.DATA_CENTRE:
+            return self._speeds.list_nearby(now)
+        if scope is LoadScope.OTHERS:
+            return self._speeds.list_all(now)
+        return {}
+
     def _list_names(
         self, now: float, *, first_data_centre: str = ""
     ) -> list[HostAddress]:
@@ -339,6 +355,9 @@
         self._accept_known_hosts(message.known_hosts, now)
         self._accept_load(message, now)
         self._accept_count(message, now)
+        self._speeds.accept_reports(
+            message.slowness, now, nearby=message.scope is LoadScope.HOST
+        )
         self._contexts.accept_cache_updates(message.cache_updates, now)
         self._store_reports[sender.name] = _StoreReport(now, message.store_lost_ms)
         if message.ejected:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -58,6 +58,7 @@
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
 from rosemarystream._internal.utils.address import split_address
+from rosemarystream._internal.utils.clock import Clock
 
 log = Logger(__name__)
 
@@ -130,6 +131,8 @@
             contexts=self._contexts,
             metrics=self._metrics,
             clock=self._clock,
+            # Steps of the time of day must not move the homes of prompts.
+            read_epoch_s=Clock().now,
             on_load=self._report_load_change,
         )
         self._puller = StatePuller(
@@ -148,6 +151,7 @@
             peer_table=self._peer_table,
             loads=self._loads,
             contexts=self._contexts,
+            speeds=self._router.speeds,
             puller=self._puller,
             list_ejected=self._router.list_ejected,
             on_ejections=self._router.accept_ejections,
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -113,5 +113,6 @@
         "reading": placement.prefill,
         "unread": placement.uncached_tokens,
         "source": placement.source.name if placement.source else None,
+        "slowness": round(placement.slowness, 2),
         "counts_age_ms": _round_ms(placement.counts_age_s),
     }
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -5,7 +5,6 @@
 other than logging.
 """
 
-import time
 from collections.abc import Callable, Sequence
 
 from logbook import Logger
@@ -37,6 +36,7 @@
 from rosemarystream._internal.decisions.reachability import Reachability
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
+from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
 from rosemarystream._internal.gateway.settings import BoundsSection
@@ -65,6 +65,8 @@
         Retry budget and load bound from the settings.
     replica : Replica
         This host's copy of the configuration and of the registered servers.
+    read_epoch_s : callable
+        Returns the time since the epoch in seconds; it must not jump.
     on_load : callable
         Called after this host's own load has changed.
     """
@@ -80,6 +82,7 @@
         contexts: ContextMap,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
+        read_epoch_s: Callable[[], float],
         on_load: Callable[[], None],
     ) -> None:
         self.replica = replica
@@ -87,11 +90,13 @@
         self.contexts = contexts
         self.health = ServerHealth()
         self.reachability = Reachability()
+        self.speeds = ServerSpeeds()
         self._data_centre = data_centre
         self._bounds = bounds
         self._peer_table = peer_table
         self._loads = loads
         self._clock = clock
+        self._read_epoch_s = read_epoch_s
         self._on_load = on_load
         self._priorities = PriorityTable(pairs=())
         self._priorities_version = 0
@@ -160,13 +165,17 @@
             candidates,
             loads={e.name: load.counts[e.number] for e in candidates},
             failure_rates=self._list_failure_rates(candidates, now),
+            slowness=self._list_slowness(candidates, now),
             data_centre=self._data_centre,
             salt=call.request_id,
         )
         if endpoint is None:
             return None
         return Placement(
-            endpoint, load.counts[endpoint.number], counts_age_s=counts_age_s
+            endpoint,
+            load.counts[endpoint.number],
+            counts_age_s=counts_age_s,
+            slowness=self.speeds.estimate(endpoint.number, now),
         )
 
     def _select_reachable(
@@ -212,6 +221,11 @@
     ) -> dict[str, float]:
         return {e.name: self.health.failure_rate(e.name, now) for e in endpoints}
 
+    def _list_slowness(
+        self, endpoints: Sequence[Endpoint], now: float
+    ) -> dict[str, float]:
+        return {e.name: self.speeds.estimate(e.number, now) for e in endpoints}
+
     def _place_by_context(
         self,
         call: Call,
@@ -224,6 +238,7 @@
         share: float,
     ) -> Placement | None:
         rates = self._list_failure_rates(candidates, now)
+        slowness = self._list_slowness(candidates, now)
         numbers = {e.name: e.number for e in candidates}
         uncached_tokens = self.contexts.count_uncached_tokens(
             call.model, call.parts, numbers.values(), now
@@ -234,12 +249,13 @@
                 prefill=int(share * load.prefill[number]),
                 uncached_tokens=uncached_tokens[number],
                 failure_rate=rates[name],
+                slowness=slowness[name],
             )
             for name, number in numbers.items()
         }
         shared = choose_shared_parts(call.parts)
         key = f"{call.model}/{shared[-1].name}"
-        home = choose_home(key, ready, time.time() * _MS_PER_S)
+        home = choose_home(key, ready, self._read_epoch_s() * _MS_PER_S)
         bound = compute_load_bound(
             [load.counts[e.number] for e in ready], self._bounds.load_multiple
         )
@@ -266,6 +282,7 @@
             home_prefill=home_load.prefill,
             counts_age_s=self._loads.measure_report_age(now),
             source=self._find_source(call, endpoint, chosen_load.uncached_tokens, now),
+            slowness=chosen_load.slowness,
         )
 
     def _find_source(
@@ -361,6 +378,7 @@
             if present.get(name) != incarnation:
                 self.health.forget(name)
                 self.contexts.forget_server(hash_name_32(name))
+                self.speeds.forget([hash_name_32(name)])
         self._incarnations = present
 
     def list_ejected(self) -> list[int]:
@@ -374,9 +392,19 @@
             if endpoint.number in servers:
                 self.health.record_reported_unreachable(endpoint.name, now)
 
-    def record_answer(self, endpoint: Endpoint) -> None:
-        """Record that a server has begun to answer, so it is reachable."""
+    def record_answer(
+        self, endpoint: Endpoint, *, slowness: float | None = None
+    ) -> None:
+        """Record that a server has begun to answer, so it is reachable.
+
+        Parameters
+        ----------
+        slowness : float or None
+            How much longer work takes there at this moment, if it tells.
+        """
         self.health.record_data_centre_answer(endpoint.data_centre)
+        if slowness is not None:
+            self.speeds.record(endpoint.number, slowness, self._clock())
 
     def record_rejected(self, endpoint: Endpoint) -> None:
         """Record that a server received a request and refused to run it."""
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -63,6 +63,9 @@
     live_hosts : int
         Live hosts that the sender counts: those of its data centre with the scope
         `DATA_CENTRE`, else those of the fleet; 0 from a host that isn't a collector.
+    slowness : dict of int to tuple
+        How much longer work takes at servers that are not as usual, as seen lately by
+        the hosts of the scope, and the age of that in milliseconds, by server number.
     """
 
     sender: HostAddress
@@ -78,6 +81,7 @@
     known_hosts: list[HostAddress] = []
     wants_answer: bool = False
     live_hosts: int = 0
+    slowness: dict[int, tuple[float, int]] = {}
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -60,6 +60,8 @@
     reading, unread : int
         Pending prefill tokens of other requests at the server, and uncached prompt
         tokens of this request.
+    slowness : float
+        How much longer work probably took at the server at that moment; 1 is usual.
     counts_age_ms : float
         Age of the load reports of other hosts that these fields rest on.
     source : str or None
@@ -94,6 +96,7 @@
     bound: float = 0.0
     reading: int = 0
     unread: int = 0
+    slowness: float = 1.0
     counts_age_ms: float = 0.0
     source: str | None = None
     home: str | None = None
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -56,6 +56,9 @@
 
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
+# Place of the slowness in a server's load, and its value at the usual speed.
+_SLOWNESS_FIGURE = 3
+_USUAL_SLOWNESS = 100.0
 
 
 class AnswerHead(NamedTuple):
@@ -77,6 +80,9 @@
         Whether the server closes the connection after this answer.
     is_event_stream : bool
         Whether the body is a stream of server-sent events.
+    slowness : float or None
+        How long work takes at the server at this moment compared with its usual time;
+        None if it doesn't tell.
     """
 
     status: int
@@ -88,6 +94,7 @@
     keep_alive_s: float | None
     closes_connection: bool
     is_event_stream: bool
+    slowness: float | None = None
 
 
 def decode_call(method: bytes, target: bytes, headers: Headers) -> Call:
@@ -127,6 +134,7 @@
         is_event_stream=first_values.get(b"content-type", b"").startswith(
             b"text/event-stream"
         ),
+        slowness=_parse_slowness(first_values.get(SERVER_LOAD, b"")),
     )
 
 
@@ -191,6 +199,17 @@
     return int(value) / _MS_PER_S
 
 
+def _parse_slowness(value: bytes) -> float | None:
+    """Return the fourth figure of a server's load; the platform states it in %."""
+    figures = value.split(b",")
+    if len(figures) <= _SLOWNESS_FIGURE:
+        return None
+    figure = figures[_SLOWNESS_FIGURE].strip()
+    if not figure.isdigit() or int(figure) == 0:
+        return None
+    return int(figure) / _USUAL_SLOWNESS
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b","):
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -57,6 +57,11 @@
         Whether it answers with a stream of server-sent events.
     work_s : float
         Time until its answer, or between two events, in seconds.
+
+    Attributes
+    ----------
+    load : str
+        What it tells of its load with each answer.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         self.address = f"{address[0]}:{address[1]}"
         self.data_centre = data_centre
         self.work_s = work_s
+        self.load = "1,0,8"
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.arrivals = 0
@@ -153,7 +159,7 @@
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
-        identity.append((b"x-rosemarystream-server-load", b"1,0,8"))
+        identity.append((b"x-rosemarystream-server-load", self.load.encode()))
         if fault is Fault.FAIL:
             return _answer(connection, protocol, 500, identity, b"failed")
         if self._events:
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -283,3 +283,10 @@
     assert host.call("/chat/2", headers=long).status == 200
     run = list_runs(world)[-1]
     assert run.headers[b"kv-fetch"] == drained.address.encode()
+
+
+def test_a_server_that_is_slow_at_the_moment_is_avoided(world, host):
+    world.servers["p1"].load = "1,0,8,400"
+    world.servers["p2"].load = "1,0,8,100"
+    wait_until(lambda: b"p1" in host.call("/look/1").body)
+    assert [host.call("/look/1").body for _ in range(5)] == [b"done by p2"] * 5
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -6,6 +6,7 @@
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S, Peering
 from rosemarystream._internal.models.gossip import HostAddress
 
@@ -35,6 +36,7 @@
             peer_table=peer_table,
             loads=LoadTable(),
             contexts=ContextMap(),
+            speeds=ServerSpeeds(),
         )
         host.peering = Peering(
             this_host=HostAddress(name, data_centre, ip),
@@ -46,6 +48,7 @@
             peer_table=peer_table,
             loads=host.loads,
             contexts=host.contexts,
+            speeds=host.speeds,
             puller=None,
             list_ejected=list,
             on_ejections=print,
--- a/tests/unit/test_peering.py
+++ b/tests/unit/test_peering.py
@@ -57,6 +57,16 @@
         assert load.prefill == {7: sum(range(195))}
 
 
+def test_all_hosts_learn_of_a_server_that_is_slow_now():
+    world = GossipWorld(hosts=24, data_centres=3)
+    world.run(SETTLED_S)
+    world.hosts["h7"].speeds.record(9, 2.5, world.now)
+    world.run(0.3)
+    assert all(h.speeds.estimate(9, world.now) > 1.3 for h in world.list_live())
+    world.run(1.0)
+    assert all(h.speeds.estimate(9, world.now) == 1.0 for h in world.list_live())
+
+
 def test_data_centres_hear_each_other_again_after_a_cut():
     world = GossipWorld(hosts=24, data_centres=3)
     world.run(SETTLED_S)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -119,7 +119,7 @@
     endpoints = make_endpoints("s1", "s2", "s3")
     loads = {"s1": 4, "s2": 1, "s3": 2}
     chosen = place_by_load(
-        endpoints, loads=loads, failure_rates={}, data_centre="a", salt="r"
+        endpoints, loads=loads, slowness={}, failure_rates={}, data_centre="a", salt="r"
     )
     assert chosen.name == "s2"
 
@@ -128,7 +128,12 @@
     endpoints = make_endpoints("s1", "s2") + make_endpoints("far", data_centre="b")
     chosen = Counter(
         place_by_load(
-            endpoints, loads={}, failure_rates={}, data_centre="a", salt=str(n)
+            endpoints,
+            loads={},
+            slowness={},
+            failure_rates={},
+            data_centre="a",
+            salt=str(n),
         ).name
         for n in range(100)
     )
