Give a host that joins the map of cached prompt parts

Cause: updates of the map are sent once, and again after 8 s, so a host that has just started knows no holder and sends prompts to their home or to any server.

Ruled out: sending updates more often (it costs each host, always); one source (after several kills at once the first host heard may have started just as late).

Change: after its start a host pulls the whole map from the first three hosts it hears. What is left of this cause: all hosts killed at once; the engines know, and are not asked (kv-list delays their work and is priced).

--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -25,6 +25,10 @@
 
 # Numbers of a prompt part and of a server that now caches it.
 CacheUpdate = tuple[int, int]
+# Numbers of a prompt part and of a server that caches it, and the time since its last
+# use in milliseconds.
+CacheEntry = tuple[int, int, int]
+_MS_PER_S = 1000
 
 
 class _Holding(NamedTuple):
@@ -114,6 +118,30 @@
             del self._pending_updates[update]
         return taken
 
+    def list_entries(self, now: float) -> list[CacheEntry]:
+        """Return the whole map, for a host that has just started."""
+        return [
+            (part, server, int((now - known.used_at) * _MS_PER_S))
+            for part, holders in self._holders.items()
+            for server, known in holders.items()
+            if now - known.used_at <= HOLDING_TTL_S
+        ]
+
+    def accept_entries(self, entries: Sequence[CacheEntry], now: float) -> None:
+        """Add the map of another host to this one's own."""
+        for part, server, age_ms in entries:
+            holders = self._holders.setdefault(part, {})
+            used_at = now - age_ms / _MS_PER_S
+            known = holders.get(server, _NOT_HELD)
+            holders[server] = _Holding(
+                used_at=max(used_at, known.used_at),
+                # The other hosts know of it.
+                sent_at=max(now, known.sent_at),
+                since=min(used_at, known.since),
+            )
+        while len(self._holders) > MAX_PARTS:
+            self._holders.popitem(last=False)
+
     def is_held(self, part: int, now: float) -> bool:
         """Return whether any server is known to hold a part."""
         holders = self._holders.get(part, {})
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -366,6 +366,7 @@
             self._answer_first_contact(sender, now)
         if message.revision > self._replica.revision:
             self._puller.pull_servers(sender.ip)
+        self._puller.pull_contexts(sender.ip)
         if message.version > self._replica.version:
             self._puller.pull_document(sender.ip)
 
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -139,6 +139,7 @@
             address=(host.ip, host.peer_port),
             clock=self._clock,
             replica=self._replica,
+            contexts=self._contexts,
             on_change=self._forget_departed,
         )
         self._peering = Peering(
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -14,6 +14,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
+from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import accept_document
@@ -31,6 +32,10 @@
 DOCUMENT_TIMEOUT_S = 4.0
 # Time after a failed pull in which no other one is started.
 FAILURE_PAUSE_S = 0.25
+# Hosts that a host asks for the map of cached prompt parts after its start.
+CONTEXT_PULLS = 3
+# Most entries of that map in an answer, so that it stays below the size of a frame.
+MAX_CONTEXT_ENTRIES = 100_000
 # An object of the store has at most about 1 MB, and the servers of a large fleet take
 # less than that.
 MAX_FRAME_BYTES = 4_000_000
@@ -60,11 +65,14 @@
         address: tuple[str, int],
         clock: Callable[[], float],
         replica: Replica,
+        contexts: ContextMap,
         on_change: Callable[[], None],
     ) -> None:
         self._port = address[1]
         self._clock = clock
         self._replica = replica
+        self._contexts = contexts
+        self._contexts_from: set[str] = set()
         self._on_change = on_change
         self._active_pulls: set[str] = set()
         self._paused_until = 0.0
@@ -87,6 +95,18 @@
         """Pull the configuration from a host, unless a pull is in progress."""
         self._start_pull("document", ip, PullRequest(self._replica.version, None))
 
+    def pull_contexts(self, ip: str) -> None:
+        """Pull the map of cached prompt parts from the first hosts heard.
+
+        One of them may have just started as well, so several are asked, each once.
+        """
+        if ip in self._contexts_from or len(self._contexts_from) >= CONTEXT_PULLS:
+            return
+        if "contexts" in self._active_pulls:
+            return
+        self._contexts_from.add(ip)
+        self._start_pull("contexts", ip, PullRequest(None, None, wants_contexts=True))
+
     def _start_pull(self, kind: str, ip: str, request: PullRequest) -> None:
         if kind in self._active_pulls or self._clock() < self._paused_until:
             return
@@ -121,6 +141,9 @@
             if self._replica.accept_removal(name, revision):
                 changed.append(name)
         self._replica.advance(answer.revision)
+        if answer.contexts:
+            self._contexts.accept_entries(answer.contexts, self._clock())
+            changed.append(f"{len(answer.contexts)} cached parts")
         if changed:
             write_log_entry(log, UpdatesPulled(news=changed, revision=answer.revision))
             self._on_change()
@@ -147,6 +170,9 @@
         document = b""
         if request.version is not None and self._replica.version > request.version:
             document = self._compress_document()
+        if request.wants_contexts:
+            entries = self._contexts.list_entries(self._clock())
+            return PullAnswer(document, [], {}, 0, entries[:MAX_CONTEXT_ENTRIES])
         if request.revision is None:
             return PullAnswer(document, [], {}, 0)
         delta = self._replica.select_delta(request.revision)
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -93,10 +93,13 @@
         Version of the requester's configuration, if it asks for a newer one.
     revision : int or None
         Revision up to which it knows the servers, if it asks for later changes.
+    wants_contexts : bool
+        Whether it asks for the map of cached prompt parts.
     """
 
     version: int | None
     revision: int | None
+    wants_contexts: bool = False
 
 
 class PullAnswer(msgspec.Struct, array_like=True, frozen=True):
@@ -111,9 +114,13 @@
         Changed servers, and the revisions at which others were removed, by name.
     revision : int
         Revision up to which the servers are current.
+    contexts : list of tuple of int
+        Entries of the map of cached prompt parts: numbers of the part and of the
+        server, and the time since its last use in milliseconds.
     """
 
     document: bytes
     endpoints: list[Endpoint]
     removed: dict[str, int]
     revision: int
+    contexts: list[tuple[int, int, int]] = []
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -4,13 +4,16 @@
 
 import gevent
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from rosemarystream._internal.decisions.hashing import order_candidates
 from rosemarystream._internal.gateway import state_pulls
 from standins.object_store import StoreFault
 from tests.lib.entry_world import (
+    METRICS_PORT,
     ROUTES,
     World,
+    get,
     make_configuration,
     make_route,
     wait_until,
@@ -198,3 +201,28 @@
     world.store.remove("servers", "p1")
     wait_until(lambda: host.list_servers() == [], seconds=1.5)
     wait_until(lambda: host.get_version() == 9)
+
+
+def read_uncached_tokens(host):
+    text = get(host.ip, METRICS_PORT, "/metrics").body.decode()
+    family = next(
+        family
+        for family in text_string_to_metric_families(text)
+        if family.name.endswith("prompt_tokens_unread")
+    )
+    return family.samples[0].value
+
+
+def test_a_host_that_joins_knows_which_prompts_are_cached(world):
+    world.add_server("e1", "engines")
+    wait_until(lambda: "e1" in world.hosts["h1"].list_servers())
+    headers = (
+        ("X-Rosemarystream-Model", "m"),
+        ("X-Rosemarystream-Prompt-Prefix", "a:9000,b:1"),
+    )
+    assert world.hosts["h1"].call("/chat/1", headers=headers).complete
+    gevent.sleep(0.3)
+    joined = world.add_host("h4", seeds=["h1"])
+    gevent.sleep(0.5)
+    assert joined.call("/chat/1", headers=headers).complete
+    assert read_uncached_tokens(joined) == 1
--- a/tests/unit/test_context_map.py
+++ b/tests/unit/test_context_map.py
@@ -89,3 +89,29 @@
 
     assert count_uncached_tokens(10.4) == {1: 950}
     assert count_uncached_tokens(10.7) == {1: 50}
+
+
+def test_a_host_that_has_just_started_takes_the_map_of_another():
+    known, new = ContextMap(), ContextMap()
+    known.record_use([A, B], S1, 0.0)
+    known.record_use([A], S2, 5.0)
+    new.record_use([B], S2, 8.0)
+    new.accept_entries(known.list_entries(6.0), 106.0)
+    assert count_uncached(new, S1, 106.0) == 500
+    assert count_uncached(new, S2, 106.0) == 6500
+    assert count_uncached(new, S1, 100.0 + HOLDING_TTL_S + 0.1) == 9000
+
+
+def test_a_map_that_is_taken_over_is_not_sent_on():
+    known, new = ContextMap(), ContextMap()
+    known.record_use([A, B], S1, 0.0)
+    new.accept_entries(known.list_entries(0.0), 0.0)
+    new.record_use([A, B], S1, 1.0)
+    assert new.take_cache_updates() == []
+
+
+def test_entries_of_another_map_do_not_replace_newer_ones():
+    contexts = ContextMap()
+    contexts.record_use([A, B], S1, 50.0)
+    contexts.accept_entries([(A, S1, 20_000), (B, S1, 20_000)], 50.0)
+    assert count_uncached(contexts, S1, 50.0 + HOLDING_TTL_S - 1) == 500
