--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -153,6 +153,18 @@
     RetryBudget.take = lambda self, now, *, hosts: True
 
 
+def count_heard_hosts_only():
+    from rosemarystream._internal.decisions.peer_table import PeerTable
+
+    PeerTable.record_fleet_count = lambda self, hosts, now: None
+
+
+def wait_to_be_contacted():
+    from rosemarystream._internal.gateway.peering import Peering
+
+    Peering._contact_unheard = lambda self: None
+
+
 def retry_non_idempotent():
     from rosemarystream._internal.models.route import Route
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -102,6 +102,8 @@
         "stop_gateway_without_draining",
         f"{ENTRY}fleet.py -k leaving_host",
     ),
+    Row("entry-host-count", "count_heard_hosts_only", f"{UNIT}test_peering.py"),
+    Row("entry-cut-ends", "wait_to_be_contacted", f"{UNIT}test_peering.py -k cut"),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
