--- a/tests/functional/test_binary.py
+++ b/tests/functional/test_binary.py
@@ -10,7 +10,7 @@
 from tests.lib import entry_world
 from tests.lib.callers import Caller
 from tests.lib.fleets import start_fleet
-from tests.lib.host_process import HostProcess
+from tests.lib.host_process import make_single_host
 
 ROOT = Path(__file__).parents[2]
 BINARY = ROOT / "dist" / "rosemarystream"
@@ -46,15 +46,8 @@
 def test_the_binary_runs_an_entry_host_in_the_process_that_was_started(tmp_path):
     world = entry_world.World()
     world.add_server("p1")
-    host = HostProcess(
-        name="h1",
-        data_centre="a",
-        ip=f"{world.net}.200",
-        store=world.store.address,
-        seeds=[],
-        folder=tmp_path,
-        program=[str(BINARY), "gateway", "--settings", str(tmp_path / "h1.toml")],
-    )
+    program = [str(BINARY), "gateway", "--settings", str(tmp_path / "h1.toml")]
+    host = make_single_host(world, tmp_path, program=program)
     host.start()
     try:
         entry_world.wait_until(host.is_ready, seconds=30)
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -28,7 +28,7 @@
     make_route,
     wait_until,
 )
-from tests.lib.host_process import ROOT, HostProcess
+from tests.lib.host_process import ROOT, make_single_host
 
 # Callers of the endless server at the same time, and how long they wait.
 CALLERS = 4
@@ -66,14 +66,7 @@
 
 @pytest.fixture
 def host(world, tmp_path):
-    process = HostProcess(
-        name="h1",
-        data_centre="a",
-        ip=f"{world.net}.200",
-        store=world.store.address,
-        seeds=[],
-        folder=tmp_path,
-    )
+    process = make_single_host(world, tmp_path)
     process.start()
     wait_until(process.is_ready)
     yield process
--- a/tests/functional/test_entry_operations.py
+++ b/tests/functional/test_entry_operations.py
@@ -14,7 +14,7 @@
 from rosemarystream._internal.operators.tracing import read_entries, trace_request
 from standins.backend_server import Fault
 from tests.lib.entry_world import KEY, METRICS_PORT, Caller, World, get, wait_until
-from tests.lib.host_process import HostProcess
+from tests.lib.host_process import make_single_host
 
 STREAM_HEADERS = (
     ("X-Rosemarystream-Model", "m"),
@@ -44,15 +44,7 @@
     started = []
 
     def start_host(**changes):
-        process = HostProcess(
-            name="h1",
-            data_centre="a",
-            ip=f"{world.net}.200",
-            store=world.store.address,
-            seeds=[],
-            folder=tmp_path,
-            **changes,
-        )
+        process = make_single_host(world, tmp_path, **changes)
         process.start()
         started.append(process)
         wait_until(process.is_ready)
--- a/tests/lib/host_process.py
+++ b/tests/lib/host_process.py
@@ -82,3 +82,16 @@
         """Kill the process and wait for its end."""
         self.send(signal.SIGKILL)
         self.process.wait()
+
+
+def make_single_host(world, folder, **changes):
+    """Return the only host of a world, not started yet."""
+    return HostProcess(
+        name="h1",
+        data_centre="a",
+        ip=f"{world.net}.200",
+        store=world.store.address,
+        seeds=[],
+        folder=folder,
+        **changes,
+    )
--- a/tests/mixed_builds.py
+++ b/tests/mixed_builds.py
@@ -15,12 +15,12 @@
 import gevent
 import msgspec
 
-from standins.calls import make_headers, request, request_json, stream_turn
-from standins.engine import answer_token
-from standins.fleet import WORKSPACE_KEY, Fleet, write_toml
+from standins.calls import request_json
+from standins.fleet import Fleet, write_toml
 from standins.fleet import wait_until as wait_for
 from standins.link import Link, Mode
 from standins.sheets import write_sheet
+from tests.lib.callers import Caller as ChatCaller
 from tests.lib.entry_world import (
     METRICS_PORT,
     Caller,
@@ -272,8 +272,7 @@
         self.trees = trees
         self.fleet = fleet
         self.builds = {}
-        self.hints = {}
-        self.prompts = {}
+        self.caller = ChatCaller(workspace="depot")
 
     def set_build(self, host, build):
         self.builds[host.name] = build
@@ -314,33 +313,30 @@
         peers = host.dump()["membership"]["hosts"]
         return [x for x in peers.values() if x["state"] == "alive"]
 
-    def send_turn(self, host, chat):
-        prompt = self.prompts.get(chat, "") + f"turn of {chat}. "
-        headers = make_headers("depot", WORKSPACE_KEY)
-        if chat in self.hints:
-            headers["X-Context-Hint"] = self.hints[chat]
-        body = {"pool": "lm", "prompt": prompt, "max_tokens": 12}
-        reply = stream_turn(host.address, chat, body, headers)
-        assert reply.tokens == [answer_token(prompt, i) for i in range(12)], reply
-        self.prompts[chat] = prompt + "".join(reply.tokens)
-        self.hints[chat] = reply.end["context_hint"]
-        return reply.end
-
     def check_chats(self):
         for chat in ("c1", "c2", "c3", "c4"):
-            ends = [self.send_turn(host, chat) for host in self.hosts]
+            replies = [
+                self.caller.send_turn(
+                    host.address, chat=chat, text=f"turn of {chat}. ", max_tokens=12
+                )
+                for host in self.hosts
+            ]
+            self.caller.check_answers()
+            ends = [reply.end for reply in replies]
             assert len({end["engine"] for end in ends}) == 1, ends
             assert all(end["cached_tokens"] for end in ends[1:]), ends
         return "16 turns whole, hints of one build used by the other"
 
-    def book(self, host, key):
-        headers = {**make_headers("depot", WORKSPACE_KEY), "Idempotency-Key": key}
-        body = {"payload": {"id": key}, "idempotent": False}
-        path = "/v1/services/ledger/calls"
-        return request("POST", host.address, path, body, headers).status
-
     def check_claims(self, keys):
-        statuses = {key: [self.book(host, key) for host in self.hosts] for key in keys}
+        statuses = {
+            key: [
+                self.caller.call_service(
+                    host.address, payload={"id": key}, key=key
+                ).status
+                for host in self.hosts
+            ]
+            for key in keys
+        }
         runs = self.fleet.processes["ledger1"].control()["runs"]
         assert all(runs[key] == 1 for key in keys), (runs, statuses)
         return f"{len(keys)} calls sent {len(self.hosts)} times each ran once"
