--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -29,8 +29,8 @@
 CANDIDATES = 8
 # Time for which another host's count of live hosts is valid.
 COUNT_TTL_S = 1.5
-# Length of the periods of which the current and the previous one count for the
-# largest number of hosts seen lately.
+# The recent peak of the number of hosts covers the current period of this length and
+# the one before.
 PEAK_PERIOD_S = 60.0
 # Hosts next in order that watch the store while the collectors can't reach it.
 RESERVE_WATCHERS = 1
@@ -166,11 +166,11 @@
             total = max(total, self._fleet_count.hosts)
         return total
 
-    def count_lately_live(self, now: float) -> int:
-        """Return the largest number of hosts that were live at once lately.
+    def count_recent_peak(self, now: float) -> int:
+        """Return the largest recent number of live hosts.
 
-        Shares of a quota of the fleet are divided by it. Hosts that can't be heard
-        may still use theirs, so the number does not fall as soon as they are lost.
+        A quota of the fleet is divided by it. Hosts that can't be heard may still use
+        their shares, so the number does not fall as soon as they are lost.
         """
         if now - self._peak_since > PEAK_PERIOD_S:
             is_recent = now - self._peak_since <= 2 * PEAK_PERIOD_S
@@ -193,7 +193,7 @@
         return self._order_hosts(data_centre, now)[:COLLECTORS]
 
     def list_candidates(self, data_centre: str, now: float, most: int) -> list[Peer]:
-        """Return other hosts of a data centre, first those that get its roles."""
+        """Return the other hosts of a data centre, in the order that assigns roles."""
         names = self._order_hosts(data_centre, now)[:most]
         return [self._hosts[name] for name in names if name != self._name]
 
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -46,7 +46,8 @@
 SETTLED_AGE_SHARE = 0.5
 # Requests added to the load of a server with a failure rate of 1.
 FAILURE_PENALTY_REQUESTS = 40.0
-# Requests added to the load of a server for each time that its work takes longer.
+# Requests added to the load of a server whose work takes twice as long at the moment;
+# more or less in proportion.
 SLOW_PENALTY_REQUESTS = 2.0
 # Requests added to the load of a server in another data centre.
 REMOTE_PENALTY_REQUESTS = 0.4
--- a/src/rosemarystream/_internal/decisions/server_speeds.py
+++ b/src/rosemarystream/_internal/decisions/server_speeds.py
@@ -1,8 +1,8 @@
 """How much longer work takes at each backend server at this moment.
 
 Handles servers that share their machines with others: their speed halves or doubles
-many times a minute, each time for a fraction of a second. Answers tell it, and hosts
-pass on what they saw, as one host alone sees each server too rarely.
+many times a minute, each time for a fraction of a second. A server reports it with its
+answers, and hosts pass reports on, as one host alone sees each server too rarely.
 """
 
 from collections.abc import Iterable, Mapping
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -355,7 +355,7 @@
     def take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; False if it is used up."""
         now = self._clock()
-        hosts = self._peer_table.count_lately_live(now)
+        hosts = self._peer_table.count_recent_peak(now)
         taken = self._find_budget(service).take(now, hosts=hosts)
         (self.metrics.retries if taken else self.metrics.retries_refused).inc()
         return taken
@@ -452,7 +452,7 @@
         )
 
     def _count_retries(self, service: str, now: float) -> float:
-        hosts = self._peer_table.count_lately_live(now)
+        hosts = self._peer_table.count_recent_peak(now)
         return self._find_budget(service).count_left(now, hosts=hosts)
 
     def suggest_retry_after(self) -> float:
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -101,7 +101,7 @@
     table = PeerTable(name="a1", data_centre="a")
     for number in range(2, 11):
         table.record_alive(f"a{number}", "a", f"10.0.0.{number}", 5.0)
-    assert table.count_lately_live(5.0) == 10
+    assert table.count_recent_peak(5.0) == 10
     assert table.count_live(20.0) == 1
-    assert table.count_lately_live(20.0) == 10
-    assert table.count_lately_live(5.0 + 3 * PEAK_PERIOD_S) == 1
+    assert table.count_recent_peak(20.0) == 10
+    assert table.count_recent_peak(5.0 + 3 * PEAK_PERIOD_S) == 1
--- a/tests/unit/test_peering.py
+++ b/tests/unit/test_peering.py
@@ -19,7 +19,7 @@
     counts = {host.peer_table.count_live(world.now) for host in world.list_live()}
     assert counts == {hosts}
     shares = {
-        host.peer_table.count_lately_live(world.now) for host in world.list_live()
+        host.peer_table.count_recent_peak(world.now) for host in world.list_live()
     }
     assert shares == {hosts}
 
@@ -87,7 +87,7 @@
     world.cut = {"dc1"}
     world.run(30.0)
     total = sum(
-        1 / host.peer_table.count_lately_live(world.now) for host in world.list_live()
+        1 / host.peer_table.count_recent_peak(world.now) for host in world.list_live()
     )
     assert total <= 1.0
 
