--- a/tests/unit/test_peering.py
+++ b/tests/unit/test_peering.py
@@ -1,5 +1,7 @@
 """Gossip of large fleets: collectors, counts of hosts, loads, and cuts."""
 
+import random
+
 import pytest
 
 from rosemarystream._internal.decisions.hashing import order_candidates
@@ -8,6 +10,12 @@
 
 # Hosts and data centres of fleets, up to the size that CONTRIBUTING.md names.
 FLEETS = [(1, 1), (8, 3), (76, 4), (195, 5), (490, 19)]
+# Hosts, data centres and loaded servers of large fleets.
+LOADED_FLEETS = [(195, 5, 83), (490, 19, 250)]
+# Control bytes that a host may send a second, on average (CONTRIBUTING.md).
+CONTROL_BYTES_PER_S = 4_000
+# Servers at which a host has requests in progress.
+SERVERS_IN_USE = 6
 # Time in which the hosts of a new fleet have found each other, in seconds.
 SETTLED_S = 3.0
 
@@ -104,3 +112,19 @@
     world.run(0.3)
     for host in world.list_live():
         assert host.loads.sum_fleet(world.now).counts == {7: 5}
+
+
+@pytest.mark.parametrize(("hosts", "data_centres", "servers"), LOADED_FLEETS)
+def test_control_bytes_of_a_host_stay_within_the_target(hosts, data_centres, servers):
+    world = GossipWorld(hosts=hosts, data_centres=data_centres)
+    world.run(SETTLED_S)
+    draw = random.Random(17)
+    numbers = [draw.getrandbits(32) for _ in range(servers)]
+    for host in world.list_live():
+        for number in draw.sample(numbers, SERVERS_IN_USE):
+            host.loads.begin(number)
+            host.loads.begin_prefill(number, draw.randrange(5_000))
+    world.run(1.0)
+    world.sent_bytes.clear()
+    world.run(2.0)
+    assert sum(world.sent_bytes.values()) / hosts / 2.0 <= CONTROL_BYTES_PER_S
