Don't take a refusal without an id for this request's on a reused connection

Cause: a late second copy of an earlier refusal that names no request was taken as the server's word that the current one had not run; a request that may run once was then sent to a second server and ran twice (test seen failing: 2 runs).

Ruled out: dropping such a refusal and reading on (nothing says that another answer follows); distrusting it on a new connection too (no earlier request there).

Change: on a connection that was used before the outcome counts as unknown.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -176,6 +176,10 @@
         except ConnectionBrokenError as error:
             raise _convert(error) from error
         self._head = head
+        if head.not_run and head.request_id == "" and self.reused:
+            raise OutcomeUnknownError(
+                f"the refusal {head.status} names no request and may be an earlier one's"
+            )
         if head.not_run:
             rest = self._discard_answer(
                 min(deadline, self._clock() + DISCARD_TIMEOUT_S)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -15,6 +15,11 @@
 
 READ_BYTES = 65_536
 EVENTS = 8
+# Second copy of an earlier refusal, which names no request.
+LATE_REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nX-Rosemarystream-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 # Interval of the bytes of a stalled stream.
 TRICKLE_S = 0.05
 
@@ -31,6 +36,7 @@
     GARBAGE = "garbage"
     EXTRA = "extra"
     LATE = "late"
+    LATE_REFUSAL = "late_refusal"
     UNSEALED = "unsealed"
     UNFRAMED = "unframed"
     CORRUPT_EVENT = "spoilt_event"
@@ -156,6 +162,8 @@
             return False
         if fault is Fault.LATE:
             _send_unexpected_answer(connection, b"an-earlier-request")
+        if fault is Fault.LATE_REFUSAL:
+            connection.sendall(LATE_REFUSAL)
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -150,6 +150,18 @@
         assert reply.body.startswith(b"done by")
 
 
+def test_a_late_refusal_without_an_id_is_not_taken_for_this_requests(world, host):
+    """It may belong to an earlier request of the same connection."""
+    for name in ("p1", "p2"):
+        wait_until(lambda name=name: name.encode() in host.call("/book/1").body)
+    set_faults(world, Fault.LATE_REFUSAL)
+    caller = Caller(host.ip)
+    request_id = caller.send("/book/1")
+    reply = caller.read()
+    assert count_runs(world, request_id) == 1
+    assert reply.status == 502
+
+
 def test_an_answer_that_ends_with_its_connection_is_passed_on(world, host):
     set_faults(world, Fault.UNFRAMED)
     reply = host.call("/book/1")
