--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -178,7 +178,7 @@
         self._head = head
         if head.not_run and head.request_id == "" and self.reused:
             raise OutcomeUnknownError(
-                f"the refusal {head.status} names no request and may be an earlier one's"
+                f"refusal {head.status} without an id; maybe an earlier request's"
             )
         if head.not_run:
             rest = self._discard_answer(
