Join a doubled loop, list speeds once a round, count only pulls that were started

Two loops joined a bounded body: one function. A collector listed all observed speeds anew for each host of its data centre, ten times a second: once a round. A pull of the map of cached parts that was not started, as pulls were paused or one was in progress, used up one of the three hosts to ask. ServerSpeeds forgets a server as ContextMap does.

Unit, parser, entry and endless-bytes tests pass; assertions as before.

--- a/src/rosemarystream/_internal/decisions/server_speeds.py
+++ b/src/rosemarystream/_internal/decisions/server_speeds.py
@@ -5,7 +5,7 @@
 answers, and hosts pass reports on, as one host alone sees each server too rarely.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 # Time in which an observation loses half of its weight.
@@ -85,11 +85,10 @@
         """Return what all hosts saw lately."""
         return _select_changed(self._all, now)
 
-    def forget(self, servers: Iterable[int]) -> None:
-        """Drop servers that have left or restarted."""
-        for server in servers:
-            for known in (self._own, self._nearby, self._all):
-                known.pop(server, None)
+    def forget_server(self, server: int) -> None:
+        """Drop a server that has left or restarted."""
+        for known in (self._own, self._nearby, self._all):
+            known.pop(server, None)
 
 
 def _select_changed(
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -27,6 +27,7 @@
     ClientConnection,
     ConnectionBrokenError,
     ServerUnreachableError,
+    join_bounded,
 )
 
 # Answers read per attempt; late answers to earlier requests are skipped.
@@ -235,14 +236,11 @@
         OutcomeUnknownError
             If it is longer than `max_bytes`, or as `read_piece` does.
         """
-        body = bytearray()
-        while (piece := self.read_piece(deadline)) is not None:
-            body += piece
-            if len(body) > max_bytes:
-                raise _convert(
-                    AnswerTooLongError(f"a body of over {max_bytes} bytes came")
-                )
-        return bytes(body)
+        pieces = iter(lambda: self.read_piece(deadline), None)
+        try:
+            return join_bounded(pieces, max_bytes, self.endpoint.address)
+        except AnswerTooLongError as error:
+            raise _convert(error) from error
 
     def close(self) -> None:
         """Close the connection if it is still open; the server cancels its work."""
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -184,7 +184,12 @@
         own = self._loads.sum_own()
         self._reported_requests, self._reported_at = own.counts.total(), now
         collectors = self._peer_table.list_collectors(self._this_host.data_centre, now)
-        message = self._make_message(LoadScope.HOST, own, cache_updates=cache_updates)
+        message = self._make_message(
+            LoadScope.HOST,
+            own,
+            cache_updates=cache_updates,
+            slowness=self._speeds.list_own(now),
+        )
         for name in collectors:
             self._send_to(name, message)
         return collectors
@@ -196,6 +201,7 @@
             self._list_names(now) if self._rounds % NAMES_EVERY_ROUNDS == 0 else []
         )
         live_hosts = self._peer_table.count_live(now)
+        slowness = self._speeds.list_all(now)
         nearby = {
             host.name: host.ip
             for host in self._peer_table.list_live(now)
@@ -208,6 +214,7 @@
                 cache_updates=cache_updates,
                 known_hosts=known_hosts,
                 live_hosts=live_hosts,
+                slowness=slowness,
             )
             self._send(nearby[name], message)
 
@@ -218,6 +225,7 @@
             load,
             cache_updates=cache_updates,
             live_hosts=self._peer_table.count_data_centre(now),
+            slowness=self._speeds.list_nearby(now),
         )
         for data_centre in self._peer_table.list_data_centres():
             for name in self._peer_table.list_collectors(data_centre, now):
@@ -261,6 +269,7 @@
         known_hosts: list[HostAddress] | None = None,
         wants_answer: bool = False,
         live_hosts: int = 0,
+        slowness: dict[int, SpeedReport] | None = None,
     ) -> GossipMessage:
         self._sequence += 1
         return GossipMessage(
@@ -277,19 +286,9 @@
             known_hosts=known_hosts or [],
             wants_answer=wants_answer,
             live_hosts=live_hosts,
-            slowness=self._list_slowness(scope),
+            slowness=slowness or {},
         )
 
-    def _list_slowness(self, scope: LoadScope) -> dict[int, SpeedReport]:
-        now = self._clock()
-        if scope is LoadScope.HOST:
-            return self._speeds.list_own(now)
-        if scope is LoadScope.DATA_CENTRE:
-            return self._speeds.list_nearby(now)
-        if scope is LoadScope.OTHERS:
-            return self._speeds.list_all(now)
-        return {}
-
     def _list_names(
         self, now: float, *, first_data_centre: str = ""
     ) -> list[HostAddress]:
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -377,8 +377,9 @@
         for name, incarnation in self._incarnations.items():
             if present.get(name) != incarnation:
                 self.health.forget(name)
-                self.contexts.forget_server(hash_name_32(name))
-                self.speeds.forget([hash_name_32(name)])
+                number = hash_name_32(name)
+                self.contexts.forget_server(number)
+                self.speeds.forget_server(number)
         self._incarnations = present
 
     def list_ejected(self) -> list[int]:
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -102,16 +102,17 @@
         """
         if ip in self._contexts_from or len(self._contexts_from) >= CONTEXT_PULLS:
             return
-        if "contexts" in self._active_pulls:
-            return
-        self._contexts_from.add(ip)
-        self._start_pull("contexts", ip, PullRequest(None, None, wants_contexts=True))
+        request = PullRequest(None, None, wants_contexts=True)
+        if self._start_pull("contexts", ip, request):
+            self._contexts_from.add(ip)
 
-    def _start_pull(self, kind: str, ip: str, request: PullRequest) -> None:
+    def _start_pull(self, kind: str, ip: str, request: PullRequest) -> bool:
+        """Start a pull unless pulls are paused; return whether it was started."""
         if kind in self._active_pulls or self._clock() < self._paused_until:
-            return
+            return False
         self._active_pulls.add(kind)
         gevent.spawn(self._pull, kind, ip, request)
+        return True
 
     def _pull(self, kind: str, ip: str, request: PullRequest) -> None:
         timeout_s = _get_timeout(request)
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -6,7 +6,7 @@
 
 import errno
 import socket as plain_socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import gevent
@@ -197,14 +197,8 @@
         ConnectionBrokenError
             As `read_piece` does.
         """
-        body = bytearray()
-        while (piece := self.read_piece(deadline)) is not None:
-            body += piece
-            if len(body) > max_bytes:
-                raise AnswerTooLongError(
-                    f"{self.address} sent a body of over {max_bytes} bytes"
-                )
-        return bytes(body)
+        pieces = iter(lambda: self.read_piece(deadline), None)
+        return join_bounded(pieces, max_bytes, self.address)
 
     def discard_late_answer(self, deadline: float) -> None:
         """Discard a late answer to an earlier request; the expected one follows it.
@@ -313,6 +307,22 @@
             self._socket = None
 
 
+def join_bounded(pieces: Iterable[bytes], max_bytes: int, address: str) -> bytes:
+    """Return the body that the pieces from a server make.
+
+    Raises
+    ------
+    AnswerTooLongError
+        If it is longer than `max_bytes`.
+    """
+    body = bytearray()
+    for piece in pieces:
+        body += piece
+        if len(body) > max_bytes:
+            raise AnswerTooLongError(f"{address} sent a body of over {max_bytes} bytes")
+    return bytes(body)
+
+
 def set_socket_options(tcp_socket: socket.socket) -> None:
     """Set options by which the operating system detects dead connections."""
     tcp = socket.IPPROTO_TCP
--- a/tests/unit/test_server_speeds.py
+++ b/tests/unit/test_server_speeds.py
@@ -54,7 +54,7 @@
 def test_a_departed_server_is_forgotten():
     speeds = ServerSpeeds()
     speeds.record(1, SLOW, 10.0)
-    speeds.forget([1])
+    speeds.forget_server(1)
     assert speeds.estimate(1, 10.0) == 1.0
 
 
