Take an answer that names no request for unknown, also a refusal on a new connection

A refusal without an id was distrusted on reused connections only, a special case on top of the check that every answer names its request; on a new connection it was still taken for the server's word (stand-in fault LATE_REFUSAL, which the soak draws too).

Ruled out: that the fault can't occur on a new connection and the stand-in is to be narrowed; servers name the request in all their answers, so nothing is lost by asking it.

Change: one check for all answers. The test now runs on a new connection too, seen failing there (2 runs).

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -177,16 +177,15 @@
         except ConnectionBrokenError as error:
             raise _convert(error) from error
         self._head = head
-        if head.not_run and head.request_id == "" and self.reused:
-            raise OutcomeUnknownError(
-                f"refusal {head.status} without an id; maybe an earlier request's"
-            )
+        if head.request_id == "":
+            # Also a refusal: it may belong to an earlier request.
+            raise OutcomeUnknownError(f"answer {head.status} names no request")
         if head.not_run:
             rest = self._discard_answer(
                 min(deadline, self._clock() + DISCARD_TIMEOUT_S)
             )
             raise NotRunError(f"turned away with {head.status}{rest}", sent=True)
-        if head.is_encoded or not head.is_sealed or head.request_id == "":
+        if head.is_encoded or not head.is_sealed:
             raise OutcomeUnknownError(f"answer {head.status} is not the server's own")
         return head
 
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -150,10 +150,12 @@
         assert reply.body.startswith(b"done by")
 
 
-def test_a_late_refusal_without_an_id_is_not_taken_for_this_requests(world, host):
-    """It may belong to an earlier request of the same connection."""
-    for name in ("p1", "p2"):
-        wait_until(lambda name=name: name.encode() in host.call("/book/1").body)
+@pytest.mark.parametrize("reused", [True, False])
+def test_a_refusal_without_an_id_is_not_taken_for_this_requests(world, host, reused):
+    """It may belong to an earlier request, or to none."""
+    if reused:
+        for name in ("p1", "p2"):
+            wait_until(lambda name=name: name.encode() in host.call("/book/1").body)
     set_faults(world, Fault.LATE_REFUSAL)
     caller = Caller(host.ip)
     request_id = caller.send("/book/1")
