Log how far a broken attempt came, and with which prompt

'attempt broke' now says all three (closed, answering_ms, prompt) and answers_closed counts closes, which rise with crashes and not with slow servers. A close and a reset have an exception of their own, ServerClosedError.

No decision changes.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -26,6 +26,7 @@
     AnswerTooLongError,
     ClientConnection,
     ConnectionBrokenError,
+    ServerClosedError,
     ServerUnreachableError,
     join_bounded,
 )
@@ -61,14 +62,22 @@
         Whether nothing came in time; the server may only be slow.
     unreachable : bool
         Whether the server's machine no longer acknowledges anything.
+    closed : bool
+        Whether the server closed or reset the connection, as one that crashes does.
     """
 
     def __init__(
-        self, message: str, *, silent: bool = False, unreachable: bool = False
+        self,
+        message: str,
+        *,
+        silent: bool = False,
+        unreachable: bool = False,
+        closed: bool = False,
     ) -> None:
         super().__init__(message)
         self.silent = silent
         self.unreachable = unreachable
+        self.closed = closed
 
 
 class Attempt:
@@ -85,6 +94,8 @@
     ----------
     reused : bool
         Whether the connection has served earlier requests.
+    begun_at : float or None
+        When the head of the answer arrived; None before that.
     """
 
     def __init__(
@@ -102,6 +113,7 @@
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         self.reused = False
+        self.begun_at: float | None = None
 
     def send(
         self,
@@ -177,6 +189,7 @@
         except ConnectionBrokenError as error:
             raise _convert(error) from error
         self._head = head
+        self.begun_at = self._clock()
         if head.request_id == "":
             # Also a refusal: it may belong to an earlier request.
             raise OutcomeUnknownError(f"answer {head.status} names no request")
@@ -253,4 +266,5 @@
         str(error),
         silent=isinstance(error, AnswerTimeoutError),
         unreachable=isinstance(error, ServerUnreachableError),
+        closed=isinstance(error, ServerClosedError),
     )
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -260,9 +260,14 @@
             reused=attempt.reused,
             silent=error.silent,
             unreachable=error.unreachable,
+            closed=error.closed,
+            answering_ms=self._measure_answering_ms(attempt),
+            prompt=self._call.format_prompt(),
             reason=str(error),
         )
         write_log_entry(log, entry)
+        if error.closed:
+            self._router.metrics.answers_closed.inc()
         self.sends += 1
         self._may_have_run = True
         if error.unreachable:
@@ -270,6 +275,11 @@
         else:
             self._router.record_outcome(attempt.endpoint, failed=True)
 
+    def _measure_answering_ms(self, attempt: Attempt) -> float | None:
+        if attempt.begun_at is None:
+            return None
+        return round((self._clock() - attempt.begun_at) * 1000, 1)
+
     def _check_retry(
         self, route: Route, service: str, *, sent: bool, reason: str
     ) -> None:
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -70,6 +70,9 @@
             "Attempts at servers: answered, failed, turned_away or unreachable",
             "result",
         )
+        self.answers_closed = counter(
+            "answers_closed", "Attempts whose connection the server closed too early"
+        )
         self.retries = counter("retries", "Repeats made, of the retry budget")
         self.retries_refused = counter(
             "retries_refused", "Repeats not made because the budget was used up"
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -89,7 +89,7 @@
             sends=exchange.sends,
             version=self._router.replica.version,
             revision=self._router.replica.revision,
-            prompt=[f"{part.name}:{part.tokens}" for part in call.parts],
+            prompt=call.format_prompt(),
             reason=exchange.reason,
             **_describe_placement(exchange.placement),
         )
--- a/src/rosemarystream/_internal/models/call.py
+++ b/src/rosemarystream/_internal/models/call.py
@@ -42,3 +42,7 @@
     model: str
     parts: tuple[PromptPart, ...]
     last_event_id: bytes
+
+    def format_prompt(self) -> list[str]:
+        """Return the prompt parts with their numbers of tokens, for the logs."""
+        return [f"{part.name}:{part.tokens}" for part in self.parts]
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -141,6 +141,12 @@
     silent, unreachable : bool
         Whether nothing arrived in time, and whether the server's machine stopped
         acknowledging TCP segments.
+    closed : bool
+        Whether the server closed or reset the connection, as one that crashes does.
+    answering_ms : float or None
+        Time from the head of the answer to its break; None if no head had arrived.
+    prompt : list of str
+        Parts of the prompt with their numbers of tokens.
     """
 
     message = "attempt broke"
@@ -150,6 +156,9 @@
     reused: bool
     silent: bool
     unreachable: bool
+    closed: bool = False
+    answering_ms: float | None = None
+    prompt: list[str] = []
     reason: str
 
 
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -48,6 +48,10 @@
     """The answer exceeds a bound, and may have no end."""
 
 
+class ServerClosedError(ConnectionBrokenError):
+    """The server closed or reset the connection before its answer was whole."""
+
+
 class ServerUnreachableError(ConnectionBrokenError):
     """The server's machine no longer acknowledges TCP segments."""
 
@@ -165,7 +169,7 @@
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionBrokenError(f"{self.address} closed without an answer")
+                raise ServerClosedError(f"{self.address} closed without an answer")
         raise AnswerTooLongError(
             f"{self.address} sent over {MAX_INFORMATIONAL_HEADS} informational heads"
         )
@@ -240,8 +244,11 @@
             except OSError as error:
                 raise self._classify_error(error) from error
             except h11.ProtocolError as error:
-                reason = "closed before its answer was whole" if is_closed else error
-                raise ConnectionBrokenError(f"{self.address}: {reason}") from error
+                if is_closed:
+                    raise ServerClosedError(
+                        f"{self.address}: closed before its answer was whole"
+                    ) from error
+                raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
     def _compute_wait(self, deadline: float) -> float:
         """Return how long the next read may wait, in seconds.
@@ -267,6 +274,8 @@
             return ServerUnreachableError(f"{self.address} can't be reached: {error}")
         if isinstance(error, TimeoutError):
             return AnswerTimeoutError(f"{self.address} was silent")
+        if isinstance(error, ConnectionResetError):
+            return ServerClosedError(f"{self.address}: {error}")
         return ConnectionBrokenError(f"{self.address}: {error}")
 
     def finish(self) -> bool:
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -4,6 +4,8 @@
 import pytest
 
 from rosemarystream._internal.decisions.placement import PREFILL_S
+from rosemarystream._internal.gateway import exchange
+from rosemarystream._internal.models.log_entries import AttemptBroken
 from standins.backend_server import Fault
 from tests.lib.entry_world import (
     Caller,
@@ -58,6 +60,37 @@
 
 
 STREAM = {"sticky": True, "resumable": True}
+PROMPT = ("X-Rosemarystream-Prompt-Prefix", "a:20,b:10")
+
+
+@pytest.fixture
+def broken_attempts(monkeypatch):
+    """Log entries of the attempts that broke."""
+    entries = []
+    monkeypatch.setattr(exchange, "write_log_entry", lambda log, e: entries.append(e))
+    return entries
+
+
+@pytest.mark.parametrize(
+    ("path", "fault", "closed", "begun"),
+    [
+        ("/brief/1", Fault.CUT, True, True),
+        ("/brief/1", Fault.CLOSE, True, False),
+        ("/book/1", Fault.UNSEALED, False, True),
+        ("/look/1", Fault.HANG, False, False),
+    ],
+)
+def test_the_log_tells_how_far_a_broken_attempt_came(
+    world, host, broken_attempts, path, fault, closed, begun
+):
+    set_faults(world, fault)
+    host.call(path, headers=[PROMPT])
+    (entry,) = [e for e in broken_attempts if isinstance(e, AttemptBroken)]
+    assert entry.closed == closed
+    assert (entry.answering_ms is not None) == begun
+    assert entry.prompt == ["a:20", "b:10"]
+
+
 STREAM_HEADERS = (
     ("X-Rosemarystream-Model", "m"),
     ("X-Rosemarystream-Prompt-Prefix", "a:9,b:1"),
