--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -1,10 +1,13 @@
 """Stand-in for a backend server, a plain service or an engine, by its protocol.
 
 A request that expects an instance of another name is refused with 421. `faults`
-holds the faults of the next requests, one each, first in first out.
+holds the faults of the next requests, one each, first in first out. A server crashes
+when it begins to answer a request whose prompt holds one of `crashing_parts`.
 """
 
 import itertools
+import struct
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -22,6 +25,8 @@
 )
 # Interval of the bytes of a stalled stream.
 TRICKLE_S = 0.05
+# Socket option with which a close resets the connection.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Fault(StrEnum):
@@ -53,6 +58,11 @@
     body: bytes
     cancelled: list[bool]
 
+    def list_shared_parts(self) -> list[str]:
+        """Return the parts of the prompt but the last, which is the request's own."""
+        prompt = self.headers.get(b"x-rosemarystream-prompt-prefix", b"").decode()
+        return [entry.partition(":")[0] for entry in prompt.split(",")[:-1]]
+
 
 class BackendServer:
     """One backend server.
@@ -68,6 +78,10 @@
     ----------
     load : str
         What it tells of its load with each answer.
+    crashing_parts : set of str
+        Prompt parts on which it crashes.
+    on_crash : callable
+        Called with the server when it has crashed.
     """
 
     def __init__(
@@ -86,6 +100,8 @@
         self.data_centre = data_centre
         self.work_s = work_s
         self.load = "1,0,8"
+        self.crashing_parts: set[str] = set()
+        self.on_crash: Callable[[BackendServer], object] = str
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.arrivals = 0
@@ -94,6 +110,7 @@
         self._cut_after = 3
         self._listen = address
         self._server: StreamServer | None = None
+        self._open: set[socket.socket] = set()
 
     def start(self) -> None:
         """Start listening."""
@@ -105,6 +122,15 @@
         if self._server is not None:
             self._server.stop(timeout=0)
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        self.stop()
+        for connection in self._open:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            connection.close()
+        self._open.clear()
+        self.on_crash(self)
+
     def describe(self, state: str = "ready", seq: int = 1) -> dict[str, object]:
         """Return the server's entry in the object store."""
         return {
@@ -121,12 +147,14 @@
 
     def _serve(self, connection: socket.socket, _: object) -> None:
         self.connections += 1
+        self._open.add(connection)
         try:
             while self._serve_next(connection):
                 pass
         except (OSError, h11.ProtocolError):
             return
         finally:
+            self._open.discard(connection)
             connection.close()
 
     def _serve_next(self, connection: socket.socket) -> bool:
@@ -202,6 +230,9 @@
         connection.sendall(
             protocol.send(h11.Response(status_code=200, headers=headers))
         )
+        if self.crashing_parts.intersection(run.list_shared_parts()):
+            self.crash()
+            return False
         for number, sent in zip(range(first, EVENTS + 1), itertools.count()):
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             if fault is Fault.CUT and sent == self._cut_after:
--- /dev/null
+++ b/tests/functional/test_prompt_part_crashes.py
@@ -0,0 +1,129 @@
+"""Prompt parts that crash each engine that begins to answer on them."""
+
+import itertools
+
+import gevent
+import pytest
+
+from tests.lib.entry_world import World, wait_until
+
+ENGINES = 6
+HOSTS = 4
+# Crashes after which a part counts as one that crashes engines, the time in which the
+# hosts have to know, and the requests that may reach engines after that.
+CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATER_REQUESTS = 3
+# Time after a crash until a new engine takes the address.
+RESTART_S = 0.3
+PAUSE_S = 0.04
+
+
+class Trouble:
+    """A world in which one part of some prompts crashes engines, and its callers."""
+
+    def __init__(self):
+        self.world = World()
+        self.crashes = 0
+        self.refused = []
+        self.sound = []
+        self.route = "brief"
+        self._numbers = itertools.count()
+        self._tasks = []
+        for number in range(ENGINES):
+            engine = self.world.add_server(f"e{number}", "engines")
+            engine.crashing_parts = {"bad"}
+            engine.on_crash = self._replace
+        for number in range(HOSTS):
+            seeds = ["h0"] if number else []
+            self.world.add_host(f"h{number}", "ab"[number % 2], seeds=seeds)
+        for host in self.world.hosts.values():
+            wait_until(lambda host=host: len(host.list_servers()) == ENGINES)
+
+    def _replace(self, engine):
+        self.crashes += 1
+        gevent.spawn_later(RESTART_S, self.world.replace_server, engine)
+
+    def send(self, host, *, crashing):
+        """Send a request; sound and crashing ones share a key and the first part."""
+        number = next(self._numbers)
+        second = "bad:900" if crashing else f"good{number % 3}:900"
+        prompt = f"root:200,{second},own{number}:50"
+        headers = [("X-Rosemarystream-Prompt-Prefix", prompt)]
+        return host.call(f"/{self.route}/1", headers=headers)
+
+    def start_callers(self):
+        self._tasks += [gevent.spawn(self._call, crashing=True)]
+        self._tasks += [gevent.spawn(self._call, crashing=False) for _ in range(2)]
+
+    def _call(self, *, crashing):
+        hosts = itertools.cycle([*self.world.hosts])
+        while True:
+            reply = self.send(self.world.hosts[next(hosts)], crashing=crashing)
+            (self.refused if crashing else self.sound).append(reply)
+            gevent.sleep(PAUSE_S)
+
+    def stop_callers(self):
+        gevent.killall(self._tasks)
+
+    def count_crashing_requests(self):
+        """Count the requests with the crashing part that have reached engines."""
+        return sum(
+            "bad" in run.list_shared_parts()
+            for server in self.world.servers.values()
+            for run in server.runs
+        )
+
+
+@pytest.fixture(params=["brief", "chat"])
+def trouble(request):
+    """The trouble, some time after the fifth crash, at a route of each kind."""
+    created = Trouble()
+    created.route = request.param
+    created.start_callers()
+    wait_until(lambda: created.crashes >= CRASHES or created.refused[30:], seconds=15)
+    gevent.sleep(CONTACT_S)
+    yield created
+    created.stop_callers()
+    created.world.stop()
+
+
+def test_a_prompt_part_that_crashed_five_servers_reaches_no_more(trouble):
+    before = trouble.count_crashing_requests()
+    trouble.refused.clear()
+    gevent.sleep(2.0)
+    assert trouble.refused
+    assert trouble.count_crashing_requests() - before <= MAX_LATER_REQUESTS
+    assert {reply.status for reply in trouble.refused} == {503}
+    assert all(b"retry-after" in reply.headers for reply in trouble.refused)
+
+
+def test_sound_prompts_beside_one_that_crashes_servers_are_served(trouble):
+    trouble.sound.clear()
+    gevent.sleep(2.0)
+    served = [r for r in trouble.sound if r.status == 200 and r.complete]
+    assert len(served) >= 0.9 * len(trouble.sound)
+    assert len(served) >= 20
+
+
+def test_a_restarted_host_knows_the_prompt_parts_that_crash_servers(trouble):
+    trouble.stop_callers()
+    before = trouble.count_crashing_requests()
+    host = trouble.world.add_host("h9", seeds=["h0"])
+    gevent.sleep(0.3)
+    for _ in range(5):
+        trouble.send(host, crashing=True)
+    assert trouble.count_crashing_requests() == before
+
+
+def test_hosts_restarted_together_know_the_prompt_parts_that_crash_servers(trouble):
+    trouble.stop_callers()
+    for host in trouble.world.hosts.values():
+        host.gateway.stop()
+    before = trouble.count_crashing_requests()
+    for name in ("h8", "h9"):
+        trouble.world.add_host(name)
+    gevent.sleep(0.3)
+    for name in ("h8", "h9"):
+        trouble.send(trouble.world.hosts[name], crashing=True)
+    assert trouble.count_crashing_requests() == before
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -16,6 +16,7 @@
 from rosemarystream._internal.decisions.peer_table import DEAD_AFTER_S
 from rosemarystream._internal.gateway.process import Gateway
 from rosemarystream._internal.gateway.settings import GatewaySettings
+from rosemarystream._internal.utils.address import split_address
 from standins.backend_server import BackendServer
 from standins.object_store import ObjectStore
 
@@ -107,6 +108,22 @@
         self.store.write("servers", name, server.describe())
         return server
 
+    def replace_server(self, server):
+        """Start a new server at the address of one that has crashed."""
+        self.store.remove("servers", server.name)
+        successor = BackendServer(
+            name=f"{server.name}'",
+            service=server.service,
+            address=split_address(server.address),
+            events=True,
+            work_s=server.work_s,
+        )
+        successor.crashing_parts = server.crashing_parts
+        successor.on_crash = server.on_crash
+        successor.start()
+        self.servers[successor.name] = successor
+        self.store.write("servers", successor.name, successor.describe())
+
     def add_host(self, name, data_centre="a", *, seeds=(), wait=True):
         ip = f"{self.net}.{next(self._ips)}"
         document = {
