--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -0,0 +1,305 @@
+"""Prompt parts that are kept from servers, and what hosts tell each other of them.
+
+Requests with a blocked part are rejected at once on every host. Each host sends what it
+has seen of crashes and answers to the others, and so does a block spread; collectors
+repeat the blocks in force for hosts that missed them.
+"""
+
+from collections.abc import Hashable, Iterable, Sequence
+from math import inf
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from rosemarystream._internal.decisions.crash_evidence import (
+    MAX_PARTS_OF_PROMPT,
+    Crash,
+    CrashEvidence,
+)
+from rosemarystream._internal.models.call import PromptPart
+from rosemarystream._internal.models.gossip import CrashUpdates
+
+# Time for which a part is blocked. The crashes count for longer, so that the first one
+# after it blocks the part again.
+BLOCK_S = 600.0
+# Interval at which a host lets a request with a blocked part through if another part of
+# the same prompts may be the one to blame.
+TRIAL_INTERVAL_S = 10.0
+MAX_BLOCKS = 256
+# Difference in the end of a block that is taken for the time a message takes.
+END_TOLERANCE_S = 30.0
+# Rounds in which each update is sent, as messages get lost.
+SEND_ROUNDS = 3
+# Most updates of a kind in one message, and most that wait to be sent.
+UPDATES_PER_MESSAGE = 32
+MAX_PENDING_UPDATES = 1_000
+# Rounds after which collectors repeat the blocks in force.
+REPEAT_BLOCKS_EVERY_ROUNDS = 10
+_MS_PER_S = 1000
+
+
+class Block(NamedTuple):
+    """A blocked part, with the times of the begin and the end of its block."""
+
+    part: int
+    began_at: float
+    until: float
+
+
+class BlockChange(NamedTuple):
+    """A block that has begun or was lifted, for the log."""
+
+    part: int
+    is_blocked: bool
+    left_s: float
+
+
+def hash_shared_parts(parts: Sequence[PromptPart]) -> tuple[int, ...]:
+    """Return the numbers of the parts but the last, which is the request's own.
+
+    They are sent and stored instead of the names, and long enough that two names with
+    the same number are not met.
+    """
+    return tuple(
+        xxh3_64_intdigest(part.name.encode())
+        for part in parts[:-1][:MAX_PARTS_OF_PROMPT]
+    )
+
+
+class PromptBlocks:
+    """Blocked prompt parts, and the evidence and the updates for other hosts."""
+
+    def __init__(self) -> None:
+        self._evidence = CrashEvidence()
+        self._blocks: dict[int, Block] = {}
+        self._ended_at: dict[int, float] = {}
+        self._trials: dict[int, float] = {}
+        self._changes: list[BlockChange] = []
+        self._pending_crashes = _PendingUpdates()
+        self._pending_answers = _PendingUpdates()
+        self._pending_blocks = _PendingUpdates()
+        self._rounds = 0
+
+    # What this host sees
+
+    def record_crash(self, server: int, parts: tuple[int, ...], now: float) -> None:
+        """Record that a server incarnation ended under a request with these parts."""
+        self._accept_crash(Crash(server, parts, now), now, is_forwarded=True)
+
+    def record_answer(self, parts: Iterable[int], now: float) -> None:
+        """Record that a server has answered a request of this host with these parts."""
+        self._evidence.record_own_answer(now)
+        for part in parts:
+            self._accept_answer(part, now, is_forwarded=True)
+
+    def are_answered(self, parts: Iterable[int], now: float) -> bool:
+        """Return whether servers have lately answered on all of these parts."""
+        return all(self._evidence.find_answer(part, now) is not None for part in parts)
+
+    def find_blocked(self, parts: Sequence[int], now: float) -> int | None:
+        """Return the part for which a request has to be rejected, or None.
+
+        Where the crashes may be due to another part of the same prompts, a request
+        without that one is let through now and then, and its end tells.
+        """
+        blocked = [part for part in parts if self._is_blocked(part, now)]
+        if len(blocked) == 1 and self._may_try(blocked[0], now):
+            self._trials[blocked[0]] = now
+            return None
+        return blocked[0] if blocked else None
+
+    def _is_blocked(self, part: int, now: float) -> bool:
+        block = self._blocks.get(part)
+        if block is not None and now < block.until:
+            return True
+        if not self._has_new_crash(part, now):
+            return False
+        if not self._evidence.is_to_blame(part, now):
+            return False
+        self._begin_block(Block(part, now, now + BLOCK_S), now)
+        self._pending_blocks.add(part)
+        return True
+
+    def _has_new_crash(self, part: int, now: float) -> bool:
+        """Return whether there was a crash since the last block of a part, if any."""
+        last_at = self._evidence.find_last_crash(part, now)
+        return last_at is not None and last_at > self._ended_at.get(part, -inf)
+
+    def _may_try(self, part: int, now: float) -> bool:
+        if self._evidence.find_last_crash(part, now) is None:
+            # Learnt from other hosts or the store, which knew more.
+            return False
+        if self._evidence.is_only_suspect(part, now):
+            return False
+        return now - self._trials.get(part, -TRIAL_INTERVAL_S) >= TRIAL_INTERVAL_S
+
+    # Blocks in force
+
+    def _begin_block(self, block: Block, now: float) -> None:
+        if block.part not in self._blocks:
+            self._changes.append(BlockChange(block.part, True, block.until - now))
+        self._blocks[block.part] = block
+        if len(self._blocks) > MAX_BLOCKS:
+            self._lift(next(iter(self._blocks)))
+
+    def _lift(self, part: int) -> None:
+        if self._blocks.pop(part, None) is not None:
+            self._trials.pop(part, None)
+            self._changes.append(BlockChange(part, False, 0.0))
+
+    def expire(self, now: float) -> None:
+        """Lift the blocks whose time is over."""
+        for block in [*self._blocks.values()]:
+            if now >= block.until:
+                self._lift(block.part)
+                self._record_end(block)
+
+    def _record_end(self, block: Block) -> None:
+        self._ended_at.pop(block.part, None)
+        self._ended_at[block.part] = block.until
+        if len(self._ended_at) > MAX_BLOCKS:
+            del self._ended_at[next(iter(self._ended_at))]
+
+    def list_blocks(self) -> list[Block]:
+        """Return the blocks in force."""
+        return [*self._blocks.values()]
+
+    def accept_block(self, block: Block, now: float) -> bool:
+        """Apply a block that another host or the store knows; return if it is new."""
+        known = self._blocks.get(block.part)
+        until = min(block.until, now + BLOCK_S)
+        if now >= until:
+            return False
+        if known is not None and until <= known.until + END_TOLERANCE_S:
+            return False
+        answered_at = self._evidence.find_answer(block.part, now)
+        if answered_at is not None and answered_at > block.began_at:
+            # Its sender doesn't know of that answer yet.
+            self._pending_answers.add(block.part)
+            return False
+        self._begin_block(block._replace(until=until), now)
+        return known is None
+
+    def lift_block(self, part: int, now: float) -> None:
+        """Lift a block that an operator has removed; other hosts are told."""
+        if part in self._blocks:
+            self._accept_answer(part, now, is_forwarded=True)
+
+    def measure_left(self, part: int, now: float) -> float:
+        """Return the time until the end of a part's block, in seconds."""
+        block = self._blocks.get(part)
+        return max(0.0, block.until - now) if block else 0.0
+
+    def take_changes(self) -> list[BlockChange]:
+        """Return the blocks that have begun or ended since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    # Exchange with other hosts
+
+    def accept_updates(
+        self, updates: CrashUpdates, now: float, *, is_forwarded: bool
+    ) -> None:
+        """Apply what another host has seen.
+
+        Parameters
+        ----------
+        is_forwarded : bool
+            Whether news are sent on, as collectors do.
+        """
+        for server, age_ms, parts in updates.crashes:
+            at = now - age_ms / _MS_PER_S
+            crash = Crash(server, tuple(parts[:MAX_PARTS_OF_PROMPT]), at)
+            self._accept_crash(crash, now, is_forwarded=is_forwarded)
+        for part, age_ms in updates.answers:
+            at = now - age_ms / _MS_PER_S
+            self._accept_answer(part, at, is_forwarded=is_forwarded)
+        for part, age_ms, left_ms in updates.blocks:
+            block = Block(part, now - age_ms / _MS_PER_S, now + left_ms / _MS_PER_S)
+            if self.accept_block(block, now) and is_forwarded:
+                self._pending_blocks.add(part)
+
+    def _accept_crash(self, crash: Crash, now: float, *, is_forwarded: bool) -> None:
+        if not self._evidence.record_crash(crash):
+            return
+        if is_forwarded:
+            self._pending_crashes.add(crash)
+        for part in crash.parts:
+            if self._evidence.find_answer(part, now) is not None:
+                self._pending_answers.add(part)
+
+    def _accept_answer(self, part: int, at: float, *, is_forwarded: bool) -> None:
+        block = self._blocks.get(part)
+        is_lifted = block is not None and at > block.began_at
+        is_cleared = self._evidence.record_answer(part, at)
+        if is_lifted:
+            self._lift(part)
+        if (is_lifted or is_cleared) and is_forwarded:
+            self._pending_answers.add(part)
+
+    def take_updates(self, now: float, *, repeats_blocks: bool) -> CrashUpdates | None:
+        """Return the updates of this round, or None if there are none.
+
+        Parameters
+        ----------
+        repeats_blocks : bool
+            Whether this host is a collector, which repeats the blocks in force.
+        """
+        self._rounds += 1
+        if repeats_blocks and self._rounds % REPEAT_BLOCKS_EVERY_ROUNDS == 0:
+            for part in self._blocks:
+                self._pending_blocks.add(part, rounds=1)
+        crashes = [
+            (crash.server, _to_age_ms(crash.at, now), list(crash.parts))
+            for crash in self._pending_crashes.take()
+        ]
+        answers = [
+            (part, _to_age_ms(at, now))
+            for part in self._pending_answers.take()
+            if (at := self._evidence.find_answer(part, now)) is not None
+        ]
+        blocks = self._list_rows(self._pending_blocks.take(), now)
+        if not (crashes or answers or blocks):
+            return None
+        return CrashUpdates(crashes, answers, blocks)
+
+    def list_rows(self, now: float) -> list[tuple[int, int, int]]:
+        """Return all blocks, for a host that has just started."""
+        return self._list_rows(self._blocks, now)
+
+    def _list_rows(
+        self, parts: Iterable[int], now: float
+    ) -> list[tuple[int, int, int]]:
+        blocks = [self._blocks[part] for part in parts if part in self._blocks]
+        return [
+            (block.part, _to_age_ms(block.began_at, now), _to_age_ms(now, block.until))
+            for block in blocks
+            if now < block.until
+        ]
+
+
+class _PendingUpdates:
+    """Updates that are sent in some rounds each, the oldest first."""
+
+    def __init__(self) -> None:
+        self._rounds_left: dict[Hashable, int] = {}
+
+    def add(self, update: Hashable, *, rounds: int = SEND_ROUNDS) -> None:
+        """Add an update; one that waits already keeps its place."""
+        self._rounds_left[update] = max(rounds, self._rounds_left.get(update, 0))
+        if len(self._rounds_left) > MAX_PENDING_UPDATES:
+            del self._rounds_left[next(iter(self._rounds_left))]
+
+    def take(self) -> list:
+        """Return the updates of this round."""
+        taken = [*self._rounds_left][:UPDATES_PER_MESSAGE]
+        for update in taken:
+            # An update that has been sent goes behind those that have not.
+            rounds_left = self._rounds_left.pop(update) - 1
+            if rounds_left:
+                self._rounds_left[update] = rounds_left
+        return taken
+
+
+def _to_age_ms(since: float, until: float) -> int:
+    return max(0, int((until - since) * _MS_PER_S))
--- a/src/rosemarystream/_internal/exceptions.py
+++ b/src/rosemarystream/_internal/exceptions.py
@@ -35,6 +35,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     NO_BACKEND = "no_backend"
+    BLOCKED_PROMPT = "blocked_prompt"
     NOT_OWNER = "not_owner"
     LEAVING = "leaving"
     CLAIM_UNAVAILABLE = "claim_unavailable"
@@ -111,6 +112,9 @@
     ErrorKind.NO_BACKEND: ErrorAnswer(
         503, _NOT_RUN, _LATER, "Wait for the time in Retry-After, then send again."
     ),
+    ErrorKind.BLOCKED_PROMPT: ErrorAnswer(
+        503, _NOT_RUN, _LATER, "Leave out the prompt part; servers crash on it."
+    ),
     ErrorKind.NOT_OWNER: ErrorAnswer(
         421, _NOT_RUN, _LATER, "Send again; the owner of the group has changed."
     ),
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -0,0 +1,130 @@
+"""Blocked prompt parts in the store, which outlast the hosts that know them."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from logbook import Logger
+
+from rosemarystream._internal.decisions.prompt_blocks import Block, PromptBlocks
+from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.store_watches import StoreWatch
+from rosemarystream._internal.models.log_entries import (
+    BlockNotStored,
+    BlockRecordInvalid,
+)
+from rosemarystream._internal.platform.store import (
+    BLOCKED_PARTS,
+    Store,
+    StoredObject,
+    StoreError,
+)
+
+log = Logger(__name__)
+
+# Interval at which blocks are written that the store doesn't have yet.
+WRITE_INTERVAL_S = 0.25
+WRITE_RETRY_S = 1.0
+# Time after the end of a block until its record is removed. The clocks of hosts differ,
+# and a record that goes before its time lifts the block.
+REMOVAL_MARGIN_S = 30.0
+_MS_PER_S = 1000
+
+
+class BlockWatch(StoreWatch):
+    """Watches the blocked prompt parts, and writes those that hosts have found."""
+
+    kind = BLOCKED_PARTS
+
+    def __init__(
+        self,
+        *,
+        blocks: PromptBlocks,
+        writer: Store,
+        read_epoch_s: Callable[[], float] = time.time,
+        **arguments: Any,
+    ) -> None:
+        super().__init__(**arguments)
+        self._blocks = blocks
+        self._writer = writer
+        self._read_epoch_s = read_epoch_s
+        self._stored_until: dict[int, float] = {}
+        self._write_task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to watch, and to write."""
+        super().start()
+        self._write_task = gevent.spawn(self._write_blocks)
+
+    def stop(self) -> None:
+        """Stop watching and writing."""
+        super().stop()
+        if self._write_task is not None:
+            self._write_task.kill()
+        self._writer.close()
+
+    def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
+        for item in objects:
+            self._accept(item, False, revision)
+
+    def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
+        try:
+            part = int(item.name, 16)
+            if deleted:
+                self._stored_until.pop(part, None)
+                self._blocks.lift_block(part, self._clock())
+            else:
+                self._accept_record(part, item.read_text_fields())
+        except (KeyError, ValueError) as error:
+            entry = BlockRecordInvalid(name=item.name, error=repr(error))
+            write_log_entry(log, entry)
+        return False
+
+    def _accept_record(self, part: int, fields: dict[str, str]) -> None:
+        now = self._clock()
+        offset_s = self._read_epoch_s() - now
+        began_at = int(fields["began_ms"]) / _MS_PER_S - offset_s
+        until = int(fields["until_ms"]) / _MS_PER_S - offset_s
+        self._stored_until[part] = until
+        self._blocks.accept_block(Block(part, began_at, until), now)
+
+    def _write_blocks(self) -> None:
+        while True:
+            gevent.sleep(WRITE_INTERVAL_S)
+            if not self._is_watcher():
+                continue
+            try:
+                self._write_missing()
+                self._remove_expired()
+            except StoreError as error:
+                write_log_entry(log, BlockNotStored(error=str(error)))
+                gevent.sleep(WRITE_RETRY_S)
+
+    def _write_missing(self) -> None:
+        for block in self._blocks.list_blocks():
+            stored_until = self._stored_until.get(block.part)
+            if stored_until is None:
+                # The first watcher that writes it wins; the others read it.
+                self._writer.create(*self._encode(block))
+            elif stored_until <= self._clock():
+                self._writer.put(*self._encode(block))
+            else:
+                continue
+            self._stored_until[block.part] = block.until
+
+    def _encode(self, block: Block) -> tuple[str, str, dict[str, str]]:
+        """Return kind, name and content of the record of a block."""
+        offset_s = self._read_epoch_s() - self._clock()
+        spec = {
+            "began_ms": str(int((block.began_at + offset_s) * _MS_PER_S)),
+            "until_ms": str(int((block.until + offset_s) * _MS_PER_S)),
+        }
+        return BLOCKED_PARTS, f"{block.part:016x}", spec
+
+    def _remove_expired(self) -> None:
+        now = self._clock()
+        for part, until in [*self._stored_until.items()]:
+            if now >= until + REMOVAL_MARGIN_S:
+                self._writer.delete(BLOCKED_PARTS, f"{part:016x}")
+                self._stored_until.pop(part, None)
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/crash_reporter.py
@@ -0,0 +1,113 @@
+"""Finds out whether a server that broke off an answer has crashed."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import gevent
+from logbook import Logger
+
+from rosemarystream._internal.decisions.hashing import hash_name_32
+from rosemarystream._internal.decisions.prompt_blocks import (
+    PromptBlocks,
+    hash_shared_parts,
+)
+from rosemarystream._internal.exceptions import ConnectError
+from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.log_entries import ServerCrashed
+
+log = Logger(__name__)
+
+# Time after a close until the server is contacted: a process that ends closes its
+# connections and its listening socket one after the other.
+CONFIRM_DELAY_S = 0.05
+# Largest number of crashed incarnations that are remembered.
+MAX_CRASHED = 256
+
+
+class CrashReporter:
+    """Records the prompt parts of requests whose server has crashed.
+
+    A server that closes a connection may also have cut only this answer, or something
+    between has reset the connection. One that has crashed refuses new connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        blocks: PromptBlocks,
+        pool: ConnectionPool,
+        router: Router,
+        clock: Callable[[], float],
+    ) -> None:
+        self._blocks = blocks
+        self._pool = pool
+        self._router = router
+        self._clock = clock
+        self._checks: dict[int, gevent.Greenlet] = {}
+        self._crashed: OrderedDict[int, None] = OrderedDict()
+
+    def report_closed(self, endpoint: Endpoint, call: Call) -> None:
+        """Check, in the background, a server that closed a connection too early."""
+        if len(call.parts) > 1:
+            gevent.spawn(self._check, endpoint, call)
+
+    def report_ended(self, endpoint: Endpoint, call: Call) -> None:
+        """Check a server whose answer, of unknown length, ended with its connection.
+
+        The answer counts as complete for its caller. If the server is gone, it ended
+        because of that, and if it isn't, it has answered.
+        """
+        now = self._clock()
+        if len(call.parts) > 1 and not self._blocks.are_answered(
+            hash_shared_parts(call.parts), now
+        ):
+            gevent.spawn(self._check, endpoint, call, is_answered=True)
+
+    def record_answer(self, call: Call) -> None:
+        """Record that a server has answered a request and goes on running."""
+        self._blocks.record_answer(hash_shared_parts(call.parts), self._clock())
+
+    def _check(
+        self, endpoint: Endpoint, call: Call, *, is_answered: bool = False
+    ) -> None:
+        server = hash_name_32(f"{endpoint.name}/{endpoint.incarnation}")
+        if not self._has_crashed(server, endpoint):
+            if is_answered:
+                self.record_answer(call)
+            return
+        entry = ServerCrashed(
+            server=endpoint.name,
+            request=call.request_id,
+            prompt=call.format_prompt(),
+        )
+        write_log_entry(log, entry)
+        self._blocks.record_crash(server, hash_shared_parts(call.parts), self._clock())
+
+    def _has_crashed(self, server: int, endpoint: Endpoint) -> bool:
+        """Return whether a server is gone; requests that ask together share a check."""
+        if server in self._crashed:
+            return True
+        check = self._checks.get(server)
+        if check is None:
+            check = self._checks[server] = gevent.spawn(self._is_gone, endpoint)
+            check.link(lambda _: self._checks.pop(server, None))
+        if not check.get():
+            return False
+        self._crashed[server] = None
+        if len(self._crashed) > MAX_CRASHED:
+            self._crashed.popitem(last=False)
+        return True
+
+    def _is_gone(self, endpoint: Endpoint) -> bool:
+        gevent.sleep(CONFIRM_DELAY_S)
+        try:
+            connection = self._pool.open(endpoint, self._clock() + 1.0)
+        except ConnectError:
+            self._router.record_gone(endpoint)
+            return True
+        connection.close()
+        return False
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -6,11 +6,16 @@
 """
 
 from collections.abc import Callable
+from math import inf
 
 import gevent
 from logbook import Logger
 
 from rosemarystream._internal.decisions.placement import Placement
+from rosemarystream._internal.decisions.prompt_blocks import (
+    PromptBlocks,
+    hash_shared_parts,
+)
 from rosemarystream._internal.decisions.timeouts import (
     compute_attempt_deadline,
     compute_stall_timeout,
@@ -23,6 +28,7 @@
     OutcomeUnknownError,
 )
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
@@ -48,6 +54,9 @@
 START_WAIT_S = 0.5
 START_POLL_S = 0.02
 SERVER_ERROR = 500
+# Time from the head of an answer after which a server that still sends events counts as
+# one that can answer the prompt.
+SOUND_ANSWER_S = 1.0
 
 
 class RequestEndedError(RosemarystreamError):
@@ -68,6 +77,10 @@
         Where the answer to the caller is written.
     ends_at : float or None
         Time at which this host stops; requests that may last longer are refused.
+    blocks : PromptBlocks
+        Prompt parts whose requests are rejected.
+    crashes : CrashReporter
+        Is told of answers, and of servers that close a connection too early.
 
     Attributes
     ----------
@@ -91,6 +104,8 @@
         answer: AnswerWriter,
         router: Router,
         pool: ConnectionPool,
+        blocks: PromptBlocks,
+        crashes: CrashReporter,
         clock: Callable[[], float],
         ends_at: float | None,
     ) -> None:
@@ -110,8 +125,11 @@
         self._answer = answer
         self._router = router
         self._pool = pool
+        self._blocks = blocks
+        self._crashes = crashes
         self._clock = clock
         self._ends_at = ends_at
+        self._shared_parts = hash_shared_parts(call.parts)
         self._prefilling: Placement | None = None
         self._unsent_attempts = 0
         self._may_have_run = False
@@ -194,6 +212,7 @@
         now = self._clock()
         if now >= self._deadline:
             raise self._make_final_error("the time is over")
+        self._check_prompt(now)
         placement = self._router.place(
             route, service, self._call, rank=self.rank, exclude=self.tried
         )
@@ -226,6 +245,27 @@
             self._router.end(endpoint)
         return None
 
+    def _check_prompt(self, now: float) -> None:
+        """Check that servers don't crash on a part of the prompt.
+
+        Raises
+        ------
+        RequestEndedError
+            If they do.
+        """
+        blocked = self._blocks.find_blocked(self._shared_parts, now)
+        if blocked is None:
+            return
+        name = self._call.parts[self._shared_parts.index(blocked)].name
+        reason = f"servers crash on the prompt part {name}"
+        if self._may_have_run:
+            raise self._make_final_error(reason)
+        raise RequestEndedError(
+            ErrorKind.BLOCKED_PROMPT,
+            reason,
+            retry_after_s=self._blocks.measure_left(blocked, now),
+        )
+
     def _record_first_event(self) -> None:
         self._end_prefill()
         if self.first_event_s is None:
@@ -268,6 +308,7 @@
         write_log_entry(log, entry)
         if error.closed:
             self._router.metrics.answers_closed.inc()
+            self._crashes.report_closed(attempt.endpoint, self._call)
         self.sends += 1
         self._may_have_run = True
         if error.unreachable:
@@ -357,9 +398,7 @@
             size += len(piece)
             if size > BUFFERED_BODY_BYTES:
                 return self._relay_long_body(attempt, head, b"".join(pieces))
-        self._router.record_outcome(
-            attempt.endpoint, failed=head.status >= SERVER_ERROR
-        )
+        self._record_answered(attempt, head, failed=head.status >= SERVER_ERROR)
         self._answer.send_whole(head.status, head.headers, b"".join(pieces))
         return "answered"
 
@@ -375,13 +414,24 @@
             self._record_unknown_outcome(attempt, error)
             raise RequestEndedError(ErrorKind.STREAM_BROKEN, str(error)) from error
         self._answer.end()
-        self._router.record_outcome(attempt.endpoint, failed=False)
+        self._record_answered(attempt, head)
         return "answered"
 
+    def _record_answered(
+        self, attempt: Attempt, head: AnswerHead, *, failed: bool = False
+    ) -> None:
+        """Record that an answer has ended as it should."""
+        self._router.record_outcome(attempt.endpoint, failed=failed)
+        if head.is_delimited:
+            self._crashes.record_answer(self._call)
+        else:
+            self._crashes.report_ended(attempt.endpoint, self._call)
+
     def _relay_events(self, attempt: Attempt, head: AnswerHead, route: Route) -> str:
         splitter = EventSplitter()
         stall_s = compute_stall_timeout(route)
         stalled_at = self._clock() + stall_s
+        sound_at = self._clock() + SOUND_ANSWER_S
         while True:
             attempt_deadline = self._deadline
             if route.resumable:
@@ -402,12 +452,15 @@
             # Only events that the caller gets are progress, not any bytes.
             if any([self._relay_event(event, head) for event in events]):
                 stalled_at = self._clock() + stall_s
+                if self._clock() >= sound_at:
+                    self._crashes.record_answer(self._call)
+                    sound_at = inf
         if splitter.remainder:
             raise OutcomeUnknownError("the stream ended within an event")
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.end()
-        self._router.record_outcome(attempt.endpoint, failed=False)
+        self._record_answered(attempt, head)
         return "answered"
 
     def _check_resumable(
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -22,12 +22,18 @@
     Peer,
     PeerTable,
 )
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds, SpeedReport
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.state_pulls import StatePuller
-from rosemarystream._internal.models.gossip import GossipMessage, HostAddress, LoadScope
+from rosemarystream._internal.models.gossip import (
+    CrashUpdates,
+    GossipMessage,
+    HostAddress,
+    LoadScope,
+)
 from rosemarystream._internal.models.log_entries import GossipFailed, GossipUnreadable
 
 log = Logger(__name__)
@@ -66,6 +72,16 @@
     lost_ms: int
 
 
+class _Updates(NamedTuple):
+    """News that are sent in one round."""
+
+    caches: list[CacheUpdate]
+    crashes: CrashUpdates | None
+
+
+_NO_UPDATES = _Updates([], None)
+
+
 class Peering:
     """Sends gossip messages to the other hosts and applies those received.
 
@@ -81,6 +97,8 @@
         Sequence number of the first message; higher than any of an earlier process.
     speeds : ServerSpeeds
         Observed speeds of the servers.
+    blocks : PromptBlocks
+        Prompt parts on which servers crash.
     puller : StatePuller
         Fetches newer state from a host.
     list_ejected : callable
@@ -107,6 +125,7 @@
         loads: LoadTable,
         contexts: ContextMap,
         speeds: ServerSpeeds,
+        blocks: PromptBlocks,
         puller: StatePuller,
         list_ejected: Callable[[], list[int]],
         on_ejections: Callable[[list[int]], None],
@@ -122,6 +141,7 @@
         self._loads = loads
         self._contexts = contexts
         self._speeds = speeds
+        self._blocks = blocks
         self._puller = puller
         self._list_ejected = list_ejected
         self._on_ejections = on_ejections
@@ -154,7 +174,13 @@
         self._rounds += 1
         self._contact_seeds()
         self._contact_unheard()
-        self._send_to_all(self._contexts.take_cache_updates())
+        now = self._clock()
+        is_collector = self._peer_table.is_collector(now)
+        updates = _Updates(
+            self._contexts.take_cache_updates(),
+            self._blocks.take_updates(now, repeats_blocks=is_collector),
+        )
+        self._send_to_all(updates)
 
     def report_load_change(self) -> None:
         """Report this host's load to the collectors at once if it has changed much."""
@@ -162,23 +188,23 @@
         if abs(total - self._reported_requests) < LOAD_CHANGE_REQUESTS:
             return
         if self._clock() - self._reported_at >= MIN_REPORT_INTERVAL_S:
-            self._report_to_collectors([])
+            self._report_to_collectors(_NO_UPDATES)
 
     def announce(self) -> None:
         """Send the versions of newer state without waiting for the next round."""
-        self._send_to_all([])
+        self._send_to_all(_NO_UPDATES)
 
     # Sending
 
-    def _send_to_all(self, cache_updates: list[CacheUpdate]) -> None:
-        collectors = self._report_to_collectors(cache_updates)
+    def _send_to_all(self, updates: _Updates) -> None:
+        collectors = self._report_to_collectors(updates)
         if self._this_host.name in collectors:
             now = self._clock()
             self._loads.clear_others_sums()
-            self._send_to_data_centre(now, cache_updates)
-            self._send_to_remote(now, cache_updates)
+            self._send_to_data_centre(now, updates)
+            self._send_to_remote(now, updates)
 
-    def _report_to_collectors(self, cache_updates: list[CacheUpdate]) -> list[str]:
+    def _report_to_collectors(self, updates: _Updates) -> list[str]:
         """Report this host's load to the local collectors; return their names."""
         now = self._clock()
         own = self._loads.sum_own()
@@ -187,16 +213,14 @@
         message = self._make_message(
             LoadScope.HOST,
             own,
-            cache_updates=cache_updates,
+            updates=updates,
             slowness=self._speeds.list_own(now),
         )
         for name in collectors:
             self._send_to(name, message)
         return collectors
 
-    def _send_to_data_centre(
-        self, now: float, cache_updates: list[CacheUpdate]
-    ) -> None:
+    def _send_to_data_centre(self, now: float, updates: _Updates) -> None:
         known_hosts = (
             self._list_names(now) if self._rounds % NAMES_EVERY_ROUNDS == 0 else []
         )
@@ -211,19 +235,19 @@
             message = self._make_message(
                 LoadScope.OTHERS,
                 load,
-                cache_updates=cache_updates,
+                updates=updates,
                 known_hosts=known_hosts,
                 live_hosts=live_hosts,
                 slowness=slowness,
             )
             self._send(nearby[name], message)
 
-    def _send_to_remote(self, now: float, cache_updates: list[CacheUpdate]) -> None:
+    def _send_to_remote(self, now: float, updates: _Updates) -> None:
         load = self._loads.sum_data_centre(now)
         message = self._make_message(
             LoadScope.DATA_CENTRE,
             load,
-            cache_updates=cache_updates,
+            updates=updates,
             live_hosts=self._peer_table.count_data_centre(now),
             slowness=self._speeds.list_nearby(now),
         )
@@ -265,7 +289,7 @@
         scope: LoadScope,
         load: Load,
         *,
-        cache_updates: list[CacheUpdate] | None = None,
+        updates: _Updates = _NO_UPDATES,
         known_hosts: list[HostAddress] | None = None,
         wants_answer: bool = False,
         live_hosts: int = 0,
@@ -282,11 +306,12 @@
             counts=load.counts,
             prefill=load.prefill,
             ejected=self._list_ejected() if scope is LoadScope.HOST else [],
-            cache_updates=cache_updates or [],
+            cache_updates=updates.caches,
             known_hosts=known_hosts or [],
             wants_answer=wants_answer,
             live_hosts=live_hosts,
             slowness=slowness or {},
+            crash_updates=updates.crashes,
         )
 
     def _list_names(
@@ -358,6 +383,12 @@
             message.slowness, now, nearby=message.scope is LoadScope.HOST
         )
         self._contexts.accept_cache_updates(message.cache_updates, now)
+        if message.crash_updates is not None:
+            self._blocks.accept_updates(
+                message.crash_updates,
+                now,
+                is_forwarded=self._peer_table.is_collector(now),
+            )
         self._store_reports[sender.name] = _StoreReport(now, message.store_lost_ms)
         if message.ejected:
             self._on_ejections(message.ejected)
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import gevent
 import msgspec
@@ -15,9 +16,11 @@
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.exceptions import ConnectError, SettingsError
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
+from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.listener import Listener, Request
 from rosemarystream._internal.gateway.logs import (
@@ -47,6 +50,8 @@
     HostFound,
     HostLost,
     Leaving,
+    PromptPartBlocked,
+    PromptPartReleased,
     ServersNotReturned,
     ServerStillUnreachable,
     ServicesUnreachable,
@@ -120,6 +125,7 @@
         self._peer_table = PeerTable(name=host.name, data_centre=host.data_centre)
         self._loads = LoadTable()
         self._contexts = ContextMap()
+        self._blocks = PromptBlocks()
         self._metrics = GatewayMetrics()
         self._pool = ConnectionPool(clock=self._clock)
         self._router = Router(
@@ -140,6 +146,7 @@
             clock=self._clock,
             replica=self._replica,
             contexts=self._contexts,
+            blocks=self._blocks,
             on_change=self._forget_departed,
         )
         self._peering = Peering(
@@ -153,6 +160,7 @@
             loads=self._loads,
             contexts=self._contexts,
             speeds=self._router.speeds,
+            blocks=self._blocks,
             puller=self._puller,
             list_ejected=self._router.list_ejected,
             on_ejections=self._router.accept_ejections,
@@ -166,9 +174,14 @@
                 is_watcher=self._is_watcher,
                 on_change=self._announce,
             )
-            for watch in (ConfigurationWatch, ServerWatch)
+            for watch in (ConfigurationWatch, ServerWatch, self._make_block_watch)
         ]
-        self._relay = Relay(router=self._router, pool=self._pool, clock=self._clock)
+        self._relay = Relay(
+            router=self._router,
+            pool=self._pool,
+            blocks=self._blocks,
+            clock=self._clock,
+        )
         self._caller_listener = Listener(
             address=host.caller_address,
             handler=self._relay.serve,
@@ -195,10 +208,14 @@
             peer_table=self._peer_table,
             loads=self._loads,
             router=self._router,
+            blocks=self._blocks,
             count_busy=self._caller_listener.count_busy,
             count_dropped_entries=count_dropped_entries,
         )
 
+    def _make_block_watch(self, **arguments: Any) -> BlockWatch:
+        return BlockWatch(blocks=self._blocks, writer=self._make_store(), **arguments)
+
     def _make_store(self) -> Store:
         return Store(
             address=self._settings.platform.address,
@@ -343,11 +360,22 @@
                 write_log_entry(log, ServersNotReturned(servers=expired))
                 self._announce()
             self._log_host_changes(now)
+            self._blocks.expire(now)
+            self._log_block_changes()
             self._state.record_version()
             lost = [watch.lost_at for watch in self._watches if watch.lost_at]
             self._state.store_lost_s = now - min(lost) if lost else 0.0
             self._peering.store_lost_ms = int(self._state.store_lost_s * _MS_PER_S)
 
+    def _log_block_changes(self) -> None:
+        for change in self._blocks.take_changes():
+            part = f"{change.part:016x}"
+            if change.is_blocked:
+                for_ms = round(change.left_s * _MS_PER_S, 1)
+                write_log_entry(log, PromptPartBlocked(part=part, for_ms=for_ms))
+            else:
+                write_log_entry(log, PromptPartReleased(part=part))
+
     def _log_host_changes(self, now: float) -> None:
         changes = self._peer_table.take_changes(now)
         for host in changes.found:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -6,8 +6,10 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.placement import Placement
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.exchange import Exchange, RequestEndedError
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
@@ -26,13 +28,24 @@
     ----------
     router : Router
         Chooses the servers and records whether they answer.
+    blocks : PromptBlocks
+        Prompt parts whose requests are rejected.
     """
 
     def __init__(
-        self, *, router: Router, pool: ConnectionPool, clock: Callable[[], float]
+        self,
+        *,
+        router: Router,
+        pool: ConnectionPool,
+        blocks: PromptBlocks,
+        clock: Callable[[], float],
     ) -> None:
         self._router = router
         self._pool = pool
+        self._blocks = blocks
+        self._crashes = CrashReporter(
+            blocks=blocks, pool=pool, router=router, clock=clock
+        )
         self._clock = clock
         self._ends_at: float | None = None
 
@@ -49,6 +62,8 @@
             answer=answer,
             router=self._router,
             pool=self._pool,
+            blocks=self._blocks,
+            crashes=self._crashes,
             clock=self._clock,
             ends_at=self._ends_at,
         )
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -415,12 +415,17 @@
     def record_unreachable(self, endpoint: Endpoint) -> None:
         """Record that a server can't be reached or has stopped responding."""
         self.metrics.attempts.labels("unreachable").inc()
+        self.record_gone(endpoint)
+        now = self._clock()
+        self.health.record_data_centre_failure(endpoint.data_centre, endpoint.name, now)
+
+    def record_gone(self, endpoint: Endpoint) -> None:
+        """Eject a server that was found to accept no connections."""
         now = self._clock()
         ejection_s = self.health.record_unreachable(endpoint.name, now)
         if ejection_s:
             entry = ServerEjected(server=endpoint.name, for_ms=ejection_s * _MS_PER_S)
             write_log_entry(log, entry)
-        self.health.record_data_centre_failure(endpoint.data_centre, endpoint.name, now)
 
     def record_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
         """Record whether a server answered a request or failed."""
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -5,6 +5,7 @@
 
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.metrics import HostGauges
 from rosemarystream._internal.gateway.router import Router
@@ -49,7 +50,14 @@
 
 
 class StateDump(TypedDict):
-    """The state of a host; it contains no keys and no content of requests."""
+    """The state of a host; it contains no keys and no content of requests.
+
+    Attributes
+    ----------
+    blocked_parts : dict of str to float
+        Numbers of the prompt parts whose requests are rejected, as in the store, with
+        the time until the end of the block in seconds.
+    """
 
     host: str
     data_centre: str
@@ -60,6 +68,7 @@
     routes: dict[str, list[str]]
     workspaces: list[str]
     out_of_reach: list[str]
+    blocked_parts: dict[str, float]
     is_collector: bool
     collectors: list[str]
     servers: dict[str, ServerState]
@@ -92,6 +101,7 @@
         peer_table: PeerTable,
         loads: LoadTable,
         router: Router,
+        blocks: PromptBlocks,
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
     ) -> None:
@@ -102,6 +112,7 @@
         self._peer_table = peer_table
         self._loads = loads
         self._router = router
+        self._blocks = blocks
         self._count_busy = count_busy
         self._count_dropped_entries = count_dropped_entries
         self._version = 0
@@ -145,6 +156,10 @@
             routes={host: [r.name for r in group] for host, group in routes.items()},
             workspaces=sorted({workspace.name for workspace in workspaces}),
             out_of_reach=self._router.list_unreachable_services(),
+            blocked_parts={
+                f"{block.part:016x}": round(block.until - now, 1)
+                for block in self._blocks.list_blocks()
+            },
             is_collector=self._name in collectors,
             collectors=collectors,
             servers=self._list_servers(now),
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -15,10 +15,15 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import accept_document
-from rosemarystream._internal.models.gossip import PullAnswer, PullRequest
+from rosemarystream._internal.models.gossip import (
+    CrashUpdates,
+    PullAnswer,
+    PullRequest,
+)
 from rosemarystream._internal.models.log_entries import (
     ConfigurationInvalid,
     PullFailed,
@@ -66,12 +71,14 @@
         clock: Callable[[], float],
         replica: Replica,
         contexts: ContextMap,
+        blocks: PromptBlocks,
         on_change: Callable[[], None],
     ) -> None:
         self._port = address[1]
         self._clock = clock
         self._replica = replica
         self._contexts = contexts
+        self._blocks = blocks
         self._contexts_from: set[str] = set()
         self._on_change = on_change
         self._active_pulls: set[str] = set()
@@ -145,6 +152,10 @@
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
+        if answer.blocks:
+            updates = CrashUpdates(blocks=answer.blocks)
+            self._blocks.accept_updates(updates, self._clock(), is_forwarded=False)
+            changed.append(f"{len(answer.blocks)} blocked parts")
         if changed:
             write_log_entry(log, UpdatesPulled(news=changed, revision=answer.revision))
             self._on_change()
@@ -172,8 +183,10 @@
         if request.version is not None and self._replica.version > request.version:
             document = self._compress_document()
         if request.wants_contexts:
-            entries = self._contexts.list_entries(self._clock())
-            return PullAnswer(document, [], {}, 0, entries[:MAX_CONTEXT_ENTRIES])
+            now = self._clock()
+            entries = self._contexts.list_entries(now)[:MAX_CONTEXT_ENTRIES]
+            blocks = self._blocks.list_rows(now)
+            return PullAnswer(document, [], {}, 0, entries, blocks)
         if request.revision is None:
             return PullAnswer(document, [], {}, 0)
         delta = self._replica.select_delta(request.revision)
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -34,6 +34,27 @@
     OTHERS = 3
 
 
+class CrashUpdates(msgspec.Struct, array_like=True, frozen=True):
+    """What a host has seen of servers that crash under requests.
+
+    Attributes
+    ----------
+    crashes : list of tuple
+        Number of the server's incarnation, time since the crash in milliseconds, and
+        numbers of the shared prompt parts of a request that was running there.
+    answers : list of tuple of int
+        Numbers of suspected prompt parts on which a server has answered, and the time
+        since that in milliseconds.
+    blocks : list of tuple of int
+        Numbers of blocked prompt parts, the time since the block began and the time
+        until it ends, in milliseconds.
+    """
+
+    crashes: list[tuple[int, int, list[int]]] = []
+    answers: list[tuple[int, int]] = []
+    blocks: list[tuple[int, int, int]] = []
+
+
 class GossipMessage(msgspec.Struct, array_like=True, frozen=True):
     """Periodic message of one host to another with its load and versions.
 
@@ -66,6 +87,8 @@
     slowness : dict of int to tuple
         How much longer work takes at servers that are not as usual, as seen lately by
         the hosts of the scope, and the age of that in milliseconds, by server number.
+    crash_updates : CrashUpdates or None
+        News of servers that crash under requests.
     """
 
     sender: HostAddress
@@ -82,6 +105,7 @@
     wants_answer: bool = False
     live_hosts: int = 0
     slowness: dict[int, tuple[float, int]] = {}
+    crash_updates: CrashUpdates | None = None
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -94,7 +118,7 @@
     revision : int or None
         Revision up to which it knows the servers, if it asks for later changes.
     wants_contexts : bool
-        Whether it asks for the map of cached prompt parts.
+        Whether it asks for the map of cached prompt parts and the blocked parts.
     """
 
     version: int | None
@@ -117,6 +141,8 @@
     contexts : list of tuple of int
         Entries of the map of cached prompt parts: numbers of the part and of the
         server, and the time since its last use in milliseconds.
+    blocks : list of tuple of int
+        Blocked prompt parts, as in `CrashUpdates`.
     """
 
     document: bytes
@@ -124,3 +150,4 @@
     removed: dict[str, int]
     revision: int
     contexts: list[tuple[int, int, int]] = []
+    blocks: list[tuple[int, int, int]] = []
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -162,6 +162,62 @@
     reason: str
 
 
+class ServerCrashed(LogEntry, frozen=True, kw_only=True):
+    """A server ended while it worked on a request: it refuses connections.
+
+    Attributes
+    ----------
+    prompt : list of str
+        Parts of the request's prompt with their numbers of tokens.
+    """
+
+    message = "server crashed"
+    limit_per_s = REQUEST_ENTRIES_PER_S
+    server: str
+    request: str
+    prompt: list[str]
+
+
+class PromptPartBlocked(LogEntry, frozen=True, kw_only=True):
+    """Requests with a prompt part are rejected from now on: servers crash on it.
+
+    Attributes
+    ----------
+    part : str
+        Number of the part, as in the store.
+    """
+
+    message = "prompt part blocked"
+    level = WARNING
+    part: str
+    for_ms: float
+
+
+class PromptPartReleased(LogEntry, frozen=True, kw_only=True):
+    """The block of a prompt part ended, or an answer or an operator lifted it."""
+
+    message = "prompt part no longer blocked"
+    level = NOTICE
+    part: str
+
+
+class BlockNotStored(LogEntry, frozen=True, kw_only=True):
+    """A blocked prompt part could not be written to the store; it is tried again."""
+
+    message = "blocked part not stored"
+    level = WARNING
+    error: str
+
+
+class BlockRecordInvalid(LogEntry, frozen=True, kw_only=True):
+    """The record of a blocked prompt part in the store is invalid and is ignored."""
+
+    message = "record of a blocked part passed over"
+    level = WARNING
+    name: str
+    error: str
+
+
 class RequestRefusedEarly(LogEntry, frozen=True, kw_only=True):
     """A request was refused before all of it was read, so its id is unknown."""
 
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -80,6 +80,8 @@
         Whether the server closes the connection after this answer.
     is_event_stream : bool
         Whether the body is a stream of server-sent events.
+    is_delimited : bool
+        Whether the end of the body can be told from the end of the connection.
     slowness : float or None
         How long work takes at the server at this moment compared with its usual time;
         None if it doesn't tell.
@@ -94,6 +96,7 @@
     keep_alive_s: float | None
     closes_connection: bool
     is_event_stream: bool
+    is_delimited: bool
     slowness: float | None = None
 
 
@@ -134,6 +137,8 @@
         is_event_stream=first_values.get(b"content-type", b"").startswith(
             b"text/event-stream"
         ),
+        is_delimited=b"content-length" in first_values
+        or b"transfer-encoding" in first_values,
         slowness=_parse_slowness(first_values.get(SERVER_LOAD, b"")),
     )
 
--- a/src/rosemarystream/_internal/platform/store.py
+++ b/src/rosemarystream/_internal/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store; requests are never retried."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, NamedTuple
 
 import msgspec
@@ -15,6 +16,7 @@
 CONFIGURATION = "config"
 CONFIGURATION_NAME = "main"
 HOSTS = "rosemarystream-hosts"
+BLOCKED_PARTS = "rosemarystream-blocked-parts"
 
 CONNECT_TIMEOUT_S = 1.0
 # Time allowed for the answer, on top of the wait of a long poll.
@@ -23,6 +25,7 @@
 MAX_ANSWER_BYTES = 8_000_000
 
 _OK = 200
+_NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
 
@@ -171,21 +174,45 @@
         changes = [Change(_convert(row.object), row.deleted) for row in page.events]
         return Changes(changes, page.current_rev)
 
-    def put(self, kind: str, name: str, spec: Any) -> None:
-        """Create an object, or replace it unconditionally if it exists.
+    def create(self, kind: str, name: str, spec: Any) -> bool:
+        """Create an object; return False if one of that name exists already.
 
         Raises
         ------
         StoreError
             If there is no usable answer; the write may have taken effect.
         """
-        document = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        document = _encode_object(name, spec)
         try:
             self._request(b"POST", f"/v1/objects/{kind}", document, ANSWER_TIMEOUT_S)
         except _ObjectExistsError:
-            self._request(
-                b"PUT", f"/v1/objects/{kind}/{name}", document, ANSWER_TIMEOUT_S
-            )
+            return False
+        return True
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Create an object, or replace it unconditionally if it exists.
+
+        Raises
+        ------
+        StoreError
+            If there is no usable answer; the write may have taken effect.
+        """
+        if not self.create(kind, name, spec):
+            path = f"/v1/objects/{kind}/{name}"
+            self._request(b"PUT", path, _encode_object(name, spec), ANSWER_TIMEOUT_S)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object; one that doesn't exist is no error.
+
+        Raises
+        ------
+        StoreError
+            If there is no usable answer; the removal may have taken effect.
+        """
+        path = f"/v1/objects/{kind}/{name}"
+        # The object is gone already if its name is not found.
+        with suppress(_ObjectMissingError):
+            self._request(b"DELETE", path, b"", ANSWER_TIMEOUT_S)
 
     def _request(self, method: bytes, path: str, body: bytes, wait_s: float) -> bytes:
         deadline = self._clock() + wait_s
@@ -210,6 +237,8 @@
             )
         if head.status == _CONFLICT:
             raise _ObjectExistsError(f"{path}: the object exists already (409)")
+        if head.status == _NOT_FOUND:
+            raise _ObjectMissingError(f"{path}: there is no such object (404)")
         if head.status // 100 * 100 != _OK:
             raise StoreError(f"{path}: unexpected status {head.status}")
         return answer
@@ -234,6 +263,14 @@
     """The object to be created exists already."""
 
 
+class _ObjectMissingError(StoreError):
+    """The object to be removed doesn't exist."""
+
+
+def _encode_object(name: str, spec: Any) -> bytes:
+    return msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+
+
 def _decode(decoder: msgspec.json.Decoder, body: bytes) -> Any:
     try:
         return decoder.decode(body)
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -5,6 +5,7 @@
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S, Peering
@@ -37,6 +38,7 @@
             loads=LoadTable(),
             contexts=ContextMap(),
             speeds=ServerSpeeds(),
+            blocks=PromptBlocks(),
         )
         host.peering = Peering(
             this_host=HostAddress(name, data_centre, ip),
@@ -49,6 +51,7 @@
             loads=host.loads,
             contexts=host.contexts,
             speeds=host.speeds,
+            blocks=host.blocks,
             puller=SimpleNamespace(pull_contexts=lambda ip: None),
             list_ejected=list,
             on_ejections=print,
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -243,6 +243,12 @@
     LogRateLimiter.allow = lambda self, kind, limit, now: True
 
 
+def send_every_prompt():
+    from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+
+    PromptBlocks.find_blocked = lambda self, parts, now: None
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -272,6 +278,7 @@
         accept_any_version,
         stop_gateway_without_draining,
         log_without_limit,
+        send_every_prompt,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -104,6 +104,11 @@
     ),
     Row("entry-host-count", "count_heard_hosts_only", f"{UNIT}test_peering.py"),
     Row("entry-cut-ends", "wait_to_be_contacted", f"{UNIT}test_peering.py -k cut"),
+    Row(
+        "entry-crashing-prompts",
+        "send_every_prompt",
+        "python -m pytest -x -q tests/functional/test_prompt_part_crashes.py -k five",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
--- a/tests/unit/test_peering.py
+++ b/tests/unit/test_peering.py
@@ -6,6 +6,7 @@
 
 from rosemarystream._internal.decisions.hashing import order_candidates
 from rosemarystream._internal.decisions.peer_table import COLLECTORS
+from rosemarystream._internal.decisions.prompt_blocks import Block
 from tests.lib.gossip_world import GossipWorld
 
 # Hosts and data centres of fleets, up to the size that CONTRIBUTING.md names.
@@ -128,3 +129,62 @@
     world.sent_bytes.clear()
     world.run(2.0)
     assert sum(world.sent_bytes.values()) / hosts / 2.0 <= CONTROL_BYTES_PER_S
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), FLEETS[1:])
+def test_all_hosts_learn_of_crashes_that_each_saw_one_of(hosts, data_centres):
+    world = GossipWorld(hosts=hosts, data_centres=data_centres)
+    world.run(SETTLED_S)
+    answer_elsewhere(world)
+    root, bad = 1, 2
+    for number in range(5):
+        host = world.hosts[f"h{number * 7 % hosts}"]
+        host.blocks.record_crash(number, (root, bad), world.now)
+        world.hosts[f"h{number + 1}"].blocks.record_answer([root], world.now + 0.01)
+        world.run(0.2)
+    answer_elsewhere(world)
+    world.run(0.4)
+    for host in world.list_live():
+        assert host.blocks.find_blocked((root, bad), world.now) == bad
+        assert host.blocks.find_blocked((root,), world.now) is None
+
+
+def answer_elsewhere(world):
+    for host in world.list_live():
+        for _ in range(5):
+            host.blocks.record_answer([9], world.now)
+
+
+def test_data_centres_learn_of_blocks_after_a_cut():
+    world = GossipWorld(hosts=24, data_centres=3)
+    world.run(SETTLED_S)
+    world.cut = {"dc1"}
+    world.run(2.0)
+    bad = 2
+    for number in range(5):
+        world.hosts["h0"].blocks.record_crash(number, (bad,), world.now)
+    world.now += 0.1
+    answer_elsewhere(world)
+    assert world.hosts["h0"].blocks.find_blocked((bad,), world.now) == bad
+    world.run(2.0)
+    assert world.hosts["h3"].blocks.list_blocks()
+    assert not world.hosts["h1"].blocks.list_blocks()
+    world.cut = set()
+    world.run(4.0)
+    assert all(host.blocks.list_blocks() for host in world.list_live())
+
+
+def test_blocks_in_force_cost_little_control_traffic():
+    world = GossipWorld(hosts=195, data_centres=5)
+    world.run(SETTLED_S)
+    world.sent_bytes.clear()
+    world.run(2.0)
+    quiet = sum(world.sent_bytes.values())
+    for number in range(20):
+        block = Block(number, world.now, world.now + 100)
+        world.hosts["h0"].blocks.accept_block(block, world.now)
+    world.run(2.0)
+    world.sent_bytes.clear()
+    world.run(2.0)
+    extra = sum(world.sent_bytes.values()) - quiet
+    assert extra / len(world.hosts) / 2.0 < 0.2 * CONTROL_BYTES_PER_S
