Give up the event loop between the events of one piece

What callers saw: calls to a sound server took 0.13 to 0.16 s (99th percentile, 0.05 s before) while another server repeated short events without end. Cause: a piece of 64 KB holds over 4,000 of them, and they were handled in one go, so greenlets of four sick streams held the loop in turn; the loop's share was taken at reads only.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -36,6 +36,7 @@
 from rosemarystream._internal.models.log_entries import AttemptBroken, AttemptNotRun
 from rosemarystream._internal.models.route import FleetConfiguration, Route, Workspace
 from rosemarystream._internal.platform.headers import AnswerHead
+from rosemarystream._internal.utils.loop_share import LoopShare
 from rosemarystream._internal.utils.server_sent_events import (
     EventSplitter,
     EventTooLongError,
@@ -130,6 +131,7 @@
         self._clock = clock
         self._ends_at = ends_at
         self._shared_parts = hash_shared_parts(call.parts)
+        self._loop_share = LoopShare()
         self._prefilling: Placement | None = None
         self._unsent_attempts = 0
         self._may_have_run = False
@@ -450,7 +452,7 @@
                 break
             self._record_first_event()
             # Only events that the caller gets are progress, not any bytes.
-            if any([self._relay_event(event, head) for event in events]):
+            if self._relay_all(events, head):
                 stalled_at = self._clock() + stall_s
                 if self._clock() >= sound_at:
                     self._crashes.record_answer(self._call)
@@ -478,6 +480,15 @@
         self._record_unknown_outcome(attempt, error)
         raise RequestEndedError(ErrorKind.STREAM_BROKEN, str(error)) from error
 
+    def _relay_all(self, events: list[bytes], head: AnswerHead) -> bool:
+        """Relay events; return False if the caller has all of them already."""
+        is_progress = False
+        for event in events:
+            # One piece may hold thousands of short events.
+            self._loop_share.take_step()
+            is_progress |= self._relay_event(event, head)
+        return is_progress
+
     def _relay_event(self, event: bytes, head: AnswerHead) -> bool:
         """Relay an event; return False if the caller has it already."""
         identifier = find_event_id(event)
