Take an unframed stream without any event for broken off

What callers could see: an empty stream that looked complete (200, whole), where the server had crashed after the head of an answer with neither length nor chunks, which then ends with its connection. Such a stream without an event now counts as broken off: resumed where it may be, else 502.

Evidence: two cases of test_a_stream_without_length_* failed before (empty_unframed) and pass; a whole one, one cut inside an event and one reset passed before and after (seven cases). A stream cut by a close right between two events can't be told from a whole one; it neither clears a prompt part nor counts against it unless the server is gone (docs/design/crashes.md).

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -434,37 +434,44 @@
         stall_s = compute_stall_timeout(route)
         stalled_at = self._clock() + stall_s
         sound_at = self._clock() + SOUND_ANSWER_S
+        has_events = False
         while True:
-            attempt_deadline = self._deadline
-            if route.resumable:
-                attempt_deadline = min(attempt_deadline, stalled_at)
-            try:
-                piece = attempt.read_piece(attempt_deadline)
-                events = splitter.split(piece or b"")
-            except OutcomeUnknownError as error:
-                self._check_resumable(attempt, error, route)
-                raise
-            except EventTooLongError as error:
-                unknown = OutcomeUnknownError(str(error))
-                self._check_resumable(attempt, unknown, route)
-                raise unknown from error
-            if piece is None:
+            events = self._read_events(attempt, splitter, route, stalled_at)
+            if events is None:
                 break
             self._record_first_event()
+            has_events |= bool(events)
             # Only events that the caller gets are progress, not any bytes.
             if self._relay_all(events, head):
                 stalled_at = self._clock() + stall_s
                 if self._clock() >= sound_at:
                     self._crashes.record_answer(self._call)
                     sound_at = inf
-        if splitter.remainder:
-            raise OutcomeUnknownError("the stream ended within an event")
+        _check_end(head, splitter, has_events=has_events)
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.end()
         self._record_answered(attempt, head)
         return "answered"
 
+    def _read_events(
+        self, attempt: Attempt, splitter: EventSplitter, route: Route, stalled_at: float
+    ) -> list[bytes] | None:
+        """Return the events that the next piece completes, or None at the end."""
+        attempt_deadline = self._deadline
+        if route.resumable:
+            attempt_deadline = min(attempt_deadline, stalled_at)
+        try:
+            piece = attempt.read_piece(attempt_deadline)
+            return None if piece is None else splitter.split(piece)
+        except OutcomeUnknownError as error:
+            self._check_resumable(attempt, error, route)
+            raise
+        except EventTooLongError as error:
+            unknown = OutcomeUnknownError(str(error))
+            self._check_resumable(attempt, unknown, route)
+            raise unknown from error
+
     def _check_resumable(
         self, attempt: Attempt, error: OutcomeUnknownError, route: Route
     ) -> None:
@@ -507,3 +514,20 @@
             self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(event)
         return True
+
+
+def _check_end(head: AnswerHead, splitter: EventSplitter, *, has_events: bool) -> None:
+    """Check that a stream that has ended is complete.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        If it isn't.
+    """
+    if splitter.remainder:
+        raise OutcomeUnknownError(
+            "the stream ended within an event", closed=not head.is_delimited
+        )
+    if not (head.is_delimited or has_events):
+        # A server that crashes after the head ends its answer in the same way.
+        raise OutcomeUnknownError("the stream ended before an event", closed=True)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -44,10 +44,22 @@
     LATE_REFUSAL = "late_refusal"
     UNSEALED = "unsealed"
     UNFRAMED = "unframed"
+    CUT_UNFRAMED = "cut_unframed"
+    RESET_UNFRAMED = "reset_unframed"
+    EMPTY_UNFRAMED = "empty_unframed"
     CORRUPT_EVENT = "spoilt_event"
     TRICKLE = "trickle"
 
 
+# Faults of an answer that has neither a length nor chunks.
+UNFRAMED_FAULTS = (
+    Fault.UNFRAMED,
+    Fault.CUT_UNFRAMED,
+    Fault.RESET_UNFRAMED,
+    Fault.EMPTY_UNFRAMED,
+)
+
+
 class Run(NamedTuple):
     """A request that a server has begun to process."""
 
@@ -126,8 +138,7 @@
         """Stop listening and reset all connections."""
         self.stop()
         for connection in self._open:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-            connection.close()
+            _reset(connection)
         self._open.clear()
         self.on_crash(self)
 
@@ -210,10 +221,12 @@
             )
             connection.sendall(protocol.send(head) + body)
             return False
-        if fault is Fault.UNFRAMED:
+        if fault in UNFRAMED_FAULTS:
             head = b"HTTP/1.1 200 OK\r\n"
             head += b"".join(b"%s: %s\r\n" % pair for pair in identity)
             connection.sendall(head + b"\r\n" + body)
+            if fault is Fault.RESET_UNFRAMED:
+                _reset(connection)
             return False
         _answer(connection, protocol, 200, identity, body)
         if fault is Fault.EXTRA:
@@ -221,6 +234,8 @@
         return True
 
     def _stream(self, connection, protocol, run, fault, identity) -> bool:
+        if fault in UNFRAMED_FAULTS:
+            return self._stream_unframed(connection, run, fault, identity)
         first = int(run.headers.get(b"last-event-id", b"0")) + 1
         headers = [
             *identity,
@@ -250,6 +265,32 @@
         connection.sendall(protocol.send(h11.EndOfMessage()))
         return True
 
+    def _stream_unframed(self, connection, run, fault, identity) -> bool:
+        """Send a stream whose end is that of its connection."""
+        first = int(run.headers.get(b"last-event-id", b"0")) + 1
+        lines = [b"%s: %s" % pair for pair in identity]
+        lines.append(b"content-type: text/event-stream")
+        connection.sendall(b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""]))
+        for number, sent in zip(range(first, EVENTS + 1), itertools.count()):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if fault is Fault.EMPTY_UNFRAMED:
+                return False
+            if fault is Fault.CUT_UNFRAMED and sent == self._cut_after:
+                connection.sendall(event[:-1])
+                return False
+            if fault is Fault.RESET_UNFRAMED and sent == self._cut_after:
+                _reset(connection)
+                return False
+            connection.sendall(event)
+            if _wait_for_close(connection, run, self.work_s):
+                return False
+        return False
+
+
+def _reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    connection.close()
+
 
 def _trickle(connection, protocol, run) -> bool:
     """Send a byte now and then that completes no event, until the host closes."""
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -6,7 +6,7 @@
 from rosemarystream._internal.decisions.placement import PREFILL_S
 from rosemarystream._internal.gateway import exchange
 from rosemarystream._internal.models.log_entries import AttemptBroken
-from standins.backend_server import Fault
+from standins.backend_server import EVENTS, Fault
 from tests.lib.entry_world import (
     Caller,
     World,
@@ -205,6 +205,39 @@
     assert reply.body.startswith(b"done by")
 
 
+@pytest.mark.parametrize("path", ["/chat/1", "/brief/1"])
+def test_a_stream_that_ends_with_its_connection_is_whole(world, host, path):
+    for round_ in range(2):
+        set_faults(world, Fault.UNFRAMED)
+        reply = host.call(path)
+        assert reply.status == 200
+        assert reply.complete
+        assert list_event_ids(reply.body) == [*range(1, EVENTS + 1)], round_
+    assert len(list_runs(world)) == 2
+
+
+UNFRAMED_ENDS = [Fault.CUT_UNFRAMED, Fault.RESET_UNFRAMED, Fault.EMPTY_UNFRAMED]
+
+
+@pytest.mark.parametrize("fault", UNFRAMED_ENDS)
+def test_a_stream_without_length_that_breaks_off_is_resumed(world, host, fault):
+    set_faults(world, fault)
+    reply = host.call("/chat/1")
+    assert reply.complete
+    assert list_event_ids(reply.body) == [*range(1, EVENTS + 1)]
+    assert len(list_runs(world)) == 2
+
+
+@pytest.mark.parametrize("fault", UNFRAMED_ENDS)
+def test_a_stream_without_length_that_breaks_off_does_not_look_whole(
+    world, host, fault
+):
+    set_faults(world, fault)
+    reply = host.call("/brief/1")
+    assert reply.status == 502 or not reply.complete
+    assert len(list_runs(world)) == 1
+
+
 def test_a_sealed_failure_is_passed_on_when_the_retry_fails_too(world, host):
     set_faults(world, Fault.FAIL, Fault.FAIL)
     reply = host.call("/look/1")
