Don't let answers of plain services speak for engines

A part is blocked only if other prompts are answered meanwhile, as otherwise the engines crash by themselves (a bad release) and every busy prompt would be blocked for ten minutes. Answers of plain services counted as well. Found by reading; the new test failed before (sound prompts refused after the engines were mended) and passes. News of blocks from the store are also gossiped at once, not only with the next repeat.

--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -164,21 +164,28 @@
         """Return the blocks in force."""
         return [*self._blocks.values()]
 
-    def accept_block(self, block: Block, now: float) -> bool:
-        """Apply a block that another host or the store knows; return if it is new."""
+    def accept_block(self, block: Block, now: float, *, is_forwarded: bool) -> None:
+        """Apply a block that another host or the store knows.
+
+        Parameters
+        ----------
+        is_forwarded : bool
+            Whether other hosts are told if it is new.
+        """
         known = self._blocks.get(block.part)
         until = min(block.until, now + BLOCK_S)
         if now >= until:
-            return False
+            return
         if known is not None and until <= known.until + END_TOLERANCE_S:
-            return False
+            return
         answered_at = self._evidence.find_answer(block.part, now)
         if answered_at is not None and answered_at > block.began_at:
             # Its sender doesn't know of that answer yet.
             self._pending_answers.add(block.part)
-            return False
+            return
         self._begin_block(block._replace(until=until), now)
-        return known is None
+        if known is None and is_forwarded:
+            self._pending_blocks.add(block.part)
 
     def lift_block(self, part: int, now: float) -> None:
         """Lift a block that an operator has removed; other hosts are told."""
@@ -216,8 +223,7 @@
             self._accept_answer(part, at, is_forwarded=is_forwarded)
         for part, age_ms, left_ms in updates.blocks:
             block = Block(part, now - age_ms / _MS_PER_S, now + left_ms / _MS_PER_S)
-            if self.accept_block(block, now) and is_forwarded:
-                self._pending_blocks.add(part)
+            self.accept_block(block, now, is_forwarded=is_forwarded)
 
     def _accept_crash(self, crash: Crash, now: float, *, is_forwarded: bool) -> None:
         if not self._evidence.record_crash(crash):
--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -87,7 +87,7 @@
         began_at = int(fields["began_ms"]) / _MS_PER_S - offset_s
         until = int(fields["until_ms"]) / _MS_PER_S - offset_s
         self._stored_until[part] = until
-        self._blocks.accept_block(Block(part, began_at, until), now)
+        self._blocks.accept_block(Block(part, began_at, until), now, is_forwarded=True)
 
     def _write_blocks(self) -> None:
         while True:
--- a/src/rosemarystream/_internal/gateway/crash_reporter.py
+++ b/src/rosemarystream/_internal/gateway/crash_reporter.py
@@ -68,8 +68,9 @@
             gevent.spawn(self._check, endpoint, call, is_answered=True)
 
     def record_answer(self, call: Call) -> None:
-        """Record that a server has answered a request and goes on running."""
-        self._blocks.record_answer(hash_shared_parts(call.parts), self._clock())
+        """Record that an engine has answered a request and goes on running."""
+        if call.parts:
+            self._blocks.record_answer(hash_shared_parts(call.parts), self._clock())
 
     def _check(
         self, endpoint: Endpoint, call: Call, *, is_answered: bool = False
--- a/tests/functional/test_prompt_part_crashes.py
+++ b/tests/functional/test_prompt_part_crashes.py
@@ -22,8 +22,9 @@
 class Trouble:
     """A world in which one part of some prompts crashes engines, and its callers."""
 
-    def __init__(self):
+    def __init__(self, crashing_parts=("bad",)):
         self.world = World()
+        self.crashing_parts = {*crashing_parts}
         self.crashes = 0
         self.refused = []
         self.sound = []
@@ -32,7 +33,7 @@
         self._tasks = []
         for number in range(ENGINES):
             engine = self.world.add_server(f"e{number}", "engines")
-            engine.crashing_parts = {"bad"}
+            engine.crashing_parts = self.crashing_parts
             engine.on_crash = self._replace
         for number in range(HOSTS):
             seeds = ["h0"] if number else []
@@ -127,3 +128,22 @@
     for name in ("h8", "h9"):
         trouble.send(trouble.world.hosts[name], crashing=True)
     assert trouble.count_crashing_requests() == before
+
+
+def test_prompts_are_served_once_engines_no_longer_crash_on_all_of_them():
+    trouble = Trouble(["root", "good0", "good1", "good2", "bad"])
+    trouble.start_callers()
+    wait_until(lambda: trouble.crashes >= 2 * CRASHES, seconds=15)
+    # A plain service goes on answering, which says nothing of the engines.
+    trouble.world.add_server("p1")
+    host = trouble.world.hosts["h0"]
+    for _ in range(20):
+        host.call("/look/1")
+    trouble.crashing_parts.clear()
+    gevent.sleep(2 * RESTART_S)
+    trouble.sound.clear()
+    gevent.sleep(1.5)
+    trouble.stop_callers()
+    served = [r for r in trouble.sound if r.status == 200 and r.complete]
+    trouble.world.stop()
+    assert len(served) >= 0.9 * len(trouble.sound) > 0
--- a/tests/unit/test_peering.py
+++ b/tests/unit/test_peering.py
@@ -182,7 +182,7 @@
     quiet = sum(world.sent_bytes.values())
     for number in range(20):
         block = Block(number, world.now, world.now + 100)
-        world.hosts["h0"].blocks.accept_block(block, world.now)
+        world.hosts["h0"].blocks.accept_block(block, world.now, is_forwarded=True)
     world.run(2.0)
     world.sent_bytes.clear()
     world.run(2.0)
--- a/tests/unit/test_prompt_blocks.py
+++ b/tests/unit/test_prompt_blocks.py
@@ -183,7 +183,7 @@
 
 def test_repeats_that_arrive_late_do_not_prolong_a_block():
     first, second = PromptBlocks(), PromptBlocks()
-    first.accept_block(Block(BAD, 0.0, BLOCK_S), 0.0)
+    first.accept_block(Block(BAD, 0.0, BLOCK_S), 0.0, is_forwarded=False)
     for now in range(100):
         rows = CrashUpdates(blocks=first.list_rows(now))
         second.accept_updates(rows, now + 0.5, is_forwarded=False)
