Soak: engines that crash on a prompt part, unframed answers, resets through links

The soak sends prompts with a part on which its engines crash (listener and connections gone, another engine at the address after 0.5 s) among all other faults, and checks after the faults that at most three requests with it reach engines 3 s after the fifth crash. Its servers also answer without length or chunks: whole, cut inside an event, reset, empty.

--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import struct
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
@@ -16,6 +15,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from standins.link import reset_connection
+
 READ_BYTES = 65_536
 EVENTS = 8
 # Second copy of an earlier refusal, which names no request.
@@ -25,8 +26,6 @@
 )
 # Interval of the bytes of a stalled stream.
 TRICKLE_S = 0.05
-# Socket option with which a close resets the connection.
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Fault(StrEnum):
@@ -138,7 +137,7 @@
         """Stop listening and reset all connections."""
         self.stop()
         for connection in self._open:
-            _reset(connection)
+            reset_connection(connection)
         self._open.clear()
         self.on_crash(self)
 
@@ -226,7 +225,7 @@
             head += b"".join(b"%s: %s\r\n" % pair for pair in identity)
             connection.sendall(head + b"\r\n" + body)
             if fault is Fault.RESET_UNFRAMED:
-                _reset(connection)
+                reset_connection(connection)
             return False
         _answer(connection, protocol, 200, identity, body)
         if fault is Fault.EXTRA:
@@ -279,7 +278,7 @@
                 connection.sendall(event[:-1])
                 return False
             if fault is Fault.RESET_UNFRAMED and sent == self._cut_after:
-                _reset(connection)
+                reset_connection(connection)
                 return False
             connection.sendall(event)
             if _wait_for_close(connection, run, self.work_s):
@@ -287,11 +286,6 @@
         return False
 
 
-def _reset(connection: socket.socket) -> None:
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-    connection.close()
-
-
 def _trickle(connection, protocol, run) -> bool:
     """Send a byte now and then that completes no event, until the host closes."""
     while not _wait_for_close(connection, run, TRICKLE_S):
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,5 +1,6 @@
 """Loopback proxy in front of one server that delays, stalls or resets connections."""
 
+import struct
 from enum import StrEnum
 
 import gevent
@@ -8,7 +9,8 @@
 
 BLOCK_BYTES = 16_384
 DELAY_S = 0.15
-RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+# Socket option with which a close resets the connection.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Mode(StrEnum):
@@ -20,6 +22,16 @@
     STALL_ANSWERS = "silent_answers"
 
 
+def reset_connection(connection: socket.socket) -> None:
+    """Close a connection with a reset, if it is still open."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        connection.close()
+    except OSError:
+        # The other end was faster.
+        return
+
+
 class Link:
     """Forward connections to a target.
 
@@ -49,11 +61,7 @@
         """Reset all open connections."""
         for pair in [*self._pairs]:
             for end in pair:
-                try:
-                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                    end.close()
-                except OSError:
-                    continue
+                reset_connection(end)
 
     def _serve(self, downstream: socket.socket, _: object) -> None:
         try:
@@ -70,13 +78,18 @@
         gevent.joinall(relays, count=1)
         self._pairs.discard(pair)
         gevent.sleep(0.02)
+        # A connection that one end resets must not end as if it were complete.
+        is_reset = any(relay.ready() and relay.value for relay in relays)
         gevent.killall(relays)
-        downstream.close()
-        upstream.close()
+        for end in pair:
+            if is_reset:
+                reset_connection(end)
+            end.close()
 
     def _relay(
         self, source: socket.socket, sink: socket.socket, is_answer: bool
-    ) -> None:
+    ) -> bool:
+        """Relay until the source ends; return whether a connection was reset."""
         try:
             source.settimeout(None)
             while data := source.recv(BLOCK_BYTES):
@@ -88,4 +101,5 @@
                     gevent.sleep(0.05)
                 sink.sendall(data)
         except OSError:
-            return
+            return True
+        return False
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -109,7 +109,7 @@
         return server
 
     def replace_server(self, server):
-        """Start a new server at the address of one that has crashed."""
+        """Start and return a new server at the address of one that has crashed."""
         self.store.remove("servers", server.name)
         successor = BackendServer(
             name=f"{server.name}'",
@@ -123,6 +123,7 @@
         successor.start()
         self.servers[successor.name] = successor
         self.store.write("servers", successor.name, successor.describe())
+        return successor
 
     def add_host(self, name, data_centre="a", *, seeds=(), wait=True):
         ip = f"{self.net}.{next(self._ips)}"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,6 +33,20 @@
     ("X-Rosemarystream-Model", "m"),
     ("X-Rosemarystream-Prompt-Prefix", "a:900,b:100"),
 )
+# Prompt part on which engines crash, and the time until another one takes the address.
+CRASHING_PART = "crash"
+CRASHING_HEADERS = (
+    ("X-Rosemarystream-Prompt-Prefix", f"a:900,{CRASHING_PART}:50,c:10"),
+)
+RESTART_S = 0.5
+# Crashes after which hosts have to know the part, in what time, and the requests that
+# may reach engines later.
+MIN_CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATER_REQUESTS = 3
+# Requests sent to bring those crashes about, and the pause between two.
+MAX_CRASHING_REQUESTS = 30
+CRASH_PAUSE_S = 0.1
 
 
 class Report(NamedTuple):
@@ -67,7 +81,9 @@
         self.sent = set()
         self.faults = []
         self.links = {}
+        self.addresses = {}
         self.stopping = False
+        self.crashes = 0
         self._versions = itertools.count(10)
         self._numbers = itertools.count(1)
         net = self.world.net
@@ -80,14 +96,29 @@
 
     def _add_server(self, name, service, ip):
         server = self.world.add_server(name, service, work_s=0.01)
+        server.crashing_parts = {CRASHING_PART}
+        server.on_crash = self._restart_later
+        self._add_link(server, (ip, LINK_PORT))
+
+    def _add_link(self, server, listen):
         address, _, _ = server.address.rpartition(":")
-        link = Link(address=(ip, LINK_PORT), target=(address, SERVER_PORT))
+        link = Link(address=listen, target=(address, SERVER_PORT))
         link.start()
-        self.links[name] = link
+        self.links[server.name] = link
+        self.addresses[server.name] = listen
         self.world.store.write(
-            "servers", name, {**server.describe(seq=2), "address": link.address}
+            "servers", server.name, {**server.describe(seq=2), "address": link.address}
         )
 
+    def _restart_later(self, server):
+        self.crashes += 1
+        self.links.pop(server.name).stop()
+        gevent.spawn_later(RESTART_S, self._restart, server)
+
+    def _restart(self, server):
+        successor = self.world.replace_server(server)
+        self._add_link(successor, self.addresses[server.name])
+
     def _add_host(self, number, net, folder):
         address, _, port = self.world.store.address.rpartition(":")
         link = Link(
@@ -121,10 +152,10 @@
                 gevent.sleep(rng.random() * 0.05)
             caller.close()
 
-    def _call(self, caller, kind):
+    def _call(self, caller, kind, headers=STREAM_HEADERS):
         request_id = f"soak-{next(self._numbers)}"
         self.sent.add(request_id)
-        headers = STREAM_HEADERS if kind in ("chat", "brief") else ()
+        headers = headers if kind in ("chat", "brief") else ()
         try:
             caller.send(f"/{kind}/1", headers=headers, request_id=request_id)
             reply = caller.read()
@@ -139,11 +170,11 @@
         """Inject one fault drawn from the seed; timed faults end before the return."""
         kind = self.rng.choice(
             ["kill", "freeze", "term", "hup", "link", "reset", "store", "refuse"]
-            + ["answers", "answers", "configuration", "drain", "history"]
+            + ["answers", "answers", "configuration", "drain", "history", "crash"]
         )
         length_s = self.rng.uniform(0.3, 3.0)
         host = self.rng.choice([*self.hosts.values()])
-        server = self.rng.choice([*self.world.servers])
+        server = self.rng.choice([*self.links])
         self.faults.append(f"{kind} {host.name} {server} {length_s:.1f} s")
         getattr(self, f"_strike_{kind}")(host, server, length_s)
 
@@ -197,6 +228,25 @@
         gevent.sleep(length_s)
         self.world.store.write("servers", server, {**entry, "state": "ready"})
 
+    def _strike_crash(self, host, server, length_s):
+        for _ in range(3):
+            self._send_crashing(host)
+
+    def _send_crashing(self, host):
+        try:
+            caller = Caller(host.ip)
+        except OSError:
+            return
+        self._call(caller, "brief", CRASHING_HEADERS)
+        caller.close()
+
+    def _count_crashing_requests(self):
+        return sum(
+            CRASHING_PART in run.list_shared_parts()
+            for server in self.world.servers.values()
+            for run in server.runs
+        )
+
     def _strike_history(self, host, server, length_s):
         self.world.store.drop_history()
 
@@ -235,6 +285,25 @@
             return [
                 f"after the faults only {served} of {len(after)} requests were served"
             ]
+        return self._check_blocked()
+
+    def _check_blocked(self):
+        """Check that all hosts learn on which prompt part engines crash."""
+        for _ in range(MAX_CRASHING_REQUESTS):
+            if self.crashes >= MIN_CRASHES:
+                break
+            self._send_crashing(self.rng.choice([*self.hosts.values()]))
+            gevent.sleep(CRASH_PAUSE_S)
+        gevent.sleep(CONTACT_S)
+        before = self._count_crashing_requests()
+        for host in [*self.hosts.values()] * 5:
+            self._send_crashing(host)
+        later = self._count_crashing_requests() - before
+        if later > MAX_LATER_REQUESTS:
+            return [
+                f"{later} requests reached engines with a prompt part under which "
+                f"{self.crashes} had crashed"
+            ]
         return []
 
     def stop(self):
