Take the order of a stream's events out of the exchange

What decides which events a caller gets, and whether an answer is complete, is EventStream now, without I/O; the exchange reads and writes.

--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -0,0 +1,86 @@
+"""The events of a streamed answer, put together from the attempts of a request."""
+
+from rosemarystream._internal.gateway.attempt import OutcomeUnknownError
+from rosemarystream._internal.utils.server_sent_events import (
+    EventSplitter,
+    find_event_id,
+)
+
+
+class EventStream:
+    """Splits the answers of servers into events, and checks their order.
+
+    Parameters
+    ----------
+    last_event : bytes
+        Identifier of the last event that the caller has, or empty.
+
+    Attributes
+    ----------
+    last_event : bytes
+        The same, with the events accepted since.
+    """
+
+    def __init__(self, *, last_event: bytes) -> None:
+        self.last_event = last_event
+        self.begin_attempt()
+
+    def begin_attempt(self) -> None:
+        """Forget what is left of the answer of the attempt before."""
+        self._splitter = EventSplitter()
+        self._has_events = False
+
+    def split(self, piece: bytes) -> list[bytes]:
+        """Return the events that a piece of the answer completes.
+
+        Raises
+        ------
+        EventTooLongError
+            If an event exceeds its bound.
+        """
+        events = self._splitter.split(piece)
+        self._has_events |= bool(events)
+        return events
+
+    def accept(self, event: bytes) -> bool:
+        """Return whether an event is new to the caller, who then gets it.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If events before it are missing.
+        """
+        identifier = find_event_id(event)
+        if not identifier:
+            return True
+        if self.last_event.isdigit() and identifier.isdigit():
+            ahead = int(identifier) - int(self.last_event)
+            if ahead <= 0:
+                return False
+            if ahead > 1:
+                raise OutcomeUnknownError(
+                    f"event {identifier!r} came after {self.last_event!r}"
+                )
+        self.last_event = identifier
+        return True
+
+    def check_end(self, *, is_delimited: bool) -> None:
+        """Check that an answer that has ended is complete.
+
+        Parameters
+        ----------
+        is_delimited : bool
+            Whether its end could be told from the end of the connection.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If it isn't.
+        """
+        if self._splitter.remainder:
+            raise OutcomeUnknownError(
+                "the stream ended within an event", closed=not is_delimited
+            )
+        if not (is_delimited or self._has_events):
+            # A server that crashes after the head ends its answer in the same way.
+            raise OutcomeUnknownError("the stream ended before an event", closed=True)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -29,6 +29,7 @@
 )
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
+from rosemarystream._internal.gateway.event_stream import EventStream
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
@@ -37,11 +38,7 @@
 from rosemarystream._internal.models.route import FleetConfiguration, Route, Workspace
 from rosemarystream._internal.platform.headers import AnswerHead
 from rosemarystream._internal.utils.loop_share import LoopShare
-from rosemarystream._internal.utils.server_sent_events import (
-    EventSplitter,
-    EventTooLongError,
-    find_event_id,
-)
+from rosemarystream._internal.utils.server_sent_events import EventTooLongError
 
 log = Logger(__name__)
 
@@ -135,7 +132,7 @@
         self._prefilling: Placement | None = None
         self._unsent_attempts = 0
         self._may_have_run = False
-        self._last_event = call.last_event_id
+        self._stream = EventStream(last_event=call.last_event_id)
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
 
     def run(self) -> str:
@@ -364,7 +361,7 @@
             deadline=self._deadline,
             workspace=self.workspace,
             level=self.priority,
-            last_event_id=self._last_event,
+            last_event_id=self._stream.last_event,
             source=self._find_source(),
         )
         attempt_deadline = compute_attempt_deadline(
@@ -430,24 +427,22 @@
             self._crashes.report_ended(attempt.endpoint, self._call)
 
     def _relay_events(self, attempt: Attempt, head: AnswerHead, route: Route) -> str:
-        splitter = EventSplitter()
+        self._stream.begin_attempt()
         stall_s = compute_stall_timeout(route)
         stalled_at = self._clock() + stall_s
         sound_at = self._clock() + SOUND_ANSWER_S
-        has_events = False
         while True:
-            events = self._read_events(attempt, splitter, route, stalled_at)
+            events = self._read_events(attempt, route, stalled_at)
             if events is None:
                 break
             self._record_first_event()
-            has_events |= bool(events)
             # Only events that the caller gets are progress, not any bytes.
             if self._relay_all(events, head):
                 stalled_at = self._clock() + stall_s
                 if self._clock() >= sound_at:
                     self._crashes.record_answer(self._call)
                     sound_at = inf
-        _check_end(head, splitter, has_events=has_events)
+        self._stream.check_end(is_delimited=head.is_delimited)
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.end()
@@ -455,7 +450,7 @@
         return "answered"
 
     def _read_events(
-        self, attempt: Attempt, splitter: EventSplitter, route: Route, stalled_at: float
+        self, attempt: Attempt, route: Route, stalled_at: float
     ) -> list[bytes] | None:
         """Return the events that the next piece completes, or None at the end."""
         attempt_deadline = self._deadline
@@ -463,7 +458,7 @@
             attempt_deadline = min(attempt_deadline, stalled_at)
         try:
             piece = attempt.read_piece(attempt_deadline)
-            return None if piece is None else splitter.split(piece)
+            return None if piece is None else self._stream.split(piece)
         except OutcomeUnknownError as error:
             self._check_resumable(attempt, error, route)
             raise
@@ -498,36 +493,9 @@
 
     def _relay_event(self, event: bytes, head: AnswerHead) -> bool:
         """Relay an event; return False if the caller has it already."""
-        identifier = find_event_id(event)
-        if identifier:
-            expected = self._last_event
-            if expected.isdigit() and identifier.isdigit():
-                ahead = int(identifier) - int(expected)
-                if ahead <= 0:
-                    return False
-                if ahead > 1:
-                    raise OutcomeUnknownError(
-                        f"event {identifier!r} came after {expected!r}"
-                    )
-            self._last_event = identifier
+        if not self._stream.accept(event):
+            return False
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(event)
         return True
-
-
-def _check_end(head: AnswerHead, splitter: EventSplitter, *, has_events: bool) -> None:
-    """Check that a stream that has ended is complete.
-
-    Raises
-    ------
-    OutcomeUnknownError
-        If it isn't.
-    """
-    if splitter.remainder:
-        raise OutcomeUnknownError(
-            "the stream ended within an event", closed=not head.is_delimited
-        )
-    if not (head.is_delimited or has_events):
-        # A server that crashes after the head ends its answer in the same way.
-        raise OutcomeUnknownError("the stream ended before an event", closed=True)
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -196,9 +196,9 @@
 
 
 def ignore_event_ids():
-    from rosemarystream._internal.gateway import exchange
+    from rosemarystream._internal.gateway import event_stream
 
-    exchange.find_event_id = lambda event: b""
+    event_stream.find_event_id = lambda event: b""
 
 
 def ignore_disconnects():
