Remove the record of a block that an answer lifts, and keep it lifted

Found by reading: the record in the store stayed, so that the next listing after an outage blocked the part again, and a host that had been cut off brought it back a minute after the answer. Callers of a part that is sound would have been refused for up to ten minutes.

--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -96,10 +96,12 @@
             del crashes[server]
         return bool(earlier)
 
-    def find_answer(self, part: int, now: float) -> float | None:
-        """Return the time of the last recent answer on a part, or None."""
+    def find_answer(
+        self, part: int, now: float, *, max_age_s: float = ANSWER_TTL_S
+    ) -> float | None:
+        """Return the time of the last answer on a part, or None if it is too old."""
         at = self._answered.get(part)
-        return at if at is not None and now - at <= ANSWER_TTL_S else None
+        return at if at is not None and now - at <= max_age_s else None
 
     def is_to_blame(self, part: int, now: float) -> bool:
         """Return whether requests with a part are to be kept from servers."""
--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -178,7 +178,7 @@
             return
         if known is not None and until <= known.until + END_TOLERANCE_S:
             return
-        answered_at = self._evidence.find_answer(block.part, now)
+        answered_at = self._find_answer(block.part, now)
         if answered_at is not None and answered_at > block.began_at:
             # Its sender doesn't know of that answer yet.
             self._pending_answers.add(block.part)
@@ -187,6 +187,10 @@
         if known is None and is_forwarded:
             self._pending_blocks.add(block.part)
 
+    def _find_answer(self, part: int, now: float) -> float | None:
+        """Return the time of the last answer that may lift a block, or None."""
+        return self._evidence.find_answer(part, now, max_age_s=BLOCK_S)
+
     def lift_block(self, part: int, now: float) -> None:
         """Lift a block that an operator has removed; other hosts are told."""
         if part in self._blocks:
@@ -262,7 +266,7 @@
         answers = [
             (part, _to_age_ms(at, now))
             for part in self._pending_answers.take()
-            if (at := self._evidence.find_answer(part, now)) is not None
+            if (at := self._find_answer(part, now)) is not None
         ]
         blocks = self._list_rows(self._pending_blocks.take(), now)
         if not (crashes or answers or blocks):
--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -26,8 +26,8 @@
 # Interval at which blocks are written that the store doesn't have yet.
 WRITE_INTERVAL_S = 0.25
 WRITE_RETRY_S = 1.0
-# Time after the end of a block until its record is removed. The clocks of hosts differ,
-# and a record that goes before its time lifts the block.
+# Time around the end of a block in which its record is left alone. The clocks of hosts
+# differ, and a record that goes before its time lifts the block.
 REMOVAL_MARGIN_S = 30.0
 _MS_PER_S = 1000
 
@@ -96,7 +96,7 @@
                 continue
             try:
                 self._write_missing()
-                self._remove_expired()
+                self._remove_ended()
             except StoreError as error:
                 write_log_entry(log, BlockNotStored(error=str(error)))
                 gevent.sleep(WRITE_RETRY_S)
@@ -122,9 +122,12 @@
         }
         return BLOCKED_PARTS, f"{block.part:016x}", spec
 
-    def _remove_expired(self) -> None:
+    def _remove_ended(self) -> None:
+        """Remove the records of blocks that are over, or that answers have lifted."""
         now = self._clock()
+        blocked = {block.part for block in self._blocks.list_blocks()}
         for part, until in [*self._stored_until.items()]:
-            if now >= until + REMOVAL_MARGIN_S:
+            is_lifted = part not in blocked and now < until - REMOVAL_MARGIN_S
+            if is_lifted or now >= until + REMOVAL_MARGIN_S:
                 self._writer.delete(BLOCKED_PARTS, f"{part:016x}")
                 self._stored_until.pop(part, None)
--- a/tests/unit/test_prompt_blocks.py
+++ b/tests/unit/test_prompt_blocks.py
@@ -197,3 +197,21 @@
     assert len(hash_shared_parts(parts)) == 1
     assert hash_shared_parts(parts[:1]) == ()
     assert hash_shared_parts([]) == ()
+
+
+def test_a_block_that_an_answer_has_lifted_does_not_come_back():
+    fleet = Fleet()
+    fleet.crash(ROOT, BAD, times=MIN_CRASHES)
+    assert fleet.is_blocked(ROOT, BAD)
+    (block,) = fleet.hosts[0].list_blocks()
+    fleet.answer(ROOT, BAD)
+    fleet.now += 2 * ANSWER_TTL_S
+    fleet.hosts[0].take_updates(fleet.now, repeats_blocks=False)
+    # A host that was cut off repeats it, or the store still has it.
+    fleet.hosts[0].accept_block(block, fleet.now, is_forwarded=True)
+    assert not fleet.is_blocked(ROOT, BAD)
+    updates = fleet.hosts[0].take_updates(fleet.now, repeats_blocks=False)
+    cut_off = PromptBlocks()
+    cut_off.accept_block(block, fleet.now, is_forwarded=False)
+    cut_off.accept_updates(updates, fleet.now, is_forwarded=False)
+    assert cut_off.find_blocked((BAD,), fleet.now) is None
