--- a/tests/unit/test_replica.py
+++ b/tests/unit/test_replica.py
@@ -75,3 +75,26 @@
     replica.accept_listing([make_endpoint("s1")], 5, now=10.0)
     assert replica.accept_removal("s1", 6)
     assert replica.list_ready("pool") == []
+
+
+def test_a_removal_after_the_grace_period_reaches_a_host_that_pulled_meanwhile():
+    watcher, peer = Replica(), Replica()
+    for replica in (watcher, peer):
+        replica.accept_endpoint(make_endpoint(revision=5))
+        replica.advance(5)
+    watcher.begin_store_recovery(100.0)
+    watcher.accept_listing([], 9, 100.0)
+    pull(peer, watcher)
+    assert watcher.expire(100.0 + RECOVERY_GRACE_S + 0.1) == ["s1"]
+    pull(peer, watcher)
+    peer.expire(100.0 + RECOVERY_GRACE_S + 0.1)
+    assert peer.list_endpoints() == []
+
+
+def pull(replica, source):
+    delta = source.select_delta(replica.revision)
+    for endpoint in delta.endpoints:
+        replica.accept_endpoint(endpoint)
+    for name, revision in delta.removed.items():
+        replica.accept_removal(name, revision)
+    replica.advance(delta.revision)
