Give what a host remembers of others one bounded dict and one queue of updates

A dict that drops its oldest entry stood four times (suspects, answers, crashed servers, exclusions), updates that wait for the next messages twice (cached parts, crash updates), the number of a part was formatted at five places, and the shared parts of a prompt were hashed again at each end of an answer: one class, one class, one function, once a request. A collector was looked up twice a round. Watchers without any block no longer ask ten times a second whether they are watchers.

--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -7,11 +7,11 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping, Sequence
-from itertools import islice
 from math import inf
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.hashing import hash_name_32
+from rosemarystream._internal.decisions.pending_updates import PendingUpdates
 from rosemarystream._internal.models.call import PromptPart
 
 # Time since the last use after which a part counts as evicted from a server's cache.
@@ -66,7 +66,11 @@
 
     def __init__(self) -> None:
         self._holders: OrderedDict[int, dict[int, _Holding]] = OrderedDict()
-        self._pending_updates: dict[CacheUpdate, None] = {}
+        # Each is sent once: two collectors forward the same updates, and a part in use
+        # is sent again after `RESEND_AFTER_S`.
+        self._pending_updates = PendingUpdates[CacheUpdate](
+            rounds=1, per_message=UPDATES_PER_MESSAGE, most=MAX_PENDING_UPDATES
+        )
 
     def record_use(self, parts: Sequence[int], server: int, now: float) -> None:
         """Record that a server uses prompt parts; queue an update if it is new.
@@ -76,7 +80,7 @@
         for part in parts[:-1]:
             self._record_holding(part, server, now)
         if parts and self._record_holding(parts[-1], server, now):
-            self._queue_update((parts[-1], server))
+            self._pending_updates.add((parts[-1], server))
 
     def accept_cache_updates(
         self, cache_updates: Sequence[CacheUpdate], now: float
@@ -84,7 +88,7 @@
         """Record the updates of other hosts, and forward those that are new."""
         for part, server in cache_updates:
             if self._record_holding(part, server, now):
-                self._queue_update((part, server))
+                self._pending_updates.add((part, server))
 
     def _record_holding(self, part: int, server: int, now: float) -> bool:
         holders = self._holders.setdefault(part, {})
@@ -101,22 +105,9 @@
             self._holders.popitem(last=False)
         return is_new
 
-    def _queue_update(self, update: CacheUpdate) -> None:
-        self._pending_updates[update] = None
-        if len(self._pending_updates) > MAX_PENDING_UPDATES:
-            self._pending_updates.pop(next(iter(self._pending_updates)))
-
     def take_cache_updates(self) -> list[CacheUpdate]:
-        """Remove and return the oldest updates, up to the size of a message.
-
-        They are not kept for a retransmission if the message is lost: two collectors
-        forward the same updates, and a part in use is sent again after
-        `RESEND_AFTER_S`.
-        """
-        taken = list(islice(self._pending_updates, UPDATES_PER_MESSAGE))
-        for update in taken:
-            del self._pending_updates[update]
-        return taken
+        """Remove and return the oldest updates, up to the size of a message."""
+        return self._pending_updates.take()
 
     def list_entries(self, now: float) -> list[CacheEntry]:
         """Return the whole map, for a host that has just started."""
--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -7,9 +7,11 @@
 requests were.
 """
 
-from collections import OrderedDict, deque
+from collections import deque
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.bounded_dict import BoundedDict
+
 # Crashes without an answer in between from which a part is to blame, and those of a
 # part on which servers have answered lately.
 MIN_CRASHES = 3
@@ -54,28 +56,27 @@
     """Crashes by prompt part, and the last answer on each part."""
 
     def __init__(self) -> None:
-        self._suspects: OrderedDict[int, dict[int, Crash]] = OrderedDict()
-        self._answered: OrderedDict[int, float] = OrderedDict()
-        self._crashes: OrderedDict[int, float] = OrderedDict()
+        self._suspects = BoundedDict[int, BoundedDict[int, Crash]](most=MAX_SUSPECTS)
+        self._answered = BoundedDict[int, float](most=MAX_ANSWERED)
+        self._crashes = BoundedDict[int, float](most=MAX_CRASHES)
         self._last_answers: deque[float] = deque(maxlen=MIN_OTHER_ANSWERS)
 
     def record_crash(self, crash: Crash) -> bool:
         """Record a crash; return whether it was not known for all of its parts."""
-        self._crashes.setdefault(crash.server, crash.at)
-        if len(self._crashes) > MAX_CRASHES:
-            self._crashes.popitem(last=False)
+        if crash.server not in self._crashes:
+            self._crashes.put(crash.server, crash.at)
         return any([self._record_suspect(part, crash) for part in crash.parts])
 
     def _record_suspect(self, part: int, crash: Crash) -> bool:
-        crashes = self._suspects.setdefault(part, {})
-        self._suspects.move_to_end(part)
+        crashes = self._suspects.get(part)
+        if crashes is None:
+            crashes = BoundedDict[int, Crash](most=MAX_CRASHES_OF_PART)
+        self._suspects.put(part, crashes)
         known = crashes.get(crash.server)
-        if known is None or len(crash.parts) < len(known.parts):
+        if known is None:
+            crashes.put(crash.server, crash)
+        elif len(crash.parts) < len(known.parts):
             crashes[crash.server] = crash
-        if len(crashes) > MAX_CRASHES_OF_PART:
-            del crashes[next(iter(crashes))]
-        if len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
         return known is None
 
     def record_own_answer(self, now: float) -> None:
@@ -86,10 +87,7 @@
         """Record an answer on a part; return whether it clears the part of crashes."""
         if at <= self._answered.get(part, 0.0):
             return False
-        self._answered[part] = at
-        self._answered.move_to_end(part)
-        if len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
+        self._answered.put(part, at)
         crashes = self._suspects.get(part, {})
         earlier = [server for server, crash in crashes.items() if crash.at <= at]
         for server in earlier:
@@ -103,9 +101,17 @@
         at = self._answered.get(part)
         return at if at is not None and now - at <= max_age_s else None
 
-    def is_to_blame(self, part: int, now: float) -> bool:
-        """Return whether requests with a part are to be kept from servers."""
+    def is_to_blame(self, part: int, now: float, *, since: float) -> bool:
+        """Return whether requests with a part are to be kept from servers.
+
+        Parameters
+        ----------
+        since : float
+            Time after which there has to be a crash; earlier ones count as well.
+        """
         crashes = self._list_crashes(part, now)
+        if not any(crash.at > since for crash in crashes):
+            return False
         was_answered = self.find_answer(part, now) is not None
         if len(crashes) < (MIN_CRASHES_AFTER_ANSWER if was_answered else MIN_CRASHES):
             return False
@@ -114,11 +120,6 @@
             len(crashes) >= MIN_CRASH_SHARE * self._count_crashes_since(first_at)
         )
 
-    def find_last_crash(self, part: int, now: float) -> float | None:
-        """Return the time of the last crash that counts against a part, or None."""
-        crashes = self._list_crashes(part, now)
-        return max((crash.at for crash in crashes), default=None)
-
     def _list_crashes(self, part: int, now: float) -> list[Crash]:
         """Return the crashes under a part since the last answer on it."""
         answered_at = self._answered.get(part, 0.0)
@@ -135,12 +136,17 @@
     def _count_crashes_since(self, since: float) -> int:
         return sum(at >= since for at in self._crashes.values())
 
-    def is_only_suspect(self, part: int, now: float) -> bool:
-        """Return whether a crash can't be due to another part of the same prompt."""
-        return any(
-            all(
-                other == part or self.find_answer(other, now) is not None
+    def may_be_sound(self, part: int, now: float) -> bool:
+        """Return whether each crash may be due to another part of its prompt.
+
+        A part without crashes that count is not known to be sound: other hosts may
+        have blocked it for crashes that this one hasn't heard of.
+        """
+        crashes = self._list_crashes(part, now)
+        return bool(crashes) and all(
+            any(
+                other != part and self.find_answer(other, now) is None
                 for other in crash.parts
             )
-            for crash in self._list_crashes(part, now)
+            for crash in crashes
         )
--- a/src/rosemarystream/_internal/decisions/host_exclusions.py
+++ b/src/rosemarystream/_internal/decisions/host_exclusions.py
@@ -5,6 +5,8 @@
 considers it the owner of.
 """
 
+from rosemarystream._internal.decisions.bounded_dict import BoundedDict
+
 UNREACHABLE_SECONDS = 3.0
 NOT_OWNER_SECONDS = 0.5
 MAX_ENTRIES = 4096
@@ -16,7 +18,7 @@
     """Exclusions of hosts, for all groups or for one, each with a deadline."""
 
     def __init__(self) -> None:
-        self._deadlines: dict[tuple[str, str], float] = {}
+        self._deadlines = BoundedDict[tuple[str, str], float](most=MAX_ENTRIES)
 
     def record_unreachable(self, host: str, now: float) -> None:
         """Record that a host could not be reached."""
@@ -27,10 +29,7 @@
         self._exclude(group, host, now + NOT_OWNER_SECONDS)
 
     def _exclude(self, group: str, host: str, deadline: float) -> None:
-        self._deadlines.pop((group, host), None)
-        self._deadlines[group, host] = deadline
-        if len(self._deadlines) > MAX_ENTRIES:
-            del self._deadlines[next(iter(self._deadlines))]
+        self._deadlines.put((group, host), deadline)
 
     def is_excluded(self, group: str, host: str, now: float) -> bool:
         """Return whether a host is excluded for a group."""
--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -5,17 +5,19 @@
 repeat the blocks in force for hosts that missed them.
 """
 
-from collections.abc import Hashable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from math import inf
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
 
+from rosemarystream._internal.decisions.bounded_dict import BoundedDict
 from rosemarystream._internal.decisions.crash_evidence import (
     MAX_PARTS_OF_PROMPT,
     Crash,
     CrashEvidence,
 )
+from rosemarystream._internal.decisions.pending_updates import PendingUpdates
 from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.gossip import CrashUpdates
 
@@ -66,18 +68,34 @@
     )
 
 
+def format_part(part: int) -> str:
+    """Return the number of a part as it stands in logs, state dump and store."""
+    return f"{part:016x}"
+
+
+def parse_part(text: str) -> int:
+    """Return the number that `format_part` has written.
+
+    Raises
+    ------
+    ValueError
+        If the text is no such number.
+    """
+    return int(text, 16)
+
+
 class PromptBlocks:
     """Blocked prompt parts, and the evidence and the updates for other hosts."""
 
     def __init__(self) -> None:
         self._evidence = CrashEvidence()
         self._blocks: dict[int, Block] = {}
-        self._ended_at: dict[int, float] = {}
+        self._ended_at = BoundedDict[int, float](most=MAX_BLOCKS)
         self._trials: dict[int, float] = {}
         self._changes: list[BlockChange] = []
-        self._pending_crashes = _PendingUpdates()
-        self._pending_answers = _PendingUpdates()
-        self._pending_blocks = _PendingUpdates()
+        self._pending_crashes: PendingUpdates[Crash] = _make_pending()
+        self._pending_answers: PendingUpdates[int] = _make_pending()
+        self._pending_blocks: PendingUpdates[int] = _make_pending()
         self._rounds = 0
 
     # What this host sees
@@ -102,34 +120,27 @@
         Where the crashes may be due to another part of the same prompts, a request
         without that one is let through now and then, and its end tells.
         """
-        blocked = [part for part in parts if self._is_blocked(part, now)]
+        blocked = [part for part in parts if self._judge(part, now)]
         if len(blocked) == 1 and self._may_try(blocked[0], now):
             self._trials[blocked[0]] = now
             return None
         return blocked[0] if blocked else None
 
-    def _is_blocked(self, part: int, now: float) -> bool:
+    def _judge(self, part: int, now: float) -> bool:
+        """Return whether a part is blocked; the evidence may begin its block."""
         block = self._blocks.get(part)
         if block is not None and now < block.until:
             return True
-        if not self._has_new_crash(part, now):
-            return False
-        if not self._evidence.is_to_blame(part, now):
+        # After a block it takes another crash.
+        since = self._ended_at.get(part, -inf)
+        if not self._evidence.is_to_blame(part, now, since=since):
             return False
         self._begin_block(Block(part, now, now + BLOCK_S), now)
         self._pending_blocks.add(part)
         return True
 
-    def _has_new_crash(self, part: int, now: float) -> bool:
-        """Return whether there was a crash since the last block of a part, if any."""
-        last_at = self._evidence.find_last_crash(part, now)
-        return last_at is not None and last_at > self._ended_at.get(part, -inf)
-
     def _may_try(self, part: int, now: float) -> bool:
-        if self._evidence.find_last_crash(part, now) is None:
-            # Learnt from other hosts or the store, which knew more.
-            return False
-        if self._evidence.is_only_suspect(part, now):
+        if not self._evidence.may_be_sound(part, now):
             return False
         return now - self._trials.get(part, -TRIAL_INTERVAL_S) >= TRIAL_INTERVAL_S
 
@@ -152,13 +163,7 @@
         for block in [*self._blocks.values()]:
             if now >= block.until:
                 self._lift(block.part)
-                self._record_end(block)
-
-    def _record_end(self, block: Block) -> None:
-        self._ended_at.pop(block.part, None)
-        self._ended_at[block.part] = block.until
-        if len(self._ended_at) > MAX_BLOCKS:
-            del self._ended_at[next(iter(self._ended_at))]
+                self._ended_at.put(block.part, block.until)
 
     def list_blocks(self) -> list[Block]:
         """Return the blocks in force."""
@@ -288,27 +293,10 @@
         ]
 
 
-class _PendingUpdates:
-    """Updates that are sent in some rounds each, the oldest first."""
-
-    def __init__(self) -> None:
-        self._rounds_left: dict[Hashable, int] = {}
-
-    def add(self, update: Hashable, *, rounds: int = SEND_ROUNDS) -> None:
-        """Add an update; one that waits already keeps its place."""
-        self._rounds_left[update] = max(rounds, self._rounds_left.get(update, 0))
-        if len(self._rounds_left) > MAX_PENDING_UPDATES:
-            del self._rounds_left[next(iter(self._rounds_left))]
-
-    def take(self) -> list:
-        """Return the updates of this round."""
-        taken = [*self._rounds_left][:UPDATES_PER_MESSAGE]
-        for update in taken:
-            # An update that has been sent goes behind those that have not.
-            rounds_left = self._rounds_left.pop(update) - 1
-            if rounds_left:
-                self._rounds_left[update] = rounds_left
-        return taken
+def _make_pending() -> PendingUpdates:
+    return PendingUpdates(
+        rounds=SEND_ROUNDS, per_message=UPDATES_PER_MESSAGE, most=MAX_PENDING_UPDATES
+    )
 
 
 def _to_age_ms(since: float, until: float) -> int:
--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -7,7 +7,12 @@
 import gevent
 from logbook import Logger
 
-from rosemarystream._internal.decisions.prompt_blocks import Block, PromptBlocks
+from rosemarystream._internal.decisions.prompt_blocks import (
+    Block,
+    PromptBlocks,
+    format_part,
+    parse_part,
+)
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import StoreWatch
 from rosemarystream._internal.models.log_entries import (
@@ -70,7 +75,7 @@
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         try:
-            part = int(item.name, 16)
+            part = parse_part(item.name)
             if deleted:
                 self._stored_until.pop(part, None)
                 self._blocks.lift_block(part, self._clock())
@@ -92,7 +97,7 @@
     def _write_blocks(self) -> None:
         while True:
             gevent.sleep(WRITE_INTERVAL_S)
-            if not self._is_watcher():
+            if not self._has_blocks() or not self._is_watcher():
                 continue
             try:
                 self._write_missing()
@@ -101,6 +106,9 @@
                 write_log_entry(log, BlockNotStored(error=str(error)))
                 gevent.sleep(WRITE_RETRY_S)
 
+    def _has_blocks(self) -> bool:
+        return bool(self._blocks.list_blocks() or self._stored_until)
+
     def _write_missing(self) -> None:
         for block in self._blocks.list_blocks():
             stored_until = self._stored_until.get(block.part)
@@ -120,7 +128,7 @@
             "began_ms": str(int((block.began_at + offset_s) * _MS_PER_S)),
             "until_ms": str(int((block.until + offset_s) * _MS_PER_S)),
         }
-        return BLOCKED_PARTS, f"{block.part:016x}", spec
+        return BLOCKED_PARTS, format_part(block.part), spec
 
     def _remove_ended(self) -> None:
         """Remove the records of blocks that are over, or that answers have lifted."""
@@ -129,5 +137,5 @@
         for part, until in [*self._stored_until.items()]:
             is_lifted = part not in blocked and now < until - REMOVAL_MARGIN_S
             if is_lifted or now >= until + REMOVAL_MARGIN_S:
-                self._writer.delete(BLOCKED_PARTS, f"{part:016x}")
+                self._writer.delete(BLOCKED_PARTS, format_part(part))
                 self._stored_until.pop(part, None)
--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -46,6 +46,16 @@
         connection.connect(min(deadline, self._clock() + CONNECT_TIMEOUT_S))
         return connection
 
+    def probe(self, endpoint: Endpoint) -> None:
+        """Check that a server accepts connections.
+
+        Raises
+        ------
+        ConnectError
+            If it does not, within `CONNECT_TIMEOUT_S`.
+        """
+        self.open(endpoint, self._clock() + CONNECT_TIMEOUT_S).close()
+
     def put(
         self,
         endpoint: Endpoint,
--- a/src/rosemarystream/_internal/gateway/crash_reporter.py
+++ b/src/rosemarystream/_internal/gateway/crash_reporter.py
@@ -1,16 +1,13 @@
 """Finds out whether a server that broke off an answer has crashed."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 
 import gevent
 from logbook import Logger
 
+from rosemarystream._internal.decisions.bounded_dict import BoundedDict
 from rosemarystream._internal.decisions.hashing import hash_name_32
-from rosemarystream._internal.decisions.prompt_blocks import (
-    PromptBlocks,
-    hash_shared_parts,
-)
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.exceptions import ConnectError
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.logs import write_log_entry
@@ -48,37 +45,49 @@
         self._router = router
         self._clock = clock
         self._checks: dict[int, gevent.Greenlet] = {}
-        self._crashed: OrderedDict[int, None] = OrderedDict()
+        self._crashed = BoundedDict[int, None](most=MAX_CRASHED)
 
-    def report_closed(self, endpoint: Endpoint, call: Call) -> None:
-        """Check, in the background, a server that closed a connection too early."""
-        if len(call.parts) > 1:
-            gevent.spawn(self._check, endpoint, call)
+    def report_closed(
+        self, endpoint: Endpoint, call: Call, parts: tuple[int, ...]
+    ) -> None:
+        """Check, in the background, a server that closed a connection too early.
+
+        Parameters
+        ----------
+        parts : tuple of int
+            Numbers of the shared parts of the call's prompt, also below.
+        """
+        if parts:
+            gevent.spawn(self._check, endpoint, call, parts)
 
-    def report_ended(self, endpoint: Endpoint, call: Call) -> None:
+    def report_ended(
+        self, endpoint: Endpoint, call: Call, parts: tuple[int, ...]
+    ) -> None:
         """Check a server whose answer, of unknown length, ended with its connection.
 
         The answer counts as complete for its caller. If the server is gone, it ended
         because of that, and if it isn't, it has answered.
         """
-        now = self._clock()
-        if len(call.parts) > 1 and not self._blocks.are_answered(
-            hash_shared_parts(call.parts), now
-        ):
-            gevent.spawn(self._check, endpoint, call, is_answered=True)
+        if parts and not self._blocks.are_answered(parts, self._clock()):
+            gevent.spawn(self._check, endpoint, call, parts, is_answered=True)
 
-    def record_answer(self, call: Call) -> None:
+    def record_answer(self, call: Call, parts: tuple[int, ...]) -> None:
         """Record that an engine has answered a request and goes on running."""
         if call.parts:
-            self._blocks.record_answer(hash_shared_parts(call.parts), self._clock())
+            self._blocks.record_answer(parts, self._clock())
 
     def _check(
-        self, endpoint: Endpoint, call: Call, *, is_answered: bool = False
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        parts: tuple[int, ...],
+        *,
+        is_answered: bool = False,
     ) -> None:
         server = hash_name_32(f"{endpoint.name}/{endpoint.incarnation}")
         if not self._has_crashed(server, endpoint):
             if is_answered:
-                self.record_answer(call)
+                self.record_answer(call, parts)
             return
         entry = ServerCrashed(
             server=endpoint.name,
@@ -86,7 +95,7 @@
             prompt=call.format_prompt(),
         )
         write_log_entry(log, entry)
-        self._blocks.record_crash(server, hash_shared_parts(call.parts), self._clock())
+        self._blocks.record_crash(server, parts, self._clock())
 
     def _has_crashed(self, server: int, endpoint: Endpoint) -> bool:
         """Return whether a server is gone; requests that ask together share a check."""
@@ -98,17 +107,14 @@
             check.link(lambda _: self._checks.pop(server, None))
         if not check.get():
             return False
-        self._crashed[server] = None
-        if len(self._crashed) > MAX_CRASHED:
-            self._crashed.popitem(last=False)
+        self._crashed.put(server, None)
         return True
 
     def _is_gone(self, endpoint: Endpoint) -> bool:
         gevent.sleep(CONFIRM_DELAY_S)
         try:
-            connection = self._pool.open(endpoint, self._clock() + 1.0)
+            self._pool.probe(endpoint)
         except ConnectError:
             self._router.record_gone(endpoint)
             return True
-        connection.close()
         return False
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -307,7 +307,9 @@
         write_log_entry(log, entry)
         if error.closed:
             self._router.metrics.answers_closed.inc()
-            self._crashes.report_closed(attempt.endpoint, self._call)
+            self._crashes.report_closed(
+                attempt.endpoint, self._call, self._shared_parts
+            )
         self.sends += 1
         self._may_have_run = True
         if error.unreachable:
@@ -422,9 +424,9 @@
         """Record that an answer has ended as it should."""
         self._router.record_outcome(attempt.endpoint, failed=failed)
         if head.is_delimited:
-            self._crashes.record_answer(self._call)
+            self._crashes.record_answer(self._call, self._shared_parts)
         else:
-            self._crashes.report_ended(attempt.endpoint, self._call)
+            self._crashes.report_ended(attempt.endpoint, self._call, self._shared_parts)
 
     def _relay_events(self, attempt: Attempt, head: AnswerHead, route: Route) -> str:
         self._stream.begin_attempt()
@@ -440,7 +442,7 @@
             if self._relay_all(events, head):
                 stalled_at = self._clock() + stall_s
                 if self._clock() >= sound_at:
-                    self._crashes.record_answer(self._call)
+                    self._crashes.record_answer(self._call, self._shared_parts)
                     sound_at = inf
         self._stream.check_end(is_delimited=head.is_delimited)
         if not self._answer.has_begun:
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -175,12 +175,13 @@
         self._contact_seeds()
         self._contact_unheard()
         now = self._clock()
-        is_collector = self._peer_table.is_collector(now)
+        collectors = self._list_collectors(now)
+        is_collector = self._this_host.name in collectors
         updates = _Updates(
             self._contexts.take_cache_updates(),
             self._blocks.take_updates(now, repeats_blocks=is_collector),
         )
-        self._send_to_all(updates)
+        self._send_to_all(collectors, updates)
 
     def report_load_change(self) -> None:
         """Report this host's load to the collectors at once if it has changed much."""
@@ -188,28 +189,31 @@
         if abs(total - self._reported_requests) < LOAD_CHANGE_REQUESTS:
             return
         if self._clock() - self._reported_at >= MIN_REPORT_INTERVAL_S:
-            self._report_to_collectors(_NO_UPDATES)
+            collectors = self._list_collectors(self._clock())
+            self._report_to_collectors(collectors, _NO_UPDATES)
 
     def announce(self) -> None:
         """Send the versions of newer state without waiting for the next round."""
-        self._send_to_all(_NO_UPDATES)
+        self._send_to_all(self._list_collectors(self._clock()), _NO_UPDATES)
 
     # Sending
 
-    def _send_to_all(self, updates: _Updates) -> None:
-        collectors = self._report_to_collectors(updates)
+    def _list_collectors(self, now: float) -> list[str]:
+        return self._peer_table.list_collectors(self._this_host.data_centre, now)
+
+    def _send_to_all(self, collectors: list[str], updates: _Updates) -> None:
+        self._report_to_collectors(collectors, updates)
         if self._this_host.name in collectors:
             now = self._clock()
             self._loads.clear_others_sums()
             self._send_to_data_centre(now, updates)
             self._send_to_remote(now, updates)
 
-    def _report_to_collectors(self, updates: _Updates) -> list[str]:
-        """Report this host's load to the local collectors; return their names."""
+    def _report_to_collectors(self, collectors: list[str], updates: _Updates) -> None:
+        """Report this host's load to the collectors of its data centre."""
         now = self._clock()
         own = self._loads.sum_own()
         self._reported_requests, self._reported_at = own.counts.total(), now
-        collectors = self._peer_table.list_collectors(self._this_host.data_centre, now)
         message = self._make_message(
             LoadScope.HOST,
             own,
@@ -218,7 +222,6 @@
         )
         for name in collectors:
             self._send_to(name, message)
-        return collectors
 
     def _send_to_data_centre(self, now: float, updates: _Updates) -> None:
         known_hosts = (
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -16,7 +16,10 @@
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
-from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.prompt_blocks import (
+    PromptBlocks,
+    format_part,
+)
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.exceptions import ConnectError, SettingsError
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
@@ -81,7 +84,7 @@
 # Time before the end of a shutdown at which requests in progress are aborted.
 END_MARGIN_S = 0.4
 LEAVE_POLL_S = 0.05
-# Interval of the probes of unreachable services, and the time limit of a probe.
+# Interval of the probes of unreachable services.
 PROBE_S = 0.25
 # Interval of reports to a statsd server.
 STATSD_INTERVAL_S = 10.0
@@ -342,12 +345,11 @@
         self._probes += 1
         endpoint = endpoints[self._probes % len(endpoints)]
         try:
-            connection = self._pool.open(endpoint, self._clock() + PROBE_S)
+            self._pool.probe(endpoint)
         except ConnectError as error:
             entry = ServerStillUnreachable(server=endpoint.name, reason=str(error))
             write_log_entry(log, entry)
             return
-        connection.close()
         self._router.record_reachable(endpoint)
 
     def _run_housekeeping(self) -> None:
@@ -369,7 +371,7 @@
 
     def _log_block_changes(self) -> None:
         for change in self._blocks.take_changes():
-            part = f"{change.part:016x}"
+            part = format_part(change.part)
             if change.is_blocked:
                 for_ms = round(change.left_s * _MS_PER_S, 1)
                 write_log_entry(log, PromptPartBlocked(part=part, for_ms=for_ms))
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -5,7 +5,10 @@
 
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
-from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.prompt_blocks import (
+    PromptBlocks,
+    format_part,
+)
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.metrics import HostGauges
 from rosemarystream._internal.gateway.router import Router
@@ -157,7 +160,7 @@
             workspaces=sorted({workspace.name for workspace in workspaces}),
             out_of_reach=self._router.list_unreachable_services(),
             blocked_parts={
-                f"{block.part:016x}": round(block.until - now, 1)
+                format_part(block.part): round(block.until - now, 1)
                 for block in self._blocks.list_blocks()
             },
             is_collector=self._name in collectors,
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -5,8 +5,7 @@
 when it begins to answer a request whose prompt holds one of `crashing_parts`.
 """
 
-import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
 
 READ_BYTES = 65_536
 EVENTS = 8
+EVENT_STREAM = (b"content-type", b"text/event-stream")
 # Second copy of an earlier refusal, which names no request.
 LATE_REFUSAL = (
     b"HTTP/1.1 503 Busy\r\nX-Rosemarystream-Not-Executed: 1\r\n"
@@ -221,9 +221,7 @@
             connection.sendall(protocol.send(head) + body)
             return False
         if fault in UNFRAMED_FAULTS:
-            head = b"HTTP/1.1 200 OK\r\n"
-            head += b"".join(b"%s: %s\r\n" % pair for pair in identity)
-            connection.sendall(head + b"\r\n" + body)
+            connection.sendall(_write_unframed_head(identity) + body)
             if fault is Fault.RESET_UNFRAMED:
                 reset_connection(connection)
             return False
@@ -235,20 +233,14 @@
     def _stream(self, connection, protocol, run, fault, identity) -> bool:
         if fault in UNFRAMED_FAULTS:
             return self._stream_unframed(connection, run, fault, identity)
-        first = int(run.headers.get(b"last-event-id", b"0")) + 1
-        headers = [
-            *identity,
-            (b"content-type", b"text/event-stream"),
-            (b"transfer-encoding", b"chunked"),
-        ]
+        headers = [*identity, EVENT_STREAM, (b"transfer-encoding", b"chunked")]
         connection.sendall(
             protocol.send(h11.Response(status_code=200, headers=headers))
         )
         if self.crashing_parts.intersection(run.list_shared_parts()):
             self.crash()
             return False
-        for number, sent in zip(range(first, EVENTS + 1), itertools.count()):
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+        for sent, event in _list_events(run):
             if fault is Fault.CUT and sent == self._cut_after:
                 half = event[: len(event) // 2]
                 connection.sendall(protocol.send(h11.Data(data=half)))
@@ -266,12 +258,8 @@
 
     def _stream_unframed(self, connection, run, fault, identity) -> bool:
         """Send a stream whose end is that of its connection."""
-        first = int(run.headers.get(b"last-event-id", b"0")) + 1
-        lines = [b"%s: %s" % pair for pair in identity]
-        lines.append(b"content-type: text/event-stream")
-        connection.sendall(b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""]))
-        for number, sent in zip(range(first, EVENTS + 1), itertools.count()):
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+        connection.sendall(_write_unframed_head([*identity, EVENT_STREAM]))
+        for sent, event in _list_events(run):
             if fault is Fault.EMPTY_UNFRAMED:
                 return False
             if fault is Fault.CUT_UNFRAMED and sent == self._cut_after:
@@ -286,6 +274,19 @@
         return False
 
 
+def _list_events(run: Run) -> Iterator[tuple[int, bytes]]:
+    """Return the events that the caller doesn't have yet, counted from 0."""
+    first = int(run.headers.get(b"last-event-id", b"0")) + 1
+    numbers = range(first, EVENTS + 1)
+    return enumerate(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+
+
+def _write_unframed_head(headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the head of an answer that ends with its connection."""
+    lines = [b"%s: %s" % pair for pair in headers]
+    return b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""])
+
+
 def _trickle(connection, protocol, run) -> bool:
     """Send a byte now and then that completes no event, until the host closes."""
     while not _wait_for_close(connection, run, TRICKLE_S):
