Hand out pending removals with the revision that covers them

Cause: a host that is back from a cut keeps entries that are missing for a grace period, but hands out the revision at which they were missing. Who pulls from it meanwhile takes over that revision without the removal, and asks nobody for it again.

Change: a delta also holds the pending removals with the time that is left, and a host that pulls them applies them at the same deadline. An entry that was learnt at a later revision is no longer taken for missing.

Ruled out: handing out the revision before the one with pending removals, since then the fleet pulls all changes after it again, ten times a second, until the grace period is over; and removing at once, since entries that lapsed with the store would be lost. Hosts of an earlier build skip the new field.

--- a/src/rosemarystream/_internal/decisions/replica.py
+++ b/src/rosemarystream/_internal/decisions/replica.py
@@ -17,6 +17,21 @@
 MAX_TOMBSTONES = 10_000
 
 
+class Lapse(NamedTuple):
+    """The pending removal of an entry that was missing after an outage.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store at which the entry was missing.
+    deadline : float
+        Time at which it is removed unless it is registered again.
+    """
+
+    revision: int
+    deadline: float
+
+
 class Delta(NamedTuple):
     """Entries written or removed after a revision.
 
@@ -24,10 +39,13 @@
     ----------
     removed : dict of str to int
         Revisions at which servers were seen to be removed, by name.
+    lapsing : dict of str to Lapse
+        Entries that are kept for their grace period, by name.
     """
 
     endpoints: list[Endpoint]
     removed: dict[str, int]
+    lapsing: dict[str, Lapse]
     revision: int
 
 
@@ -40,7 +58,7 @@
         self.revision = 0
         self._endpoints: dict[str, Endpoint] = {}
         self._removed: dict[str, int] = {}
-        self._lapsing: dict[str, tuple[int, float]] = {}
+        self._lapsing: dict[str, Lapse] = {}
         self._grace_until = 0.0
 
     @property
@@ -109,12 +127,34 @@
             if name in listed:
                 continue
             if now < self._grace_until:
-                self._lapsing.setdefault(name, (revision, self._grace_until))
+                self._accept_lapse(name, Lapse(revision, self._grace_until))
             elif self.accept_removal(name, revision):
                 changed.append(name)
         self.advance(revision)
         return changed
 
+    def _accept_lapse(self, name: str, lapse: Lapse) -> None:
+        known = self._endpoints.get(name)
+        if known is not None and known.revision <= lapse.revision:
+            self._lapsing.setdefault(name, lapse)
+
+    def accept_delta(self, delta: Delta) -> list[str]:
+        """Apply the changes that a peer knows; return the names of changed entries.
+
+        A pending removal is taken over with its deadline. The peer's revision covers
+        it, so it would not be asked for again.
+        """
+        changed = [
+            entry.name for entry in delta.endpoints if self.accept_endpoint(entry)
+        ]
+        for name, revision in delta.removed.items():
+            if self.accept_removal(name, revision):
+                changed.append(name)
+        for name, lapse in delta.lapsing.items():
+            self._accept_lapse(name, lapse)
+        self.advance(delta.revision)
+        return changed
+
     def advance(self, revision: int) -> None:
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
@@ -122,9 +162,9 @@
     def expire(self, now: float) -> list[str]:
         """Remove lapsed entries not registered again in time; return their names."""
         expired = [
-            (name, revision)
-            for name, (revision, deadline) in self._lapsing.items()
-            if deadline <= now
+            (name, lapse.revision)
+            for name, lapse in self._lapsing.items()
+            if lapse.deadline <= now
         ]
         for name, revision in expired:
             self._remove(name, revision)
@@ -135,6 +175,11 @@
         return Delta(
             [entry for entry in self._endpoints.values() if entry.revision > revision],
             {name: at for name, at in self._removed.items() if at > revision},
+            {
+                name: lapse
+                for name, lapse in self._lapsing.items()
+                if lapse.revision > revision
+            },
             self.revision,
         )
 
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -16,7 +16,7 @@
 
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
-from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import accept_document
 from rosemarystream._internal.models.gossip import (
@@ -46,6 +46,7 @@
 MAX_FRAME_BYTES = 4_000_000
 MAX_DOCUMENT_BYTES = 4_000_000
 READ_BYTES = 65_536
+_MS_PER_S = 1000
 _LENGTH = struct.Struct("!I")
 
 _request_decoder = msgspec.msgpack.Decoder(PullRequest)
@@ -142,13 +143,7 @@
         changed = []
         if answer.document and self._accept_document(answer.document):
             changed.append(f"version {self._replica.version}")
-        for endpoint in answer.endpoints:
-            if self._replica.accept_endpoint(endpoint):
-                changed.append(endpoint.name)
-        for name, revision in answer.removed.items():
-            if self._replica.accept_removal(name, revision):
-                changed.append(name)
-        self._replica.advance(answer.revision)
+        changed += self._replica.accept_delta(_read_delta(answer, self._clock()))
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
@@ -190,7 +185,13 @@
         if request.revision is None:
             return PullAnswer(document, [], {}, 0)
         delta = self._replica.select_delta(request.revision)
-        return PullAnswer(document, delta.endpoints, delta.removed, delta.revision)
+        return PullAnswer(
+            document,
+            delta.endpoints,
+            delta.removed,
+            delta.revision,
+            lapsing=_list_lapsing(delta, self._clock()),
+        )
 
     def _compress_document(self) -> bytes:
         """Return the compressed configuration; each version is compressed once."""
@@ -200,6 +201,21 @@
         return self._compressed[1]
 
 
+def _list_lapsing(delta: Delta, now: float) -> dict[str, tuple[int, int]]:
+    return {
+        name: (lapse.revision, max(0, int((lapse.deadline - now) * _MS_PER_S)))
+        for name, lapse in delta.lapsing.items()
+    }
+
+
+def _read_delta(answer: PullAnswer, now: float) -> Delta:
+    lapsing = {
+        name: Lapse(revision, now + left_ms / _MS_PER_S)
+        for name, (revision, left_ms) in answer.lapsing.items()
+    }
+    return Delta(answer.endpoints, answer.removed, lapsing, answer.revision)
+
+
 def _get_timeout(request: PullRequest) -> float:
     return SERVERS_TIMEOUT_S if request.version is None else DOCUMENT_TIMEOUT_S
 
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -143,6 +143,9 @@
         server, and the time since its last use in milliseconds.
     blocks : list of tuple of int
         Blocked prompt parts, as in `CrashUpdates`.
+    lapsing : dict of str to tuple of int
+        Servers that were missing after an outage of the store: the revision at which
+        they were, and the time until their removal in milliseconds, by name.
     """
 
     document: bytes
@@ -151,3 +154,4 @@
     revision: int
     contexts: list[tuple[int, int, int]] = []
     blocks: list[tuple[int, int, int]] = []
+    lapsing: dict[str, tuple[int, int]] = {}
--- a/tests/unit/test_replica.py
+++ b/tests/unit/test_replica.py
@@ -91,10 +91,30 @@
     assert peer.list_endpoints() == []
 
 
+def test_an_entry_registered_again_after_a_pull_outlives_its_pending_removal():
+    watcher, peer = Replica(), Replica()
+    for replica in (watcher, peer):
+        replica.accept_endpoint(make_endpoint(revision=5))
+        replica.advance(5)
+    watcher.begin_store_recovery(100.0)
+    watcher.accept_listing([], 9, 100.0)
+    pull(peer, watcher)
+    watcher.accept_endpoint(make_endpoint(revision=10))
+    watcher.advance(10)
+    pull(peer, watcher)
+    assert peer.expire(100.0 + RECOVERY_GRACE_S + 0.1) == []
+    assert [entry.revision for entry in peer.list_endpoints()] == [10]
+
+
+def test_a_pending_removal_does_not_touch_a_later_entry():
+    watcher, peer = Replica(), Replica()
+    watcher.accept_endpoint(make_endpoint(revision=5))
+    peer.accept_endpoint(make_endpoint(revision=10))
+    watcher.begin_store_recovery(100.0)
+    watcher.accept_listing([], 9, 100.0)
+    pull(peer, watcher)
+    assert peer.expire(100.0 + RECOVERY_GRACE_S + 0.1) == []
+
+
 def pull(replica, source):
-    delta = source.select_delta(replica.revision)
-    for endpoint in delta.endpoints:
-        replica.accept_endpoint(endpoint)
-    for name, revision in delta.removed.items():
-        replica.accept_removal(name, revision)
-    replica.advance(delta.revision)
+    replica.accept_delta(source.select_delta(replica.revision))
