Report the store as lost while an answer to a waiting call is overdue

Cause: a watch waited 8 s at the store. A cut without a reset shows only by the connection's keep-alive after 3 s, or, where the connection stays open, when the call is given up after 10 s; only then does the next host in order watch.

Change: watches of the configuration and of the servers wait 0.8 s, and a host reports the store as lost once an answer is 0.4 s overdue, while it still waits for it. The next host watches from then on. A slow store takes a quarter of a second, which is not overdue. Costs: about ten times the waiting calls, two a second and data centre.

Ruled out: keep-alive probes at a shorter interval (whole seconds only, and answered by a store that loses answers), and two watchers at all times (both may be cut).

--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -40,8 +40,11 @@
 
 log = Logger(__name__)
 
-# How long a watch waits at the store for the first change.
-WATCH_TIMEOUT_S = 8.0
+# How long a watch waits at the store for the first change. A store that goes silent is
+# noticed at the end of that, and changes have to be in force within two seconds.
+WATCH_TIMEOUT_S = 0.8
+# Time after the end of a wait at which an answer of the store is overdue.
+OVERDUE_AFTER_S = 0.4
 # Pauses after failed calls: the first one, and the limit to which they grow.
 FIRST_PAUSE_S = 0.3
 LONGEST_PAUSE_S = 1.0
@@ -72,11 +75,14 @@
 
     Attributes
     ----------
+    wait_s : float
+        How long a call waits at the store for the first change.
     lost_at : float or None
         When the store stopped answering; None while it answers, or isn't watched.
     """
 
     kind: str
+    wait_s = WATCH_TIMEOUT_S
 
     def __init__(
         self,
@@ -137,7 +143,11 @@
             self._accept_listing(listing.objects, listing.revision)
             self._revision = listing.revision
             return
-        changes = self._store.watch(self.kind, self._revision, WATCH_TIMEOUT_S)
+        overdue = gevent.spawn_later(self.wait_s + OVERDUE_AFTER_S, self._mark_overdue)
+        try:
+            changes = self._store.watch(self.kind, self._revision, self.wait_s)
+        finally:
+            overdue.kill(block=False)
         changed = False
         for change in changes.changes:
             changed |= self._accept(change.object, change.deleted, changes.revision)
@@ -147,13 +157,20 @@
         # Changes that follow closely then arrive in one call.
         gevent.sleep(BATCH_S)
 
+    def _mark_overdue(self) -> None:
+        """Report the store as lost so that another host watches; go on waiting."""
+        self._report_lost("the answer to a waiting call is overdue")
+
     def _mark_lost(self, error: StoreError) -> None:
-        if self.lost_at is None:
-            self.lost_at = self._clock()
-            write_log_entry(log, StoreLost(watched=self.kind, error=str(error)))
+        self._report_lost(str(error))
         # Changes may have been missed, so the objects have to be listed again.
         self._revision = None
 
+    def _report_lost(self, error: str) -> None:
+        if self.lost_at is None:
+            self.lost_at = self._clock()
+            write_log_entry(log, StoreLost(watched=self.kind, error=error))
+
     def _mark_regained(self) -> None:
         if self.lost_at is not None:
             away_ms = round((self._clock() - self.lost_at) * 1000, 1)
