Cut single hosts from the store in tests, and test that a cut watcher is replaced in time

Found on writing the test: refused_callers never refused anybody. Each host now has a store address of its own, and the stand-in refuses or leaves unanswered those that a test names. The same test passes with true refusals, assertions unchanged.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -35,29 +35,49 @@
     ----------
     address : tuple of (str, int)
         Address on which it listens.
+
+    Attributes
+    ----------
+    refused, unanswered : set of str
+        Addresses of the store at which calls get 503, or no answer; calls that wait
+        there already get none either. All callers on loopback have one IP address, so
+        a test tells them apart by the address that each of them calls.
     """
 
     def __init__(self, *, address: tuple[str, int]) -> None:
         self.address = f"{address[0]}:{address[1]}"
         self.revision = 1
         self.fault = StoreFault.NONE
-        self.refused_callers: set[str] = set()
+        self.refused: set[str] = set()
+        self.unanswered: set[str] = set()
         self.calls: list[str] = []
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._oldest = 0
         self._changed = Event()
-        self._server = WSGIServer(
+        self._servers = [self._make_server(address)]
+
+    def _make_server(self, address: tuple[str, int]) -> WSGIServer:
+        return WSGIServer(
             address, self._serve, spawn=Pool(MAX_CALLS), log=None, error_log=None
         )
 
+    def add_address(self, address: tuple[str, int]) -> str:
+        """Listen on one more address and return it as ``ip:port``."""
+        server = self._make_server(address)
+        server.start()
+        self._servers.append(server)
+        return f"{address[0]}:{address[1]}"
+
     def start(self) -> None:
         """Start listening."""
-        self._server.start()
+        for server in self._servers:
+            server.start()
 
     def stop(self) -> None:
         """Stop listening and abort open calls."""
-        self._server.stop(timeout=0)
+        for server in self._servers:
+            server.stop(timeout=0)
 
     def write(self, kind: str, name: str, spec: Any) -> int:
         """Write an object as its owner would and return the revision."""
@@ -108,16 +128,16 @@
         self.calls.append(f"{method} {environ['PATH_INFO']}?{environ['QUERY_STRING']}")
         if self.fault is StoreFault.UNRESPONSIVE:
             gevent.sleep(MAX_WAIT_S)
-        if (
-            self.fault is StoreFault.BUSY
-            or environ["REMOTE_ADDR"] in self.refused_callers
-        ):
+        called = environ["HTTP_HOST"]
+        if self.fault is StoreFault.BUSY or called in self.refused:
             status, body = "503 Service Unavailable", {"error": "busy"}
         elif method == "GET":
             status, body = self._read(path, query)
         else:
             text = environ["wsgi.input"].read() or b"{}"
             status, body = self._change(method, path, json.loads(text))
+        if called in self.unanswered:
+            gevent.sleep(MAX_WAIT_S)
         data = json.dumps(body).encode()
         headers = [("Content-Type", "application/json")]
         headers.append(("Content-Length", str(len(data))))
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -19,6 +19,9 @@
     wait_until,
 )
 
+# A change has to be in force this long after the store has accepted it.
+IN_FORCE_S = 2.0
+
 
 @pytest.fixture
 def world():
@@ -56,11 +59,26 @@
 
 def test_hosts_refused_by_the_store_get_the_configuration_from_others(world):
     for name in ("h1", "h2"):
-        world.store.refused_callers.add(world.hosts[name].ip)
+        world.store.refused.add(world.hosts[name].store_address)
     world.store.write("config", "main", make_configuration(9))
     wait_until(lambda: get_versions(world) == [9, 9, 9], seconds=3.0)
 
 
+def test_a_change_is_in_force_in_time_when_the_store_leaves_its_watchers_waiting(world):
+    world.add_host("h4", "b", seeds=["h1"])
+    gevent.sleep(1.0)
+    # Hosts that watched just after their start still wait for the next change.
+    world.store.write("config", "main", make_configuration(8))
+    wait_until(lambda: get_versions(world) == [8] * 4)
+    gevent.sleep(0.5)
+    # One host of a data centre watches; these are cut while their calls wait.
+    watchers = {order_candidates("a", ["h1", "h2", "h3"])[0], "h4"}
+    for name in watchers:
+        world.store.unanswered.add(world.hosts[name].store_address)
+    world.store.write("config", "main", make_configuration(9))
+    wait_until(lambda: get_versions(world) == [9] * 4, seconds=IN_FORCE_S)
+
+
 def test_a_host_started_during_a_store_outage_gets_its_state_from_others(world):
     world.store.fault = StoreFault.BUSY
     host = world.add_host("h4", seeds=["h1", "h2"])
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -127,6 +127,9 @@
 
     def add_host(self, name, data_centre="a", *, seeds=(), wait=True):
         ip = f"{self.net}.{next(self._ips)}"
+        store_address = self.store.add_address(
+            (f"{self.net}.{next(self._ips)}", STORE_PORT)
+        )
         document = {
             "host": {
                 "name": name,
@@ -138,11 +141,12 @@
                 "metrics_port": METRICS_PORT,
                 "seeds": [f"{self.hosts[seed].ip}:1" for seed in seeds],
             },
-            "platform": {"address": self.store.address},
+            "platform": {"address": store_address},
             "bounds": {"shutdown_ms": 3000},
         }
         settings = msgspec.convert(document, GatewaySettings)
-        host = Host(ip, Gateway(settings=settings, path=Path("none")))
+        gateway = Gateway(settings=settings, path=Path("none"))
+        host = Host(ip, store_address, gateway)
         host.gateway.start()
         self.hosts[name] = host
         if wait:
@@ -158,9 +162,10 @@
 
 
 class Host(NamedTuple):
-    """An entry host and its IP address."""
+    """An entry host, its IP address, and the address at which it calls the store."""
 
     ip: str
+    store_address: str
     gateway: Gateway
 
     def is_ready(self):
