Register the switches of two proofs, and refuse a proof whose switch doesn't exist

Found on reading tests.prove: the rows entry-host-count and entry-cut-ends name switches that were never listed, so their tests "failed without the mechanism" by a KeyError in conftest, whatever they check. Both are listed now, and tests.prove stops when a row names an unknown switch.

--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -249,6 +249,18 @@
     PromptBlocks.find_blocked = lambda self, parts, now: None
 
 
+def wait_for_overdue_answers():
+    from rosemarystream._internal.gateway.store_watches import StoreWatch
+
+    StoreWatch._mark_overdue = lambda self: None
+
+
+def keep_pending_removals():
+    from rosemarystream._internal.decisions.replica import Replica
+
+    Replica._accept_lapse = lambda self, name, lapse: None
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -269,6 +281,8 @@
         ignore_costs,
         ignore_load_bound,
         repeat_without_budget,
+        count_heard_hosts_only,
+        wait_to_be_contacted,
         retry_non_idempotent,
         refuse_unknown_outcomes,
         accept_any_answer,
@@ -279,6 +293,8 @@
         stop_gateway_without_draining,
         log_without_limit,
         send_every_prompt,
+        wait_for_overdue_answers,
+        keep_pending_removals,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -9,6 +9,8 @@
 import sys
 from typing import NamedTuple
 
+from tests.lib.switches import SWITCHES
+
 TIMEOUT_SECONDS = 300
 
 
@@ -109,6 +111,16 @@
         "send_every_prompt",
         "python -m pytest -x -q tests/functional/test_prompt_part_crashes.py -k five",
     ),
+    Row(
+        "entry-silent-store",
+        "wait_for_overdue_answers",
+        f"{ENTRY}fleet.py -k leaves_its_watchers",
+    ),
+    Row(
+        "entry-pending-removals",
+        "keep_pending_removals",
+        f"{UNIT}test_replica.py -k pulled_meanwhile",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
@@ -134,6 +146,9 @@
 
 def main() -> int:
     """Return 0 if the test of each row passes, and fails when switched off."""
+    # A test also fails of a switch that doesn't exist.
+    unknown = [row.switch for row in ROWS if row.switch not in SWITCHES]
+    assert not unknown, unknown
     selected = set(sys.argv[1:])
     has_passed = True
     for row in ROWS:
