--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -360,7 +360,7 @@
 
 
 class StoreLost(LogEntry, frozen=True, kw_only=True):
-    """A watch of the store failed; the host continues with the state it has.
+    """A watch failed or its answer is overdue; the host goes on with what it knows.
 
     Attributes
     ----------
