Notice a silent store soon in two data centres only, by the watch of the configuration

The fault needs the watchers of all data centres cut at once; while one of them is sound, the others hear of a change from it. So only the watchers of two data centres wait briefly, and only for the configuration: a host whose store is lost is replaced for all kinds of objects. A data centre that hears no other one is always among them.

Ruled out: longer waits (0.8 s, 0.4 s until an answer is overdue and the hand-over leave little of 2 s).

--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -32,6 +32,8 @@
 # The recent peak of the number of hosts covers the current period of this length and
 # the one before.
 PEAK_PERIOD_S = 60.0
+# Data centres whose watchers wait briefly at the store.
+SHORT_WAIT_DATA_CENTRES = 2
 # Hosts next in order that watch the store while the collectors can't reach it.
 RESERVE_WATCHERS = 1
 
@@ -227,6 +229,17 @@
             SINGLE_DATA_CENTRE_WATCHERS if is_single_data_centre else WATCHERS
         )
 
+    def keeps_waits_short(self, now: float) -> bool:
+        """Return whether this host, as a watcher, waits briefly at the store.
+
+        A short wait shows soon that the store has gone silent, but costs calls. It is
+        enough in a few data centres: the others miss no change unless all watchers of
+        the fleet are cut off, and then these tell them.
+        """
+        names = {host.data_centre for host in self.list_live(now)}
+        names.add(self._data_centre)
+        return self._data_centre in sorted(names)[:SHORT_WAIT_DATA_CENTRES]
+
     def list_data_centres(self) -> list[str]:
         """Return the names of the other known data centres."""
         return sorted(
--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -31,8 +31,6 @@
 # Interval at which blocks are written that the store doesn't have yet.
 WRITE_INTERVAL_S = 0.25
 WRITE_RETRY_S = 1.0
-# Blocks reach the other hosts by gossip, so this watch may wait long.
-WATCH_TIMEOUT_S = 8.0
 # Time around the end of a block in which its record is left alone. The clocks of hosts
 # differ, and a record that goes before its time lifts the block.
 REMOVAL_MARGIN_S = 30.0
@@ -43,7 +41,6 @@
     """Watches the blocked prompt parts, and writes those that hosts have found."""
 
     kind = BLOCKED_PARTS
-    wait_s = WATCH_TIMEOUT_S
 
     def __init__(
         self,
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -177,7 +177,11 @@
                 is_watcher=self._is_watcher,
                 on_change=self._announce,
             )
-            for watch in (ConfigurationWatch, ServerWatch, self._make_block_watch)
+            for watch in (
+                self._make_configuration_watch,
+                ServerWatch,
+                self._make_block_watch,
+            )
         ]
         self._relay = Relay(
             router=self._router,
@@ -216,6 +220,12 @@
             count_dropped_entries=count_dropped_entries,
         )
 
+    def _make_configuration_watch(self, **arguments: Any) -> ConfigurationWatch:
+        return ConfigurationWatch(
+            keeps_waits_short=lambda: self._peer_table.keeps_waits_short(self._clock()),
+            **arguments,
+        )
+
     def _make_block_watch(self, **arguments: Any) -> BlockWatch:
         return BlockWatch(blocks=self._blocks, writer=self._make_store(), **arguments)
 
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 from logbook import Logger
@@ -40,9 +41,11 @@
 
 log = Logger(__name__)
 
-# How long a watch waits at the store for the first change. A store that goes silent is
-# noticed at the end of that, and changes have to be in force within two seconds.
-WATCH_TIMEOUT_S = 0.8
+# How long a watch waits at the store for the first change.
+WATCH_TIMEOUT_S = 8.0
+# The same where a store that goes silent has to be noticed soon, since changes have to
+# be in force within two seconds.
+SHORT_WATCH_TIMEOUT_S = 0.8
 # Time after the end of a wait at which an answer of the store is overdue.
 OVERDUE_AFTER_S = 0.4
 # Pauses after failed calls: the first one, and the limit to which they grow.
@@ -75,14 +78,11 @@
 
     Attributes
     ----------
-    wait_s : float
-        How long a call waits at the store for the first change.
     lost_at : float or None
         When the store stopped answering; None while it answers, or isn't watched.
     """
 
     kind: str
-    wait_s = WATCH_TIMEOUT_S
 
     def __init__(
         self,
@@ -143,9 +143,10 @@
             self._accept_listing(listing.objects, listing.revision)
             self._revision = listing.revision
             return
-        overdue = gevent.spawn_later(self.wait_s + OVERDUE_AFTER_S, self._mark_overdue)
+        wait_s = self._choose_wait()
+        overdue = gevent.spawn_later(wait_s + OVERDUE_AFTER_S, self._mark_overdue)
         try:
-            changes = self._store.watch(self.kind, self._revision, self.wait_s)
+            changes = self._store.watch(self.kind, self._revision, wait_s)
         finally:
             overdue.kill(block=False)
         changed = False
@@ -157,6 +158,10 @@
         # Changes that follow closely then arrive in one call.
         gevent.sleep(BATCH_S)
 
+    def _choose_wait(self) -> float:
+        """Return how long a call waits at the store for the first change."""
+        return WATCH_TIMEOUT_S
+
     def _mark_overdue(self) -> None:
         """Report the store as lost so that another host watches; go on waiting."""
         self._report_lost("the answer to a waiting call is overdue")
@@ -185,10 +190,30 @@
 
 
 class ConfigurationWatch(StoreWatch):
-    """Watches the configuration."""
+    """Watches the configuration, and whether the store still answers.
+
+    If it doesn't, the next host watches all kinds of objects.
+
+    Parameters
+    ----------
+    keeps_waits_short : callable
+        Returns whether a silent store has to be noticed soon.
+    """
 
     kind = CONFIGURATION
 
+    def __init__(
+        self,
+        *,
+        keeps_waits_short: Callable[[], bool] = lambda: True,
+        **arguments: Any,
+    ) -> None:
+        super().__init__(**arguments)
+        self._keeps_waits_short = keeps_waits_short
+
+    def _choose_wait(self) -> float:
+        return SHORT_WATCH_TIMEOUT_S if self._keeps_waits_short() else WATCH_TIMEOUT_S
+
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
         changed = [self._accept(item, False, revision) for item in objects]
         if any(changed):
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -5,6 +5,7 @@
     DEAD_AFTER_S,
     PEAK_PERIOD_S,
     RESERVE_WATCHERS,
+    SHORT_WAIT_DATA_CENTRES,
     WATCHERS,
     PeerTable,
 )
@@ -105,3 +106,16 @@
     assert table.count_live(20.0) == 1
     assert table.count_recent_peak(20.0) == 10
     assert table.count_recent_peak(5.0 + 3 * PEAK_PERIOD_S) == 1
+
+
+def test_a_few_data_centres_notice_a_silent_store_soon_also_when_cut_off():
+    names = [f"dc{number}" for number in range(7)]
+    tables = {name: PeerTable(name=f"host-{name}", data_centre=name) for name in names}
+    for name, table in tables.items():
+        for other in names:
+            if other != name:
+                table.record_alive(f"host-{other}", other, "10.0.0.1", 5.0)
+    short = [name for name, table in tables.items() if table.keeps_waits_short(5.0)]
+    assert len(short) == SHORT_WAIT_DATA_CENTRES
+    alone_at = 5.0 + DEAD_AFTER_S + 0.1
+    assert all(table.keeps_waits_short(alone_at) for table in tables.values())
