Don't try a blocked prompt part again for companions that differ from crash to crash

A blocked part was let through once in ten seconds by each host if every crash might be due to some other part of its prompt. With a part that crashes servers at the root and other second parts in each request, every crash has such a companion, so each host of the fleet sent one more request to a server: nine on nine hosts, where three are allowed in all (BUDGET).

Change: a single other part has to have been there in all crashes, and be without an answer. Two parts that always come together are tried apart as before.

Test: test_a_part_is_not_tried_again_with_ever_new_companions, failed before (all of 9 hosts tried), passes; the other 18 of test_prompt_blocks pass as before.

--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -137,16 +137,15 @@
         return sum(at >= since for at in self._crashes.values())
 
     def may_be_sound(self, part: int, now: float) -> bool:
-        """Return whether each crash may be due to another part of its prompt.
+        """Return whether one other part may be to blame for all crashes of a part.
 
         A part without crashes that count is not known to be sound: other hosts may
-        have blocked it for crashes that this one hasn't heard of.
+        have blocked it for crashes that this one hasn't heard of. Different companions
+        in different crashes don't excuse it either, as each would have to crash
+        servers by itself.
         """
-        crashes = self._list_crashes(part, now)
-        return bool(crashes) and all(
-            any(
-                other != part and self.find_answer(other, now) is None
-                for other in crash.parts
-            )
-            for crash in crashes
-        )
+        prompts = [{*crash.parts} for crash in self._list_crashes(part, now)]
+        if not prompts:
+            return False
+        companions = set.intersection(*prompts) - {part}
+        return any(self.find_answer(other, now) is None for other in companions)
--- a/tests/unit/test_prompt_blocks.py
+++ b/tests/unit/test_prompt_blocks.py
@@ -149,6 +149,18 @@
         assert fleet.is_blocked(ROOT, COMPANION, BAD, host=host)
 
 
+def test_a_part_is_not_tried_again_with_ever_new_companions():
+    fleet = Fleet(hosts=9)
+    for companion in range(MIN_CRASHES):
+        fleet.crash(BAD, 1_000 + companion)
+    tried = [
+        number
+        for number in range(len(fleet.hosts))
+        if not fleet.is_blocked(BAD, 2_000 + number, host=number)
+    ]
+    assert tried == []
+
+
 def test_a_part_that_crashes_its_trial_gets_no_other():
     fleet = Fleet()
     fleet.crash(ROOT, COMPANION, BAD, times=MIN_CRASHES)
