Don't forward a crash again once an answer has cleared it

Cause: an answer removes a crash from the evidence, so the next copy of its update, from another collector or another round, was news again and was forwarded again.

Change: the crashes of single requests are remembered, and a copy is no news, also when the crash has been cleared meanwhile.

Test: test_a_crash_that_an_answer_has_cleared_is_not_forwarded_again, failed before.

--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -30,6 +30,8 @@
 MAX_ANSWERED = 20_000
 MAX_CRASHES_OF_PART = 16
 MAX_CRASHES = 256
+# Most crashes of single requests that are remembered to tell copies from news.
+MAX_KNOWN = 4_096
 # Shared parts of a prompt that are looked at; prompts of real callers have a few.
 MAX_PARTS_OF_PROMPT = 8
 
@@ -59,15 +61,26 @@
         self._suspects = BoundedDict[int, BoundedDict[int, Crash]](most=MAX_SUSPECTS)
         self._answered = BoundedDict[int, float](most=MAX_ANSWERED)
         self._crashes = BoundedDict[int, float](most=MAX_CRASHES)
+        self._known = BoundedDict[tuple[int, tuple[int, ...]], None](most=MAX_KNOWN)
         self._last_answers: deque[float] = deque(maxlen=MIN_OTHER_ANSWERS)
 
     def record_crash(self, crash: Crash) -> bool:
-        """Record a crash; return whether it was not known for all of its parts."""
+        """Record a crash; return whether it is new.
+
+        Copies arrive late and by several ways. They are told from news also after an
+        answer has cleared the crash, else hosts would forward it without end.
+        """
+        request = crash.server, crash.parts
+        if request in self._known:
+            return False
+        self._known.put(request, None)
         if crash.server not in self._crashes:
             self._crashes.put(crash.server, crash.at)
-        return any([self._record_suspect(part, crash) for part in crash.parts])
+        for part in crash.parts:
+            self._record_suspect(part, crash)
+        return True
 
-    def _record_suspect(self, part: int, crash: Crash) -> bool:
+    def _record_suspect(self, part: int, crash: Crash) -> None:
         crashes = self._suspects.get(part)
         if crashes is None:
             crashes = BoundedDict[int, Crash](most=MAX_CRASHES_OF_PART)
@@ -77,7 +90,6 @@
             crashes.put(crash.server, crash)
         elif len(crash.parts) < len(known.parts):
             crashes[crash.server] = crash
-        return known is None
 
     def record_own_answer(self, now: float) -> None:
         """Record that a server has answered a request of this host."""
--- a/tests/unit/test_prompt_blocks.py
+++ b/tests/unit/test_prompt_blocks.py
@@ -126,6 +126,20 @@
     assert not any(fleet.is_blocked(ROOT, BAD, host=host) for host in range(6))
 
 
+def test_a_crash_that_an_answer_has_cleared_is_not_forwarded_again():
+    now = 100.0
+    crashes = CrashUpdates(crashes=[(7, 50, [BAD])])
+    collector = PromptBlocks()
+    collector.accept_updates(crashes, now, is_forwarded=True)
+    for step in range(20):
+        now += 0.1
+        collector.record_answer((BAD,), now)
+        # Copies take other ways, so their ages differ by the time these take.
+        collector.accept_updates(crashes, now + 0.001 * step, is_forwarded=True)
+        updates = collector.take_updates(now, repeats_blocks=False)
+    assert updates is None
+
+
 def test_a_host_without_crashes_of_its_own_learns_of_a_block():
     fleet = Fleet(hosts=2)
     fleet.crash(ROOT, BAD, times=MIN_CRASHES)
