--- a/tests/unit/test_replica.py
+++ b/tests/unit/test_replica.py
@@ -78,13 +78,7 @@
 
 
 def test_a_removal_after_the_grace_period_reaches_a_host_that_pulled_meanwhile():
-    watcher, peer = Replica(), Replica()
-    for replica in (watcher, peer):
-        replica.accept_endpoint(make_endpoint(revision=5))
-        replica.advance(5)
-    watcher.begin_store_recovery(100.0)
-    watcher.accept_listing([], 9, 100.0)
-    pull(peer, watcher)
+    watcher, peer = make_hosts_with_a_pending_removal()
     assert watcher.expire(100.0 + RECOVERY_GRACE_S + 0.1) == ["s1"]
     pull(peer, watcher)
     peer.expire(100.0 + RECOVERY_GRACE_S + 0.1)
@@ -92,13 +86,7 @@
 
 
 def test_an_entry_registered_again_after_a_pull_outlives_its_pending_removal():
-    watcher, peer = Replica(), Replica()
-    for replica in (watcher, peer):
-        replica.accept_endpoint(make_endpoint(revision=5))
-        replica.advance(5)
-    watcher.begin_store_recovery(100.0)
-    watcher.accept_listing([], 9, 100.0)
-    pull(peer, watcher)
+    watcher, peer = make_hosts_with_a_pending_removal()
     watcher.accept_endpoint(make_endpoint(revision=10))
     watcher.advance(10)
     pull(peer, watcher)
@@ -116,5 +104,17 @@
     assert peer.expire(100.0 + RECOVERY_GRACE_S + 0.1) == []
 
 
+def make_hosts_with_a_pending_removal():
+    """Return a watcher that misses an entry after an outage, and a peer that pulled."""
+    watcher, peer = Replica(), Replica()
+    for replica in (watcher, peer):
+        replica.accept_endpoint(make_endpoint(revision=5))
+        replica.advance(5)
+    watcher.begin_store_recovery(100.0)
+    watcher.accept_listing([], 9, 100.0)
+    pull(peer, watcher)
+    return watcher, peer
+
+
 def pull(replica, source):
     replica.accept_delta(source.select_delta(replica.revision))
