Log and show the limits on requests that servers state, and what is sent to them

Before, no log or metric told which server states a limit, to which host, or how many requests all hosts send it. Entries 'server limit' and 'sent under limits', limit_per_s in the state dump, servers_limited in the metrics. No decision uses them yet.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -89,6 +89,8 @@
         The caller's request.
     endpoint : Endpoint
         The server it is sent to.
+    on_head : callable
+        Called with the head of each answer to this request, also of a refusal.
 
     Attributes
     ----------
@@ -105,11 +107,13 @@
         endpoint: Endpoint,
         pool: ConnectionPool,
         clock: Callable[[], float],
+        on_head: Callable[[AnswerHead], None],
     ) -> None:
         self.endpoint = endpoint
         self._call = call
         self._pool = pool
         self._clock = clock
+        self._on_head = on_head
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         self.reused = False
@@ -193,6 +197,7 @@
         if head.request_id == "":
             # Also a refusal: it may belong to an earlier request.
             raise OutcomeUnknownError(f"answer {head.status} names no request")
+        self._on_head(head)
         if head.not_run:
             rest = self._discard_answer(
                 min(deadline, self._clock() + DISCARD_TIMEOUT_S)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from math import inf
 
 import gevent
@@ -222,7 +223,11 @@
         endpoint = placement.endpoint
         self.placement = placement
         attempt = Attempt(
-            call=self._call, endpoint=endpoint, pool=self._pool, clock=self._clock
+            call=self._call,
+            endpoint=endpoint,
+            pool=self._pool,
+            clock=self._clock,
+            on_head=partial(self._router.record_limit, endpoint),
         )
         self.tried.append(endpoint.name)
         self._router.begin(endpoint)
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -21,8 +21,9 @@
 
     Attributes
     ----------
-    ready, set_aside : int
-        Servers that take requests, and how many of them are ejected.
+    ready, set_aside, limited : int
+        Servers that take requests, and how many of them are ejected, or limit the
+        requests that they get.
     load_share : float
         Highest load of a server relative to its bound; over 1 if it is exceeded.
     retries_left : float
@@ -31,6 +32,7 @@
 
     ready: int
     set_aside: int
+    limited: int
     load_share: float
     retries_left: float
 
@@ -114,6 +116,9 @@
         self._set_aside = gauge(
             "servers_set_aside", "Servers left alone for a while", "service"
         )
+        self._limited = gauge(
+            "servers_limited", "Servers that limit their requests", "service"
+        )
         self._load_share = gauge(
             "load_share", "Highest load of a server against its bound", "service"
         )
@@ -166,6 +171,7 @@
         for name, service in gauges["services"].items():
             self._ready.labels(name).set(service["ready"])
             self._set_aside.labels(name).set(service["set_aside"])
+            self._limited.labels(name).set(service["limited"])
             self._load_share.labels(name).set(service["load_share"])
             self._retries_left.labels(name).set(service["retries_left"])
 
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -88,6 +88,8 @@
 PROBE_S = 0.25
 # Interval of reports to a statsd server.
 STATSD_INTERVAL_S = 10.0
+# Interval of the log entries on requests sent to limited servers.
+LIMITED_SENDS_INTERVAL_S = 1.0
 METRICS_TYPE = b"text/plain; version=0.0.4"
 JSON_TYPE = b"application/json"
 STATE_TARGET = b"/v1/state"
@@ -259,6 +261,7 @@
             gevent.spawn(self._start_watches),
             gevent.spawn(self._run_housekeeping),
             gevent.spawn(self._probe_services),
+            gevent.spawn(self._log_limited_sends),
         ]
         if self._settings.metrics.statsd:
             self._tasks.append(gevent.spawn(self._send_statsd))
@@ -379,6 +382,11 @@
             self._state.store_lost_s = now - min(lost) if lost else 0.0
             self._peering.store_lost_ms = int(self._state.store_lost_s * _MS_PER_S)
 
+    def _log_limited_sends(self) -> None:
+        while True:
+            gevent.sleep(LIMITED_SENDS_INTERVAL_S)
+            self._router.log_limited_sends()
+
     def _log_block_changes(self) -> None:
         for change in self._blocks.take_changes():
             part = format_part(change.part)
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -5,6 +5,7 @@
 other than logging.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 from logbook import Logger
@@ -36,14 +37,24 @@
 from rosemarystream._internal.decisions.reachability import Reachability
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
+from rosemarystream._internal.decisions.server_limits import (
+    UNLIMITED,
+    ServerLimits,
+)
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
-from rosemarystream._internal.models.log_entries import ServerEjected, ServerReinstated
+from rosemarystream._internal.models.log_entries import (
+    LimitedSends,
+    ServerEjected,
+    ServerLimitChanged,
+    ServerReinstated,
+)
 from rosemarystream._internal.models.route import Route
+from rosemarystream._internal.platform.headers import AnswerHead
 
 log = Logger(__name__)
 
@@ -91,6 +102,8 @@
         self.health = ServerHealth()
         self.reachability = Reachability()
         self.speeds = ServerSpeeds()
+        self.limits = ServerLimits()
+        self._limited_sends: Counter[str] = Counter()
         self._data_centre = data_centre
         self._bounds = bounds
         self._peer_table = peer_table
@@ -341,6 +354,8 @@
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
         self._loads.begin(endpoint.number)
+        if self.limits.is_limited(endpoint.number):
+            self._limited_sends[endpoint.name] += 1
         self._on_load()
 
     def end(self, endpoint: Endpoint) -> None:
@@ -380,6 +395,7 @@
                 number = hash_name_32(name)
                 self.contexts.forget_server(number)
                 self.speeds.forget_server(number)
+                self.limits.forget_server(number)
         self._incarnations = present
 
     def list_ejected(self) -> list[int]:
@@ -407,6 +423,22 @@
         if slowness is not None:
             self.speeds.record(endpoint.number, slowness, self._clock())
 
+    def record_limit(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Record the limit on requests that an answer of a server states."""
+        self.limits.record(endpoint.number, head.limit_per_s)
+        for change in self.limits.take_changes():
+            per_s = None if change.per_s == UNLIMITED else change.per_s
+            entry = ServerLimitChanged(
+                server=endpoint.name, per_s=per_s, status=head.status
+            )
+            write_log_entry(log, entry)
+
+    def log_limited_sends(self) -> None:
+        """Log the requests sent to limited servers since the last call."""
+        sends, self._limited_sends = self._limited_sends, Counter()
+        if sends:
+            write_log_entry(log, LimitedSends(sends=dict(sends)))
+
     def record_rejected(self, endpoint: Endpoint) -> None:
         """Record that a server received a request and refused to run it."""
         self.metrics.attempts.labels("turned_away").inc()
@@ -453,6 +485,7 @@
         return ServiceGauges(
             ready=len(ready),
             set_aside=sum(self.health.is_ejected(e.name, now) for e in ready),
+            limited=sum(self.limits.is_limited(e.number) for e in ready),
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
             retries_left=round(self._count_retries(service, now), 1),
         )
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -31,6 +31,9 @@
         Fraction of its recent requests that failed, 0 to 1.
     set_aside : bool
         Whether this host has ejected it for a while.
+    limit_per_s : float or None
+        Requests that it takes in a second from all hosts together; None if it has no
+        limit.
     """
 
     service: str
@@ -42,6 +45,7 @@
     reading: int
     failure_rate: float
     set_aside: bool
+    limit_per_s: float | None
 
 
 class PeerState(TypedDict):
@@ -183,10 +187,15 @@
                 reading=load.prefill[endpoint.number],
                 failure_rate=round(health.failure_rate(endpoint.name, now), 3),
                 set_aside=health.is_ejected(endpoint.name, now),
+                limit_per_s=self._find_limit(endpoint.number),
             )
             for endpoint in self._replica.list_endpoints()
         }
 
+    def _find_limit(self, server: int) -> float | None:
+        limits = self._router.limits
+        return limits.find(server) if limits.is_limited(server) else None
+
     def _list_peers(self, now: float) -> dict[str, PeerState]:
         return {
             host.name: PeerState(
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -412,6 +412,38 @@
     server: str
 
 
+class ServerLimitChanged(LogEntry, frozen=True, kw_only=True):
+    """A server limits the requests that it gets, changes the limit, or ends it.
+
+    Attributes
+    ----------
+    per_s : float or None
+        Requests that it takes in a second from all hosts together; None if it states
+        no limit any more.
+    status : int
+        Status of the answer that stated it.
+    """
+
+    message = "server limit"
+    level = NOTICE
+    server: str
+    per_s: float | None
+    status: int
+
+
+class LimitedSends(LogEntry, frozen=True, kw_only=True):
+    """Requests were sent to servers that limit them, in the last second or longer.
+
+    Attributes
+    ----------
+    sends : dict of str to int
+        Number of requests that this host sent, by server.
+    """
+
+    message = "sent under limits"
+    sends: dict[str, int]
+
+
 class ServicesUnreachable(LogEntry, frozen=True, kw_only=True):
     """The set of services without a reachable server changed.
 
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -1,5 +1,6 @@
 """HTTP headers of the platform: names, decoding of requests and answers, encoding."""
 
+import re
 from typing import NamedTuple
 
 from rosemarystream._internal.models.call import Call, Headers, PromptPart
@@ -12,6 +13,7 @@
 WORKSPACE = b"x-rosemarystream-tenant"
 EXPECTED_SERVER = b"x-rosemarystream-expect-instance"
 SERVER_LOAD = b"x-rosemarystream-server-load"
+SERVER_LIMIT = b"server-limit"
 NOT_RUN = b"x-rosemarystream-not-executed"
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-rosemarystream-model"
@@ -54,6 +56,7 @@
 )
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {SERVER_LOAD}
 
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
 # Place of the slowness in a server's load, and its value at the usual speed.
@@ -85,6 +88,9 @@
     slowness : float or None
         How long work takes at the server at this moment compared with its usual time;
         None if it doesn't tell.
+    limit_per_s : float or None
+        Requests that the server takes in a second from all hosts together; None if it
+        states no limit.
     """
 
     status: int
@@ -98,6 +104,7 @@
     is_event_stream: bool
     is_delimited: bool
     slowness: float | None = None
+    limit_per_s: float | None = None
 
 
 def decode_call(method: bytes, target: bytes, headers: Headers) -> Call:
@@ -140,6 +147,7 @@
         is_delimited=b"content-length" in first_values
         or b"transfer-encoding" in first_values,
         slowness=_parse_slowness(first_values.get(SERVER_LOAD, b"")),
+        limit_per_s=_parse_rate(first_values.get(SERVER_LIMIT)),
     )
 
 
@@ -215,6 +223,13 @@
     return int(figure) / _USUAL_SLOWNESS
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return a rate per second; None if it isn't a plain decimal number."""
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    return float(value)
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b","):
