--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -5,6 +5,7 @@
 when it begins to answer a request whose prompt holds one of `crashing_parts`.
 """
 
+import time
 from collections.abc import Callable, Iterator
 from enum import StrEnum
 from typing import NamedTuple
@@ -89,6 +90,10 @@
     ----------
     load : str
         What it tells of its load with each answer.
+    limit_per_s : float or None
+        Limit on its requests that it states with each answer; None if it states none.
+    arrived_at : list of float
+        Times at which requests arrived, by the monotonic clock, in seconds.
     crashing_parts : set of str
         Prompt parts on which it crashes.
     on_crash : callable
@@ -111,6 +116,8 @@
         self.data_centre = data_centre
         self.work_s = work_s
         self.load = "1,0,8"
+        self.limit_per_s: float | None = None
+        self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[BackendServer], object] = str
         self.faults: list[Fault] = []
@@ -173,11 +180,14 @@
         if request is None:
             return False
         self.arrivals += 1
+        self.arrived_at.append(time.monotonic())
         headers = dict(request.headers)
         request_id = headers.get(b"x-rosemarystream-attempt-id", b"")
         expected = headers.get(b"x-rosemarystream-expect-instance", b"").decode()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         identity = [(b"x-rosemarystream-attempt-id", request_id)]
+        if self.limit_per_s is not None:
+            identity.append((b"server-limit", b"%.1f" % self.limit_per_s))
         if expected != self.name:
             return _answer(connection, protocol, 421, identity, b"")
         if fault is Fault.TURN_AWAY:
