Keep to the limits of servers on their requests, over all hosts together

Cause: no host read the limit, and had one done so, each would have kept to it alone. The class of fault: a bound on what a resource gets from all, enforced, if at all, by each part by itself.

Now one host in each data centre permits each request to a limited server from the data centre's part of the limit; all attempts take this way.

Ruled out: equal parts for each host (195 hosts that were quiet may send 195 at once), exchanged counts (too old), see docs/design/server-limits.md.

--- a/src/rosemarystream/_internal/decisions/server_limits.py
+++ b/src/rosemarystream/_internal/decisions/server_limits.py
@@ -1,14 +1,26 @@
 """Limits that backend servers set on the requests that they get in a second.
 
 Handles servers in need, which take only so many requests from all hosts together for
-as long as they say so.
+as long as they say so. Each request to such a server needs a permission of its data
+centre's quota (see `limit_quotas`).
 """
 
+from collections.abc import Iterable, Mapping
 from math import inf
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.server_observations import (
+    Observation,
+    ServerObservations,
+    ServerReport,
+    make_report,
+)
+
 # Limit of a server that states none.
 UNLIMITED = inf
+# Age up to which an observation is passed on: a few rounds of messages at each of the
+# three steps from one host to all.
+REPORTED_AGE_S = 1.0
 
 
 class LimitChange(NamedTuple):
@@ -18,28 +30,68 @@
     per_s: float
 
 
-class ServerLimits:
-    """The servers' limits in requests per second, by server number."""
+class ServerLimits(ServerObservations):
+    """The servers' limits in requests per second, by server number.
+
+    A limit holds until the server is seen to state another one, or none.
+    """
 
     def __init__(self) -> None:
-        self._limits: dict[int, float] = {}
+        super().__init__()
+        self._closed_until: dict[int, float] = {}
         self._changes: list[LimitChange] = []
 
-    def record(self, server: int, per_s: float | None) -> None:
+    def record(self, server: int, per_s: float | None, now: float) -> None:
         """Record the limit that an answer of a server stated; None if it did not."""
-        limit = UNLIMITED if per_s is None else per_s
-        if limit != self.find(server):
-            self._changes.append(LimitChange(server, limit))
-        self._limits[server] = limit
+        before = self.find(server)
+        if per_s is None and before == UNLIMITED:
+            return
+        self.observe(server, UNLIMITED if per_s is None else per_s, now)
+        self._record_change(server, before)
+
+    def accept_reports(
+        self, reports: Mapping[int, ServerReport], now: float, *, nearby: bool
+    ) -> None:
+        """Record what other hosts have seen; see the base class."""
+        before = {server: self.find(server) for server in reports}
+        super().accept_reports(reports, now, nearby=nearby)
+        for server, limit in before.items():
+            self._record_change(server, limit)
 
     def find(self, server: int) -> float:
         """Return a server's limit, `UNLIMITED` if it has none."""
-        return self._limits.get(server, UNLIMITED)
+        observation = self._all.get(server)
+        return UNLIMITED if observation is None else observation.value
 
     def is_limited(self, server: int) -> bool:
         """Return whether a server has a limit."""
         return self.find(server) < UNLIMITED
 
+    def make_reports(self, server: int, now: float) -> dict[int, ServerReport]:
+        """Return what is known of one server, whatever its age."""
+        observation = self._all.get(server)
+        return {} if observation is None else {server: make_report(observation, now)}
+
+    def close(self, server: int, until: float) -> None:
+        """Take a server for used up until a time, unless its limit changes."""
+        self._closed_until[server] = until
+
+    def is_open(self, server: int, now: float) -> bool:
+        """Return whether a server may have room for a request."""
+        return now >= self._closed_until.get(server, now)
+
+    def measure_wait(self, servers: Iterable[int], now: float) -> float | None:
+        """Return the time in seconds until one of the limited servers may have room.
+
+        None if none of the servers is limited.
+        """
+        waits = [
+            max(0.0, self._closed_until.get(server, now) - now)
+            for server in servers
+            if self.is_limited(server)
+        ]
+        return min(waits, default=None)
+
     def take_changes(self) -> list[LimitChange]:
         """Return the changes since the last call."""
         changes, self._changes = self._changes, []
@@ -47,4 +99,14 @@
 
     def forget_server(self, server: int) -> None:
         """Drop a server that has left or restarted."""
-        self._limits.pop(server, None)
+        super().forget_server(server)
+        self._closed_until.pop(server, None)
+
+    def _record_change(self, server: int, before: float) -> None:
+        limit = self.find(server)
+        if limit != before:
+            self._changes.append(LimitChange(server, limit))
+            self._closed_until.pop(server, None)
+
+    def _is_reported(self, observation: Observation, now: float) -> bool:
+        return now - observation.seen_at <= REPORTED_AGE_S
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -31,6 +31,7 @@
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.event_stream import EventStream
+from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
@@ -52,6 +53,8 @@
 # How long a request waits for the configuration on a host that has just started.
 START_WAIT_S = 0.5
 START_POLL_S = 0.02
+# Limited servers that are asked for a permission before all of them are passed over.
+MAX_QUOTA_QUESTIONS = 4
 SERVER_ERROR = 500
 # Time from the head of an answer after which a server that still sends events counts as
 # one that can answer the prompt.
@@ -76,6 +79,8 @@
         Where the answer to the caller is written.
     ends_at : float or None
         Time at which this host stops; requests that may last longer are refused.
+    gate : LimitGate
+        Permits requests to servers that limit them.
     blocks : PromptBlocks
         Prompt parts whose requests are rejected.
     crashes : CrashReporter
@@ -89,6 +94,8 @@
         Servers in the order in which they were tried.
     sends : int
         Number of attempts that a server may have seen.
+    limited : list of str
+        Servers that did not permit another request at that moment.
     placement : Placement or None
         The last decision on a server.
     first_event_s : float or None
@@ -103,6 +110,7 @@
         answer: AnswerWriter,
         router: Router,
         pool: ConnectionPool,
+        gate: LimitGate,
         blocks: PromptBlocks,
         crashes: CrashReporter,
         clock: Callable[[], float],
@@ -115,6 +123,7 @@
         self.priority = 0
         self.tried: list[str] = []
         self.sends = 0
+        self.limited: list[str] = []
         self.reason = ""
         self.rank = 0
         self.placement: Placement | None = None
@@ -124,6 +133,7 @@
         self._answer = answer
         self._router = router
         self._pool = pool
+        self._gate = gate
         self._blocks = blocks
         self._crashes = crashes
         self._clock = clock
@@ -213,15 +223,8 @@
         if now >= self._deadline:
             raise self._make_final_error("the time is over")
         self._check_prompt(now)
-        placement = self._router.place(
-            route, service, self._call, rank=self.rank, exclude=self.tried
-        )
-        if placement is None:
-            # The caller should reconnect: another host may reach what this one can't.
-            self._answer.is_closing = True
-            raise self._make_final_error(f"no server of {service} can be reached")
+        placement = self.placement = self._choose_server(route, service)
         endpoint = placement.endpoint
-        self.placement = placement
         attempt = Attempt(
             call=self._call,
             endpoint=endpoint,
@@ -249,6 +252,47 @@
             self._router.end(endpoint)
         return None
 
+    def _choose_server(self, route: Route, service: str) -> Placement:
+        """Return a server that may be sent the request now.
+
+        Raises
+        ------
+        RequestEndedError
+            If there is none.
+        """
+        limited: list[str] = []
+        while True:
+            placement = self._router.place(
+                route,
+                service,
+                self._call,
+                rank=self.rank,
+                exclude=[*self.tried, *limited],
+            )
+            if placement is None:
+                raise self._make_unplaced_error(service)
+            if self._gate.admit(placement.endpoint):
+                return placement
+            self._router.metrics.limit_refusals.inc()
+            self.limited.append(placement.endpoint.name)
+            limited.append(placement.endpoint.name)
+            if len(limited) >= MAX_QUOTA_QUESTIONS:
+                limited = self._router.list_limited(service)
+
+    def _make_unplaced_error(self, service: str) -> RequestEndedError:
+        wait_s = self._router.measure_limit_wait(service)
+        if wait_s is None:
+            # The caller should reconnect: another host may reach what this one can't.
+            self._answer.is_closing = True
+            return self._make_final_error(f"no server of {service} can be reached")
+        if self._may_have_run:
+            return self._make_final_error(f"the servers of {service} take no more")
+        return RequestEndedError(
+            ErrorKind.OVERLOADED,
+            f"the servers of {service} limit their requests",
+            retry_after_s=max(wait_s, self._router.suggest_retry_after()),
+        )
+
     def _check_prompt(self, now: float) -> None:
         """Check that servers don't crash on a part of the prompt.
 
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -79,6 +79,9 @@
         self.retries_refused = counter(
             "retries_refused", "Repeats not made because the budget was used up"
         )
+        self.limit_refusals = counter(
+            "limit_refusals", "Choices of a server that its limit did not permit"
+        )
         self.prompt_tokens = counter(
             "prompt_tokens", "Prompt tokens sent to engines that keep context"
         )
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -6,6 +6,7 @@
 state; a host that sees a newer one pulls what it lacks.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -24,7 +25,10 @@
 )
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.decisions.server_speeds import ServerSpeeds, SpeedReport
+from rosemarystream._internal.decisions.server_limits import ServerLimits
+from rosemarystream._internal.decisions.server_observations import ServerReport
+from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
+from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.state_pulls import StatePuller
@@ -33,6 +37,8 @@
     GossipMessage,
     HostAddress,
     LoadScope,
+    QuotaAnswer,
+    QuotaQuestion,
 )
 from rosemarystream._internal.models.log_entries import GossipFailed, GossipUnreadable
 
@@ -82,6 +88,17 @@
 _NO_UPDATES = _Updates([], None)
 
 
+class _ServerReports(NamedTuple):
+    """What the hosts of a scope have lately seen of servers, by number."""
+
+    slowness: dict[int, ServerReport]
+    limits: dict[int, ServerReport]
+
+
+_NO_LOAD = Load(Counter(), Counter())
+_NO_REPORTS = _ServerReports({}, {})
+
+
 class Peering:
     """Sends gossip messages to the other hosts and applies those received.
 
@@ -97,6 +114,10 @@
         Sequence number of the first message; higher than any of an earlier process.
     speeds : ServerSpeeds
         Observed speeds of the servers.
+    limits : ServerLimits
+        Limits of the servers on their requests.
+    gate : LimitGate
+        Asks and answers questions for permissions to send to limited servers.
     blocks : PromptBlocks
         Prompt parts on which servers crash.
     puller : StatePuller
@@ -125,6 +146,8 @@
         loads: LoadTable,
         contexts: ContextMap,
         speeds: ServerSpeeds,
+        limits: ServerLimits,
+        gate: LimitGate,
         blocks: PromptBlocks,
         puller: StatePuller,
         list_ejected: Callable[[], list[int]],
@@ -141,6 +164,8 @@
         self._loads = loads
         self._contexts = contexts
         self._speeds = speeds
+        self._limits = limits
+        self._gate = gate
         self._blocks = blocks
         self._puller = puller
         self._list_ejected = list_ejected
@@ -218,7 +243,9 @@
             LoadScope.HOST,
             own,
             updates=updates,
-            slowness=self._speeds.list_own(now),
+            reports=_ServerReports(
+                self._speeds.list_own(now), self._limits.list_own(now)
+            ),
         )
         for name in collectors:
             self._send_to(name, message)
@@ -228,7 +255,7 @@
             self._list_names(now) if self._rounds % NAMES_EVERY_ROUNDS == 0 else []
         )
         live_hosts = self._peer_table.count_live(now)
-        slowness = self._speeds.list_all(now)
+        reports = _ServerReports(self._speeds.list_all(now), self._limits.list_all(now))
         nearby = {
             host.name: host.ip
             for host in self._peer_table.list_live(now)
@@ -241,7 +268,7 @@
                 updates=updates,
                 known_hosts=known_hosts,
                 live_hosts=live_hosts,
-                slowness=slowness,
+                reports=reports,
             )
             self._send(nearby[name], message)
 
@@ -252,7 +279,9 @@
             load,
             updates=updates,
             live_hosts=self._peer_table.count_data_centre(now),
-            slowness=self._speeds.list_nearby(now),
+            reports=_ServerReports(
+                self._speeds.list_nearby(now), self._limits.list_nearby(now)
+            ),
         )
         for data_centre in self._peer_table.list_data_centres():
             for name in self._peer_table.list_collectors(data_centre, now):
@@ -296,7 +325,9 @@
         known_hosts: list[HostAddress] | None = None,
         wants_answer: bool = False,
         live_hosts: int = 0,
-        slowness: dict[int, SpeedReport] | None = None,
+        reports: _ServerReports = _NO_REPORTS,
+        question: QuotaQuestion | None = None,
+        answer: QuotaAnswer | None = None,
     ) -> GossipMessage:
         self._sequence += 1
         return GossipMessage(
@@ -313,10 +344,24 @@
             known_hosts=known_hosts or [],
             wants_answer=wants_answer,
             live_hosts=live_hosts,
-            slowness=slowness or {},
+            slowness=reports.slowness,
             crash_updates=updates.crashes,
+            limits=reports.limits,
+            quota_question=question,
+            quota_answer=answer,
         )
 
+    def send_question(self, host: Peer, question: QuotaQuestion) -> None:
+        """Ask a host for a permission, with what is known of the server's limit."""
+        limits = self._limits.make_reports(question.server, self._clock())
+        message = self._make_message(
+            LoadScope.NONE,
+            _NO_LOAD,
+            reports=_ServerReports({}, limits),
+            question=question,
+        )
+        self._send(host.ip, message)
+
     def _list_names(
         self, now: float, *, first_data_centre: str = ""
     ) -> list[HostAddress]:
@@ -385,6 +430,10 @@
         self._speeds.accept_reports(
             message.slowness, now, nearby=message.scope is LoadScope.HOST
         )
+        self._limits.accept_reports(
+            message.limits, now, nearby=message.scope is LoadScope.HOST
+        )
+        self._accept_quota_messages(message)
         self._contexts.accept_cache_updates(message.cache_updates, now)
         if message.crash_updates is not None:
             self._blocks.accept_updates(
@@ -403,6 +452,16 @@
         if message.version > self._replica.version:
             self._puller.pull_document(sender.ip)
 
+    def _accept_quota_messages(self, message: GossipMessage) -> None:
+        if message.quota_answer is not None:
+            self._gate.accept_answer(message.quota_answer)
+        if message.quota_question is None:
+            return
+        answer = self._gate.answer(message.quota_question)
+        if answer is not None:
+            reply = self._make_message(LoadScope.NONE, _NO_LOAD, answer=answer)
+            self._send(message.sender.ip, reply)
+
     def _answer_first_contact(self, sender: HostAddress, now: float) -> None:
         known_hosts = self._list_names(now, first_data_centre=sender.data_centre)
         message = self._make_message(
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -15,7 +15,7 @@
 
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.load_table import LoadTable
-from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
     PromptBlocks,
     format_part,
@@ -25,6 +25,7 @@
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Listener, Request
 from rosemarystream._internal.gateway.logs import (
     log_filter,
@@ -47,7 +48,7 @@
     ConfigurationWatch,
     ServerWatch,
 )
-from rosemarystream._internal.models.gossip import HostAddress
+from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.log_entries import (
     HostExchangeFailed,
     HostFound,
@@ -154,6 +155,13 @@
             blocks=self._blocks,
             on_change=self._forget_departed,
         )
+        self._gate = LimitGate(
+            this_host=self._this_host,
+            clock=self._clock,
+            peer_table=self._peer_table,
+            limits=self._router.limits,
+            send_question=self._send_question,
+        )
         self._peering = Peering(
             this_host=self._this_host,
             port=host.peer_port,
@@ -165,6 +173,8 @@
             loads=self._loads,
             contexts=self._contexts,
             speeds=self._router.speeds,
+            limits=self._router.limits,
+            gate=self._gate,
             blocks=self._blocks,
             puller=self._puller,
             list_ejected=self._router.list_ejected,
@@ -188,6 +198,7 @@
         self._relay = Relay(
             router=self._router,
             pool=self._pool,
+            gate=self._gate,
             blocks=self._blocks,
             clock=self._clock,
         )
@@ -292,6 +303,9 @@
     def _report_load_change(self) -> None:
         self._peering.report_load_change()
 
+    def _send_question(self, host: Peer, question: QuotaQuestion) -> None:
+        self._peering.send_question(host, question)
+
     def _announce(self) -> None:
         self._forget_departed()
         self._peering.announce()
@@ -377,6 +391,7 @@
             self._log_host_changes(now)
             self._blocks.expire(now)
             self._log_block_changes()
+            self._router.log_limit_changes()
             self._state.record_version()
             lost = [watch.lost_at for watch in self._watches if watch.lost_at]
             self._state.store_lost_s = now - min(lost) if lost else 0.0
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -11,6 +11,7 @@
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.exchange import Exchange, RequestEndedError
+from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
@@ -30,6 +31,8 @@
         Chooses the servers and records whether they answer.
     blocks : PromptBlocks
         Prompt parts whose requests are rejected.
+    gate : LimitGate
+        Permits requests to servers that limit them.
     """
 
     def __init__(
@@ -37,11 +40,13 @@
         *,
         router: Router,
         pool: ConnectionPool,
+        gate: LimitGate,
         blocks: PromptBlocks,
         clock: Callable[[], float],
     ) -> None:
         self._router = router
         self._pool = pool
+        self._gate = gate
         self._blocks = blocks
         self._crashes = CrashReporter(
             blocks=blocks, pool=pool, router=router, clock=clock
@@ -62,6 +67,7 @@
             answer=answer,
             router=self._router,
             pool=self._pool,
+            gate=self._gate,
             blocks=self._blocks,
             crashes=self._crashes,
             clock=self._clock,
@@ -102,6 +108,7 @@
             priority=exchange.priority,
             tried=exchange.tried,
             sends=exchange.sends,
+            limited=exchange.limited,
             version=self._router.replica.version,
             revision=self._router.replica.revision,
             prompt=call.format_prompt(),
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -150,7 +150,7 @@
         Parameters
         ----------
         exclude : sequence of str
-            Servers that have been tried already.
+            Servers that have been tried already, or don't permit another request.
 
         Returns
         -------
@@ -160,7 +160,8 @@
         now = self._clock()
         ready = self.replica.list_ready(service)
         untried = [endpoint for endpoint in ready if endpoint.name not in exclude]
-        candidates = self._select_reachable(service, untried, now)
+        reachable = self._select_reachable(service, untried, now)
+        candidates = [e for e in reachable if self.limits.is_open(e.number, now)]
         load = self._loads.sum_fleet(now)
         if route.keeps_context and call.parts:
             share = self.find_priority(rank, route).share
@@ -425,13 +426,30 @@
 
     def record_limit(self, endpoint: Endpoint, head: AnswerHead) -> None:
         """Record the limit on requests that an answer of a server states."""
-        self.limits.record(endpoint.number, head.limit_per_s)
-        for change in self.limits.take_changes():
-            per_s = None if change.per_s == UNLIMITED else change.per_s
-            entry = ServerLimitChanged(
-                server=endpoint.name, per_s=per_s, status=head.status
-            )
-            write_log_entry(log, entry)
+        self.limits.record(endpoint.number, head.limit_per_s, self._clock())
+
+    def list_limited(self, service: str) -> list[str]:
+        """Return the servers of a service that limit their requests."""
+        ready = self.replica.list_ready(service)
+        return [e.name for e in ready if self.limits.is_limited(e.number)]
+
+    def measure_limit_wait(self, service: str) -> float | None:
+        """Return the time in seconds until a limited server may have room.
+
+        None if no server of the service is limited.
+        """
+        numbers = [e.number for e in self.replica.list_ready(service)]
+        return self.limits.measure_wait(numbers, self._clock())
+
+    def log_limit_changes(self) -> None:
+        """Log the servers that have changed their limits."""
+        changes = {change.server: change.per_s for change in self.limits.take_changes()}
+        for endpoint in self.replica.list_endpoints() if changes else ():
+            limit = changes.get(endpoint.number)
+            if limit is not None:
+                per_s = None if limit == UNLIMITED else limit
+                entry = ServerLimitChanged(server=endpoint.name, per_s=per_s)
+                write_log_entry(log, entry)
 
     def log_limited_sends(self) -> None:
         """Log the requests sent to limited servers since the last call."""
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -55,6 +55,39 @@
     blocks: list[tuple[int, int, int]] = []
 
 
+class QuotaQuestion(msgspec.Struct, array_like=True, frozen=True):
+    """Question of a host whether it may send a request to a limited server.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the question among those of the host.
+    server : int
+        Number of the server.
+    """
+
+    number: int
+    server: int
+
+
+class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """Answer to a `QuotaQuestion`.
+
+    Attributes
+    ----------
+    number : int
+        Number of the question.
+    is_permitted : bool
+        Whether the request may be sent.
+    wait_ms : float
+        Time until the next request may be sent, if this one may not.
+    """
+
+    number: int
+    is_permitted: bool
+    wait_ms: float
+
+
 class GossipMessage(msgspec.Struct, array_like=True, frozen=True):
     """Periodic message of one host to another with its load and versions.
 
@@ -89,6 +122,12 @@
         the hosts of the scope, and the age of that in milliseconds, by server number.
     crash_updates : CrashUpdates or None
         News of servers that crash under requests.
+    limits : dict of int to tuple
+        Requests per second that servers take from all hosts together, infinite at the
+        end of a limit, as seen lately by the hosts of the scope, and the age of that
+        in milliseconds, by server number.
+    quota_question, quota_answer : QuotaQuestion or None, QuotaAnswer or None
+        Question for a permission, and the answer to one.
     """
 
     sender: HostAddress
@@ -106,6 +145,9 @@
     live_hosts: int = 0
     slowness: dict[int, tuple[float, int]] = {}
     crash_updates: CrashUpdates | None = None
+    limits: dict[int, tuple[float, int]] = {}
+    quota_question: QuotaQuestion | None = None
+    quota_answer: QuotaAnswer | None = None
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -52,6 +52,8 @@
         Servers in the order in which they were tried.
     sends : int
         Number of those servers that received the request.
+    limited : list of str
+        Servers to which it was not sent because they limit their requests.
     server : str or None
         The last server; the following fields are the inputs of its choice.
     requests, bound : int, float
@@ -91,6 +93,7 @@
     priority: int = 0
     tried: list[str] = []
     sends: int = 0
+    limited: list[str] = []
     server: str | None = None
     requests: int = 0
     bound: float = 0.0
@@ -420,15 +423,12 @@
     per_s : float or None
         Requests that it takes in a second from all hosts together; None if it states
         no limit any more.
-    status : int
-        Status of the answer that stated it.
     """
 
     message = "server limit"
     level = NOTICE
     server: str
     per_s: float | None
-    status: int
 
 
 class LimitedSends(LogEntry, frozen=True, kw_only=True):
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -7,7 +7,9 @@
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
+from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S, Peering
 from rosemarystream._internal.models.gossip import HostAddress
 
@@ -39,6 +41,16 @@
             contexts=ContextMap(),
             speeds=ServerSpeeds(),
             blocks=PromptBlocks(),
+            limits=ServerLimits(),
+        )
+        host.gate = LimitGate(
+            this_host=HostAddress(name, data_centre, ip),
+            clock=lambda: self.now,
+            peer_table=peer_table,
+            limits=host.limits,
+            send_question=lambda peer, question: host.peering.send_question(
+                peer, question
+            ),
         )
         host.peering = Peering(
             this_host=HostAddress(name, data_centre, ip),
@@ -51,6 +63,8 @@
             loads=host.loads,
             contexts=host.contexts,
             speeds=host.speeds,
+            limits=host.limits,
+            gate=host.gate,
             blocks=host.blocks,
             puller=SimpleNamespace(pull_contexts=lambda ip: None),
             list_ejected=list,
@@ -80,9 +94,10 @@
             for name, host in self.hosts.items():
                 if name not in self.stopped:
                     host.peering.run_round()
-            self._deliver()
+            self.deliver()
 
-    def _deliver(self):
+    def deliver(self):
+        """Deliver all messages that have been sent, and the answers to them."""
         while self._queue:
             queue, self._queue = self._queue, []
             for sender, data, ip in queue:
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -249,6 +249,12 @@
     PromptBlocks.find_blocked = lambda self, parts, now: None
 
 
+def send_without_permission():
+    from rosemarystream._internal.gateway.limit_gate import LimitGate
+
+    LimitGate.admit = lambda self, endpoint: True
+
+
 def wait_for_overdue_answers():
     from rosemarystream._internal.gateway.store_watches import StoreWatch
 
@@ -294,6 +300,7 @@
         log_without_limit,
         send_every_prompt,
         wait_for_overdue_answers,
+        send_without_permission,
         keep_pending_removals,
     )
 }
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -111,6 +111,11 @@
         "send_every_prompt",
         "python -m pytest -x -q tests/functional/test_prompt_part_crashes.py -k five",
     ),
+    Row(
+        "entry-server-limits",
+        "send_without_permission",
+        "python -m pytest -x -q tests/functional/test_server_limits.py -k than_its",
+    ),
     Row(
         "entry-silent-store",
         "wait_for_overdue_answers",
--- a/tests/unit/test_server_limits.py
+++ b/tests/unit/test_server_limits.py
@@ -1,9 +1,13 @@
 """Limits that servers set on the requests that they get in a second."""
 
+import gevent
 import pytest
 
 from rosemarystream._internal.decisions.server_limits import UNLIMITED, ServerLimits
+from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S
+from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.platform.headers import decode_answer
+from tests.lib.gossip_world import GossipWorld
 
 
 @pytest.mark.parametrize(
@@ -25,8 +29,98 @@
 
 def test_a_limit_holds_until_the_server_no_longer_states_it():
     limits = ServerLimits()
-    limits.record(1, 2.5)
+    limits.record(1, 2.5, 10.0)
     assert limits.find(1) == 2.5
-    limits.record(1, None)
+    limits.record(1, None, 11.0)
     assert limits.find(1) == UNLIMITED
     assert [change.per_s for change in limits.take_changes()] == [2.5, UNLIMITED]
+
+
+def make_world(hosts, data_centres):
+    world = GossipWorld(hosts=hosts, data_centres=data_centres)
+    world.run(3.0)
+    return world
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), [(9, 3), (90, 5), (195, 5)])
+def test_all_hosts_hear_of_a_limit_and_of_its_end_within_a_second(hosts, data_centres):
+    world = make_world(hosts, data_centres)
+    first, last = world.hosts["h3"], world.hosts[f"h{hosts - 1}"]
+    first.limits.record(1, 2.5, world.now)
+    world.run(1.0)
+    assert {host.limits.find(1) for host in world.list_live()} == {2.5}
+    last.limits.record(1, None, world.now)
+    world.run(1.0)
+    assert {host.limits.find(1) for host in world.list_live()} == {UNLIMITED}
+
+
+def test_a_limit_is_not_passed_on_for_ever():
+    world = make_world(9, 3)
+    world.hosts["h3"].limits.record(1, 2.5, world.now)
+    world.run(3.0)
+    for host in world.list_live():
+        assert not host.limits.list_all(world.now)
+
+
+def test_a_late_report_does_not_bring_back_a_limit_that_has_ended():
+    limits = ServerLimits()
+    limits.record(1, 2.5, 10.0)
+    limits.record(1, None, 11.0)
+    limits.accept_reports({1: (2.5, 800)}, 11.5, nearby=True)
+    assert limits.find(1) == UNLIMITED
+
+
+def test_a_server_at_its_limit_is_open_again_when_the_limit_changes():
+    limits = ServerLimits()
+    limits.record(1, 2.5, 10.0)
+    limits.close(1, 11.0)
+    assert not limits.is_open(1, 10.5)
+    assert limits.measure_wait([1, 2], 10.5) == 0.5
+    limits.record(1, 9.0, 10.6)
+    assert limits.is_open(1, 10.6)
+    assert limits.measure_wait([2], 10.6) is None
+
+
+def ask_often(world, endpoint, seconds):
+    """Let every host ask every 0.1 s; return the number of permissions."""
+    admitted = 0
+    for _ in range(round(seconds / GOSSIP_INTERVAL_S)):
+        world.run(GOSSIP_INTERVAL_S)
+        questions = [
+            gevent.spawn(host.gate.admit, endpoint) for host in world.list_live()
+        ]
+        gevent.idle()
+        world.deliver()
+        gevent.joinall(questions)
+        admitted += sum(question.value for question in questions)
+    return admitted
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), [(9, 3), (195, 5)])
+def test_a_small_limit_is_shared_by_all_hosts_of_a_large_fleet(hosts, data_centres):
+    world = make_world(hosts, data_centres)
+    endpoint = Endpoint("s", "p", "10.0.0.1:1", "dc0", 6, ServerState.READY, 1, 1)
+    world.hosts["h3"].limits.record(endpoint.number, 2.5, world.now)
+    world.run(1.0)
+    admitted = ask_often(world, endpoint, 8.0)
+    assert 0.6 * 2.5 * 8.0 <= admitted <= 1.5 * 2.5 * 8.0
+
+
+def test_a_paused_host_does_not_use_a_permission_that_it_got_before():
+    world = make_world(9, 3)
+    endpoint = Endpoint("s", "p", "10.0.0.1:1", "dc0", 6, ServerState.READY, 1, 1)
+    world.hosts["h3"].limits.record(endpoint.number, 50.0, world.now)
+    world.run(1.0)
+    name = next(
+        name
+        for name, host in world.hosts.items()
+        if not host.peer_table.is_collector(world.now)
+    )
+    world.hosts[name].gate.admit(endpoint)
+    world.run(1.0)
+    question = gevent.spawn(world.hosts[name].gate.admit, endpoint)
+    gevent.idle()
+    world.deliver()
+    world.now += 5.0
+    question.join()
+    assert not question.value
