Don't pass the events of an error on within a stream that had begun

Cause: an answer of 4xx with the content type of a stream counted as its continuation; only 5xx and other content types were refused. Now only a success goes on as, or begins, a stream of events; an error with events reaches the caller whole and with its status if nothing was sent before.

Seen failing: test_an_error_of_the_next_server_does_not_reach_a_stream [conflict_stream]. Ruled out by tests that pass on the code before: 500, 409 without events, half a head, no seal, bytes that are no answer. A refusal that is written once more with its own id on a kept connection is not taken for the next request's (passes before): ids are compared.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -55,6 +55,8 @@
 START_POLL_S = 0.02
 # Limited servers that are asked for a permission before all of them are passed over.
 MAX_QUOTA_QUESTIONS = 4
+# First status that is no success, and the first failure of a server.
+REDIRECTION = 300
 SERVER_ERROR = 500
 # Time from the head of an answer after which a server that still sends events counts as
 # one that can answer the prompt.
@@ -429,7 +431,7 @@
             body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
             self._failed_answer = (head, body)
             raise OutcomeUnknownError(f"failed with {head.status}")
-        if head.is_event_stream and not failed:
+        if head.is_event_stream and head.status < REDIRECTION:
             return self._relay_events(attempt, head, route)
         if self._answer.has_begun:
             raise OutcomeUnknownError("a stream can't go on as an answer")
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -20,11 +20,6 @@
 READ_BYTES = 65_536
 EVENTS = 8
 EVENT_STREAM = (b"content-type", b"text/event-stream")
-# Second copy of an earlier refusal, which names no request.
-LATE_REFUSAL = (
-    b"HTTP/1.1 503 Busy\r\nX-Rosemarystream-Not-Executed: 1\r\n"
-    b"Content-Length: 0\r\n\r\n"
-)
 # Interval of the bytes of a stalled stream.
 TRICKLE_S = 0.05
 
@@ -42,6 +37,10 @@
     EXTRA = "extra"
     LATE = "late"
     LATE_REFUSAL = "late_refusal"
+    REPEATED_REFUSAL = "repeated_refusal"
+    HALF_HEAD = "half_head"
+    CONFLICT = "conflict"
+    CONFLICT_STREAM = "conflict_stream"
     UNSEALED = "unsealed"
     UNFRAMED = "unframed"
     CUT_UNFRAMED = "cut_unframed"
@@ -51,6 +50,39 @@
     TRICKLE = "trickle"
 
 
+ANOTHER_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Rosemarystream-Attempt-Id: an-earlier-request\r\n"
+    b"X-Rosemarystream-Response-Seal: other\r\nContent-Length: 5\r\n\r\nother"
+)
+# Answers that come before the one that is due: one to another request, the second copy
+# of an earlier refusal that names no request, and of one that names its own.
+EARLIER_ANSWERS = {
+    Fault.LATE: ANOTHER_ANSWER,
+    Fault.LATE_REFUSAL: (
+        b"HTTP/1.1 503 Busy\r\nX-Rosemarystream-Not-Executed: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    ),
+    Fault.REPEATED_REFUSAL: (
+        b"HTTP/1.1 503 Busy\r\nX-Rosemarystream-Attempt-Id: an-earlier-request\r\n"
+        b"X-Rosemarystream-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy"
+    ),
+}
+
+
+class Error(NamedTuple):
+    """A failure that a server answers with, after it has begun to process a request."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+ERROR_EVENT = b"data: the state of the chat has changed\n\n"
+ERRORS = {
+    Fault.FAIL: Error(500, b"failed"),
+    Fault.CONFLICT: Error(409, ERROR_EVENT),
+    Fault.CONFLICT_STREAM: Error(409, ERROR_EVENT, (EVENT_STREAM,)),
+}
 # Faults of an answer that has neither a length nor chunks.
 UNFRAMED_FAULTS = (
     Fault.UNFRAMED,
@@ -208,16 +240,20 @@
         if fault is Fault.GARBAGE:
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
-        if fault is Fault.LATE:
-            _send_unexpected_answer(connection, b"an-earlier-request")
-        if fault is Fault.LATE_REFUSAL:
-            connection.sendall(LATE_REFUSAL)
+        if fault in EARLIER_ANSWERS:
+            connection.sendall(EARLIER_ANSWERS[fault])
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
         identity.append((b"x-rosemarystream-server-load", self.load.encode()))
-        if fault is Fault.FAIL:
-            return _answer(connection, protocol, 500, identity, b"failed")
+        if fault in ERRORS:
+            error = ERRORS[fault]
+            headers = [*identity, *error.headers]
+            return _answer(connection, protocol, error.status, headers, error.body)
+        if fault is Fault.HALF_HEAD:
+            head = _write_unframed_head(identity)
+            connection.sendall(head[: len(head) // 2])
+            return False
         if self._events:
             return self._stream(connection, protocol, run, fault, identity)
         return self._answer_plain(connection, protocol, fault, identity)
@@ -231,13 +267,16 @@
             connection.sendall(protocol.send(head) + body)
             return False
         if fault in UNFRAMED_FAULTS:
-            connection.sendall(_write_unframed_head(identity) + body)
+            is_empty = fault is Fault.EMPTY_UNFRAMED
+            connection.sendall(
+                _write_unframed_head(identity) + (b"" if is_empty else body)
+            )
             if fault is Fault.RESET_UNFRAMED:
                 reset_connection(connection)
             return False
         _answer(connection, protocol, 200, identity, body)
         if fault is Fault.EXTRA:
-            _send_unexpected_answer(connection, b"an-extra-answer")
+            connection.sendall(ANOTHER_ANSWER)
         return True
 
     def _stream(self, connection, protocol, run, fault, identity) -> bool:
@@ -331,13 +370,6 @@
     return True
 
 
-def _send_unexpected_answer(connection, request_id: bytes) -> None:
-    connection.sendall(
-        b"HTTP/1.1 200 OK\r\nX-Rosemarystream-Attempt-Id: " + request_id + b"\r\n"
-        b"X-Rosemarystream-Response-Seal: other\r\nContent-Length: 5\r\n\r\nother"
-    )
-
-
 def _wait_for_close(connection, run: Run, seconds: float | None = None) -> bool:
     """Wait for the peer to close its connection; record and return whether it did.
 
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -6,7 +6,7 @@
 from rosemarystream._internal.decisions.placement import PREFILL_S
 from rosemarystream._internal.gateway import exchange
 from rosemarystream._internal.models.log_entries import AttemptBroken
-from standins.backend_server import EVENTS, Fault
+from standins.backend_server import ERROR_EVENT, EVENTS, Fault
 from tests.lib.entry_world import (
     Caller,
     World,
@@ -197,6 +197,18 @@
     assert reply.status == 502
 
 
+def test_a_refusal_written_once_more_is_not_taken_for_the_next_requests(world, host):
+    for name in ("p1", "p2"):
+        wait_until(lambda name=name: name.encode() in host.call("/book/1").body)
+    set_faults(world, Fault.REPEATED_REFUSAL)
+    caller = Caller(host.ip)
+    request_id = caller.send("/book/1")
+    reply = caller.read()
+    assert count_runs(world, request_id) == 1
+    assert reply.status == 200
+    assert reply.body.startswith(b"done by")
+
+
 def test_an_answer_that_ends_with_its_connection_is_passed_on(world, host):
     set_faults(world, Fault.UNFRAMED)
     reply = host.call("/book/1")
@@ -254,6 +266,35 @@
     assert list_event_ids(reply.body) == [*range(1, 9)]
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault.FAIL,
+        Fault.CONFLICT,
+        Fault.CONFLICT_STREAM,
+        Fault.HALF_HEAD,
+        Fault.UNSEALED,
+        Fault.GARBAGE,
+    ],
+)
+def test_an_error_of_the_next_server_does_not_reach_a_stream(world, host, fault):
+    set_faults(world, Fault.CUT, fault)
+    reply = host.call("/chat/1", headers=STREAM_HEADERS)
+    assert reply.status == 200
+    assert not reply.complete
+    events = reply.body.decode().split("\n\n")
+    assert events == ["id: 1\ndata: piece 1", *events[1:3], ""]
+    assert list_event_ids(reply.body) == [1, 2, 3]
+
+
+def test_an_error_with_events_is_passed_on_whole_before_a_stream_begins(world, host):
+    set_faults(world, Fault.CONFLICT_STREAM)
+    reply = host.call("/chat/1", headers=STREAM_HEADERS)
+    assert reply.status == 409
+    assert reply.complete
+    assert reply.body == ERROR_EVENT
+
+
 @pytest.fixture
 def short_pauses(world, host):
     """Let a stream of the route stall after a second."""
