Don't pass an answer without length on as whole that ends with its head

Cause: an answer without length or chunks ends with its connection, and an empty one counted as complete; streams had the check already. It now counts as broken: another server is tried where that is allowed, else 502.

Seen failing: the cases empty_unframed of /book and /look of the two tests of answers that end with their head.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -55,6 +55,8 @@
 START_POLL_S = 0.02
 # Limited servers that are asked for a permission before all of them are passed over.
 MAX_QUOTA_QUESTIONS = 4
+# Statuses of answers that have no body and need no length.
+NO_BODY_STATUSES = (204, 304)
 # First status that is no success, and the first failure of a server.
 REDIRECTION = 300
 SERVER_ERROR = 500
@@ -450,10 +452,18 @@
             size += len(piece)
             if size > BUFFERED_BODY_BYTES:
                 return self._relay_long_body(attempt, head, b"".join(pieces))
+        if not pieces and self._lacks_end(head):
+            # A server that crashes after the head ends its answer in the same way.
+            raise OutcomeUnknownError("the answer ended before its body", closed=True)
         self._record_answered(attempt, head, failed=head.status >= SERVER_ERROR)
         self._answer.send_whole(head.status, head.headers, b"".join(pieces))
         return "answered"
 
+    def _lacks_end(self, head: AnswerHead) -> bool:
+        """Return whether only the end of the connection shows that of a body."""
+        has_body = self._call.method != b"HEAD" and head.status not in NO_BODY_STATUSES
+        return has_body and not head.is_delimited
+
     def _relay_long_body(
         self, attempt: Attempt, head: AnswerHead, received: bytes
     ) -> str:
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -209,6 +209,29 @@
     assert reply.body.startswith(b"done by")
 
 
+@pytest.mark.parametrize("path", ["/book/1", "/brief/1"])
+@pytest.mark.parametrize("fault", [Fault.HALF_HEAD, Fault.EMPTY_UNFRAMED])
+def test_an_answer_that_ends_with_its_head_does_not_look_whole(
+    world, host, path, fault
+):
+    set_faults(world, fault)
+    caller = Caller(host.ip)
+    request_id = caller.send(path)
+    reply = caller.read()
+    assert count_runs(world, request_id) == 1
+    assert reply.status == 502
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/chat/1"])
+@pytest.mark.parametrize("fault", [Fault.HALF_HEAD, Fault.EMPTY_UNFRAMED])
+def test_an_answer_that_ends_with_its_head_is_replaced(world, host, path, fault):
+    set_faults(world, fault)
+    reply = host.call(path, headers=STREAM_HEADERS)
+    assert reply.status == 200
+    assert reply.complete
+    assert reply.body
+
+
 def test_an_answer_that_ends_with_its_connection_is_passed_on(world, host):
     set_faults(world, Fault.UNFRAMED)
     reply = host.call("/book/1")
