Let a data centre that is cut off use the whole limit of its own servers

In a data centre that is cut off, callers reach only its own servers; if these limit their requests, it had a third of the limits and the other two thirds lay idle, as no other data centre reached them. Seen failing: test_a_data_centre_that_is_cut_off_has_the_whole_limit_of_its_own_servers.

--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -246,6 +246,11 @@
             {host.data_centre for host in self._hosts.values()} - {self._data_centre}
         )
 
+    def list_heard_data_centres(self, now: float) -> list[str]:
+        """Return the names of the other data centres of which a host is live."""
+        live = {host.data_centre for host in self.list_live(now)}
+        return sorted(live - {self._data_centre})
+
 
 def _is_live(host: Peer, now: float) -> bool:
     if host.last_seen_at:
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -71,20 +71,21 @@
             return True
         if not self._limits.is_open(server, self._clock()):
             return False
-        decision = self._ask(server)
+        is_nearby = endpoint.data_centre == self._this_host.data_centre
+        decision = self._ask(server, is_nearby=is_nearby)
         if not decision.is_permitted:
             wait_s = min(decision.wait_s, MAX_WAIT_S)
             self._limits.close(server, self._clock() + wait_s)
         return decision.is_permitted
 
-    def _ask(self, server: int) -> Decision:
+    def _ask(self, server: int, *, is_nearby: bool) -> Decision:
         names = self._peer_table.list_collectors(
             self._this_host.data_centre, self._clock()
         )
         grantor = self._peer_table.find(names[0])
         if grantor is None:
-            return self._take(server)
-        question = QuotaQuestion(next(self._numbers), server)
+            return self._take(server, is_nearby=is_nearby)
+        question = QuotaQuestion(next(self._numbers), server, is_nearby)
         expires_at = self._clock() + ANSWER_TIMEOUT_S
         self._waiting[question.number] = AsyncResult()
         try:
@@ -97,17 +98,23 @@
         # A host that was paused meanwhile must not use what it was given before.
         return decision if self._clock() <= expires_at else _NO_ANSWER
 
-    def _take(self, server: int) -> Decision:
+    def _take(self, server: int, *, is_nearby: bool) -> Decision:
+        now = self._clock()
         own = self._this_host.data_centre
-        share = compute_share(server, own, {own, *self._peer_table.list_data_centres()})
-        per_s = self._limits.find(server)
-        return self._quotas.take(server, per_s, share=share, now=self._clock())
+        others = self._peer_table.list_data_centres()
+        if is_nearby:
+            # One that isn't heard is cut off, and doesn't reach the server either.
+            others = self._peer_table.list_heard_data_centres(now)
+        share = compute_share(server, own, {own, *others})
+        return self._quotas.take(
+            server, self._limits.find(server), share=share, now=now
+        )
 
     def answer(self, question: QuotaQuestion) -> QuotaAnswer | None:
         """Answer another host's question; None if the server has no limit here."""
         if not self._limits.is_limited(question.server):
             return None
-        decision = self._take(question.server)
+        decision = self._take(question.server, is_nearby=question.is_nearby)
         wait_ms = round(decision.wait_s * _MS_PER_S, 1)
         return QuotaAnswer(question.number, decision.is_permitted, wait_ms)
 
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -64,10 +64,13 @@
         Identifies the question among those of the host.
     server : int
         Number of the server.
+    is_nearby : bool
+        Whether the server is in the data centre of the host.
     """
 
     number: int
     server: int
+    is_nearby: bool
 
 
 class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/unit/test_server_limits.py
+++ b/tests/unit/test_server_limits.py
@@ -106,6 +106,21 @@
     assert 0.6 * 2.5 * 8.0 <= admitted <= 1.5 * 2.5 * 8.0
 
 
+def test_a_data_centre_that_is_cut_off_has_the_whole_limit_of_its_own_servers():
+    world = make_world(9, 3)
+    near = Endpoint("s", "p", "10.0.0.1:1", "dc0", 6, ServerState.READY, 1, 1)
+    far = near._replace(name="t", data_centre="dc1")
+    for endpoint in (near, far):
+        world.hosts["h3"].limits.record(endpoint.number, 4.0, world.now)
+    world.run(1.0)
+    for host in world.list_live():
+        if host.data_centre != "dc0":
+            world.stopped.add(host.name)
+    world.run(3.0)
+    assert ask_often(world, near, 5.0) >= 0.8 * 4.0 * 5.0
+    assert ask_often(world, far, 5.0) <= 4.0 / 3 * 5.0 + 1
+
+
 def test_a_paused_host_does_not_use_a_permission_that_it_got_before():
     world = make_world(9, 3)
     endpoint = Endpoint("s", "p", "10.0.0.1:1", "dc0", 6, ServerState.READY, 1, 1)
