Answer a question for a server whose limit has ended with a permission

A host that had not heard of the end of a limit waited 60 ms for an answer that never came and then passed the server over for 0.2 s, as the collector that knew better did not answer. Seen failing: test_a_host_that_has_not_heard_of_the_end_of_a_limit_is_permitted_at_once.

--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -110,11 +110,12 @@
             server, self._limits.find(server), share=share, now=now
         )
 
-    def answer(self, question: QuotaQuestion) -> QuotaAnswer | None:
-        """Answer another host's question; None if the server has no limit here."""
-        if not self._limits.is_limited(question.server):
-            return None
-        decision = self._take(question.server, is_nearby=question.is_nearby)
+    def answer(self, question: QuotaQuestion) -> QuotaAnswer:
+        """Answer another host's question."""
+        decision = Decision(is_permitted=True)
+        # The limit may have ended, which the other host doesn't know yet.
+        if self._limits.is_limited(question.server):
+            decision = self._take(question.server, is_nearby=question.is_nearby)
         wait_ms = round(decision.wait_s * _MS_PER_S, 1)
         return QuotaAnswer(question.number, decision.is_permitted, wait_ms)
 
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -458,9 +458,8 @@
         if message.quota_question is None:
             return
         answer = self._gate.answer(message.quota_question)
-        if answer is not None:
-            reply = self._make_message(LoadScope.NONE, _NO_LOAD, answer=answer)
-            self._send(message.sender.ip, reply)
+        reply = self._make_message(LoadScope.NONE, _NO_LOAD, answer=answer)
+        self._send(message.sender.ip, reply)
 
     def _answer_first_contact(self, sender: HostAddress, now: float) -> None:
         known_hosts = self._list_names(now, first_data_centre=sender.data_centre)
--- a/tests/unit/test_server_limits.py
+++ b/tests/unit/test_server_limits.py
@@ -106,6 +106,26 @@
     assert 0.6 * 2.5 * 8.0 <= admitted <= 1.5 * 2.5 * 8.0
 
 
+def test_a_host_that_has_not_heard_of_the_end_of_a_limit_is_permitted_at_once():
+    world = make_world(9, 3)
+    endpoint = Endpoint("s", "p", "10.0.0.1:1", "dc0", 6, ServerState.READY, 1, 1)
+    asking = next(
+        host
+        for host in world.list_live()
+        if host.data_centre == "dc0" and not host.peer_table.is_collector(world.now)
+    )
+    collectors = asking.peer_table.list_collectors("dc0", world.now)
+    asking.limits.record(endpoint.number, 0.5, world.now)
+    first = world.hosts[collectors[0]]
+    first.limits.record(endpoint.number, 0.5, world.now + 0.1)
+    first.limits.record(endpoint.number, None, world.now + 0.2)
+    question = gevent.spawn(asking.gate.admit, endpoint)
+    gevent.idle()
+    world.deliver()
+    question.join()
+    assert question.value
+
+
 def test_a_data_centre_that_is_cut_off_has_the_whole_limit_of_its_own_servers():
     world = make_world(9, 3)
     near = Endpoint("s", "p", "10.0.0.1:1", "dc0", 6, ServerState.READY, 1, 1)
