Don't send plain requests of all hosts to the server that was least loaded

Cause: all hosts choose the least of the same late counts, so all requests between two reports go to one server.

Now a host assumes that the others level the loads out with what they have probably sent since, and draws by the parts. Ruled out: late reports (2 to 64 ms), remote penalty.

--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.hashing import order_candidates, pick_candidate
+from rosemarystream._internal.decisions.load_spreading import pick_spread
 from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.endpoint import Endpoint
 
@@ -259,14 +260,20 @@
     failure_rates: Mapping[str, float],
     slowness: Mapping[str, float],
     data_centre: str,
+    unseen: float = 0.0,
     salt: str = "",
 ) -> Endpoint | None:
     """Return the least loaded server; among equals, one of this data centre.
 
+    While other hosts send requests that aren't known yet, lightly loaded servers are
+    drawn in turn (see `load_spreading`).
+
     Parameters
     ----------
     slowness : mapping of str to float
         How much longer work takes at each server at this moment; 1 is usual.
+    unseen : float
+        Requests that other hosts have probably sent since their loads were reported.
     salt : str
         Key of the rendezvous order in which servers of equal load are preferred.
     """
@@ -283,5 +290,5 @@
         slow_penalty = SLOW_PENALTY_REQUESTS * (slowness.get(name, 1.0) - 1.0)
         return loads.get(name, 0) + remote_penalty + failure_penalty + slow_penalty
 
-    order = order_candidates(salt, by_name)
-    return by_name[min(order, key=score_load)]
+    scores = {name: score_load(name) for name in by_name}
+    return by_name[pick_spread(scores, unseen=unseen, key=salt)]
--- a/src/rosemarystream/_internal/decisions/retry_budget.py
+++ b/src/rosemarystream/_internal/decisions/retry_budget.py
@@ -39,6 +39,11 @@
         """Count a caller's request."""
         self._requests.append(now)
 
+    def measure_request_rate(self, now: float) -> float:
+        """Return the callers' requests a second, on average over the window."""
+        _drop_before(self._requests, now - self._window_s)
+        return len(self._requests) / self._window_s
+
     def take(self, now: float, *, hosts: int) -> bool:
         """Spend one retry; return False if the budget is used up.
 
@@ -55,8 +60,12 @@
     def count_left(self, now: float, *, hosts: int) -> float:
         """Return the number of retries this host may still make."""
         for times in (self._requests, self._retries):
-            while times and times[0] <= now - self._window_s:
-                times.popleft()
+            _drop_before(times, now - self._window_s)
         by_requests = USED_RATIO_SHARE * self._ratio * len(self._requests)
         by_slack = USED_SLACK_SHARE * self._slack / max(1, hosts)
         return by_requests + by_slack - len(self._retries)
+
+
+def _drop_before(times: deque[float], horizon: float) -> None:
+    while times and times[0] <= horizon:
+        times.popleft()
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -60,6 +60,8 @@
 
 # Delay that a refused caller is advised to wait before it tries again.
 RETRY_AFTER_S = 0.1
+# Age of a load report when it arrives: it waits for the rounds of two collectors.
+REPORT_DELAY_S = 0.1
 _MS_PER_S = 1000
 
 
@@ -181,6 +183,7 @@
             failure_rates=self._list_failure_rates(candidates, now),
             slowness=self._list_slowness(candidates, now),
             data_centre=self._data_centre,
+            unseen=self._estimate_unseen(service, counts_age_s, now),
             salt=call.request_id,
         )
         if endpoint is None:
@@ -192,6 +195,12 @@
             slowness=self.speeds.estimate(endpoint.number, now),
         )
 
+    def _estimate_unseen(self, service: str, age_s: float, now: float) -> float:
+        """Return the requests that others have probably sent since their reports."""
+        others = self._peer_table.count_live(now) - 1
+        rate = self._find_budget(service).measure_request_rate(now)
+        return others * rate * (age_s + REPORT_DELAY_S)
+
     def _select_reachable(
         self, service: str, endpoints: Sequence[Endpoint], now: float
     ) -> Sequence[Endpoint]:
