--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -9,7 +9,6 @@
 from functools import partial
 from math import inf
 
-import gevent
 from logbook import Logger
 
 from rosemarystream._internal.decisions.placement import Placement
@@ -21,7 +20,7 @@
     compute_attempt_deadline,
     compute_stall_timeout,
 )
-from rosemarystream._internal.exceptions import ErrorKind, RosemarystreamError
+from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.attempt import (
     Attempt,
@@ -34,10 +33,12 @@
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.log_entries import AttemptBroken, AttemptNotRun
-from rosemarystream._internal.models.route import FleetConfiguration, Route, Workspace
+from rosemarystream._internal.models.route import Route
 from rosemarystream._internal.platform.headers import AnswerHead
 from rosemarystream._internal.utils.loop_share import LoopShare
 from rosemarystream._internal.utils.server_sent_events import EventTooLongError
@@ -48,11 +49,6 @@
 BUFFERED_BODY_BYTES = 262_144
 # Attempts per request at servers to which no connection could be made.
 MAX_UNSENT_ATTEMPTS = 4
-# Delay advised to callers of a host that has no configuration yet.
-NOT_READY_RETRY_S = 0.05
-# How long a request waits for the configuration on a host that has just started.
-START_WAIT_S = 0.5
-START_POLL_S = 0.02
 # Limited servers that are asked for a permission before all of them are passed over.
 MAX_QUOTA_QUESTIONS = 4
 # Statuses of answers that have no body and need no length.
@@ -65,15 +61,6 @@
 SOUND_ANSWER_S = 1.0
 
 
-class RequestEndedError(RosemarystreamError):
-    """A request ends with an error of the closed list of `ErrorKind`."""
-
-    def __init__(
-        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(message, kind=kind, retry_after=retry_after_s)
-
-
 class Exchange:
     """Handles one request with all its attempts.
 
@@ -112,6 +99,7 @@
         call: Call,
         request: Request,
         answer: AnswerWriter,
+        routes: RouteLookup,
         router: Router,
         pool: ConnectionPool,
         gate: LimitGate,
@@ -135,6 +123,7 @@
         self._call = call
         self._body = request.body
         self._answer = answer
+        self._routes = routes
         self._router = router
         self._pool = pool
         self._gate = gate
@@ -163,7 +152,7 @@
         RequestEndedError
             If the request ends with an error of this host.
         """
-        route, workspace = self._resolve_route()
+        route, workspace = self._routes.resolve(self._call, self.received_at)
         self.route = route
         wait_s = route.timeout_s
         if self._call.wait_s is not None:
@@ -193,35 +182,6 @@
             self._answer.send_whole(head.status, head.headers, body)
             return "failed"
 
-    def _resolve_route(self) -> tuple[Route, Workspace | None]:
-        configuration = self._await_configuration()
-        if configuration is None:
-            raise RequestEndedError(
-                ErrorKind.NOT_READY,
-                "this host knows no configuration yet",
-                retry_after_s=NOT_READY_RETRY_S,
-            )
-        if not self._call.request_id:
-            raise RequestEndedError(ErrorKind.BAD_REQUEST, "the request has no id")
-        route = configuration.find_route(self._call.host, self._call.path)
-        if route is None:
-            raise RequestEndedError(ErrorKind.NOT_FOUND, "no route for host and path")
-        if route.is_anonymous or not configuration.workspaces:
-            return route, None
-        workspace = configuration.workspaces.get(self._call.key or "")
-        if workspace is None:
-            raise RequestEndedError(ErrorKind.UNAUTHORIZED, "no workspace has this key")
-        return route, workspace
-
-    def _await_configuration(self) -> FleetConfiguration | None:
-        """Return the configuration, waiting briefly on a host that just started."""
-        deadline = self.received_at + START_WAIT_S
-        if self._call.wait_s is not None:
-            deadline = min(deadline, self.received_at + self._call.wait_s / 4)
-        while not self._router.replica.is_complete and self._clock() < deadline:
-            gevent.sleep(START_POLL_S)
-        return self._router.replica.configuration
-
     def _attempt_once(self, route: Route, service: str) -> str | None:
         now = self._clock()
         if now >= self._deadline:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -10,10 +10,12 @@
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
-from rosemarystream._internal.gateway.exchange import Exchange, RequestEndedError
+from rosemarystream._internal.gateway.exchange import Exchange
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.log_entries import RequestEnded
@@ -51,6 +53,7 @@
         self._crashes = CrashReporter(
             blocks=blocks, pool=pool, router=router, clock=clock
         )
+        self._routes = RouteLookup(replica=router.replica, clock=clock)
         self._clock = clock
         self._ends_at: float | None = None
 
@@ -65,6 +68,7 @@
             call=call,
             request=request,
             answer=answer,
+            routes=self._routes,
             router=self._router,
             pool=self._pool,
             gate=self._gate,
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/request_errors.py
@@ -0,0 +1,12 @@
+"""The error with which a request ends before it has an answer of a server."""
+
+from rosemarystream._internal.exceptions import ErrorKind, RosemarystreamError
+
+
+class RequestEndedError(RosemarystreamError):
+    """A request ends with an error of the closed list of `ErrorKind`."""
+
+    def __init__(
+        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(message, kind=kind, retry_after=retry_after_s)
