Don't tell a caller that servers limit their requests if they turned it away

With no server left to try, a limited one that had refused the request itself counted as one that may have room soon: 429 'limit their requests' instead of the refusal. Seen failing: test_a_refusal_of_a_server_is_not_taken_for_its_limit.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -244,7 +244,7 @@
                 limited = self._router.list_limited(service)
 
     def _make_unplaced_error(self, service: str) -> RequestEndedError:
-        wait_s = self._router.measure_limit_wait(service)
+        wait_s = self._router.measure_limit_wait(service, exclude=self.tried)
         if wait_s is None:
             # The caller should reconnect: another host may reach what this one can't.
             self._answer.is_closing = True
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -442,12 +442,15 @@
         ready = self.replica.list_ready(service)
         return [e.name for e in ready if self.limits.is_limited(e.number)]
 
-    def measure_limit_wait(self, service: str) -> float | None:
+    def measure_limit_wait(
+        self, service: str, *, exclude: Sequence[str]
+    ) -> float | None:
         """Return the time in seconds until a limited server may have room.
 
-        None if no server of the service is limited.
+        None if no server of the service is limited, those of `exclude` left out.
         """
-        numbers = [e.number for e in self.replica.list_ready(service)]
+        ready = self.replica.list_ready(service)
+        numbers = [e.number for e in ready if e.name not in exclude]
         return self.limits.measure_wait(numbers, self._clock())
 
     def log_limit_changes(self) -> None:
--- a/tests/functional/test_server_limits.py
+++ b/tests/functional/test_server_limits.py
@@ -177,3 +177,18 @@
     since = time.monotonic()
     fleet.watch(2.0)
     assert len([at for at in limited.arrived_at if at >= since]) > 4 * LIMIT_PER_S
+
+
+def test_a_refusal_of_a_server_is_not_taken_for_its_limit():
+    world = World()
+    server = world.add_server("p1")
+    server.limit_per_s = 50.0
+    host = world.add_host("h1")
+    wait_until(lambda: host.list_servers() == ["p1"])
+    host.call("/look/1")
+    gevent.sleep(0.1)
+    server.faults = [Fault.TURN_AWAY] * 3
+    reply = host.call("/look/1")
+    world.stop()
+    assert reply.status == 503
+    assert b"limit" not in reply.body
