Let the test of a server's refusal beside its limit reach the refusal

As committed before, the test failed with the fix too: the first question for a permission is denied, as permissions start to add up then, so the request never reached the server.

--- a/tests/functional/test_server_limits.py
+++ b/tests/functional/test_server_limits.py
@@ -185,7 +185,9 @@
     server.limit_per_s = 50.0
     host = world.add_host("h1")
     wait_until(lambda: host.list_servers() == ["p1"])
-    host.call("/look/1")
+    # The first question for a permission finds none, as permissions start to add up.
+    wait_until(lambda: host.call("/look/1").status == 429)
+    wait_until(lambda: host.call("/look/1").status == 200)
     gevent.sleep(0.1)
     server.faults = [Fault.TURN_AWAY] * 3
     reply = host.call("/look/1")
