Don't take a limit for ended by a refusal or failure that leaves it out

A server that refuses or fails a request may not come to state its limit; each such answer ended the limit on all hosts within a second, and these sent what they had held back, to a server in need. Now only a success shows the end. Seen failing: test_a_refusal_or_failure_that_leaves_the_limit_out_does_not_end_it, both cases. Also, questions of a process that has started again have other numbers than its earlier ones, so that a late answer to one of those permits nothing.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -53,8 +53,6 @@
 MAX_QUOTA_QUESTIONS = 4
 # Statuses of answers that have no body and need no length.
 NO_BODY_STATUSES = (204, 304)
-# First status that is no success, and the first failure of a server.
-REDIRECTION = 300
 SERVER_ERROR = 500
 # Time from the head of an answer after which a server that still sends events counts as
 # one that can answer the prompt.
@@ -393,7 +391,7 @@
             body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
             self._failed_answer = (head, body)
             raise OutcomeUnknownError(f"failed with {head.status}")
-        if head.is_event_stream and head.status < REDIRECTION:
+        if head.is_event_stream and head.is_success:
             return self._relay_events(attempt, head, route)
         if self._answer.has_begun:
             raise OutcomeUnknownError("a stream can't go on as an answer")
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -39,6 +39,9 @@
 
     Parameters
     ----------
+    first_number : int
+        Number of the first question; higher than any of an earlier process, so that a
+        late answer to one of those is not taken for another.
     send_question : callable
         Sends a question to another host.
     """
@@ -47,6 +50,7 @@
         self,
         *,
         this_host: HostAddress,
+        first_number: int,
         clock: Callable[[], float],
         peer_table: PeerTable,
         limits: ServerLimits,
@@ -58,7 +62,7 @@
         self._limits = limits
         self._send_question = send_question
         self._quotas = LimitQuotas()
-        self._numbers = count(1)
+        self._numbers = count(first_number)
         self._waiting: dict[int, AsyncResult] = {}
 
     def admit(self, endpoint: Endpoint) -> bool:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -157,6 +157,7 @@
         )
         self._gate = LimitGate(
             this_host=self._this_host,
+            first_number=self._incarnation,
             clock=self._clock,
             peer_table=self._peer_table,
             limits=self._router.limits,
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -434,7 +434,12 @@
             self.speeds.record(endpoint.number, slowness, self._clock())
 
     def record_limit(self, endpoint: Endpoint, head: AnswerHead) -> None:
-        """Record the limit on requests that an answer of a server states."""
+        """Record the limit on requests that an answer of a server states.
+
+        Refusals and failures may leave it out; only a success shows that it has ended.
+        """
+        if head.limit_per_s is None and not head.is_success:
+            return
         self.limits.record(endpoint.number, head.limit_per_s, self._clock())
 
     def list_limited(self, service: str) -> list[str]:
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -56,6 +56,8 @@
 )
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {SERVER_LOAD}
 
+_OK = 200
+_REDIRECTION = 300
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
@@ -106,6 +108,11 @@
     slowness: float | None = None
     limit_per_s: float | None = None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is one of success (2xx)."""
+        return _OK <= self.status < _REDIRECTION
+
 
 def decode_call(method: bytes, target: bytes, headers: Headers) -> Call:
     """Decode a caller's request; header names have to be in lower case."""
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -124,6 +124,8 @@
         What it tells of its load with each answer.
     limit_per_s : float or None
         Limit on its requests that it states with each answer; None if it states none.
+    faults_without_limit : set of Fault
+        Faults with which an answer leaves the limit out.
     arrived_at : list of float
         Times at which requests arrived, by the monotonic clock, in seconds.
     crashing_parts : set of str
@@ -149,6 +151,7 @@
         self.work_s = work_s
         self.load = "1,0,8"
         self.limit_per_s: float | None = None
+        self.faults_without_limit: set[Fault] = set()
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[BackendServer], object] = str
@@ -218,7 +221,7 @@
         expected = headers.get(b"x-rosemarystream-expect-instance", b"").decode()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         identity = [(b"x-rosemarystream-attempt-id", request_id)]
-        if self.limit_per_s is not None:
+        if self.limit_per_s is not None and fault not in self.faults_without_limit:
             identity.append((b"server-limit", b"%.1f" % self.limit_per_s))
         if expected != self.name:
             return _answer(connection, protocol, 421, identity, b"")
--- a/tests/functional/test_server_limits.py
+++ b/tests/functional/test_server_limits.py
@@ -194,3 +194,21 @@
     world.stop()
     assert reply.status == 503
     assert b"limit" not in reply.body
+
+
+@pytest.mark.parametrize("fault", [Fault.TURN_AWAY, Fault.FAIL])
+def test_a_refusal_or_failure_that_leaves_the_limit_out_does_not_end_it(fault):
+    world = World()
+    server = world.add_server("p1")
+    server.limit_per_s = 50.0
+    server.faults_without_limit = {fault}
+    host = world.add_host("h1")
+    wait_until(lambda: host.list_servers() == ["p1"])
+    wait_until(lambda: host.call("/look/1").status == 429)
+    wait_until(lambda: host.call("/look/1").status == 200)
+    gevent.sleep(0.1)
+    server.faults = [fault]
+    assert host.call("/book/1").status in (500, 503)
+    limit_per_s = host.read_state()["servers"]["p1"]["limit_per_s"]
+    world.stop()
+    assert limit_per_s == 50.0
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -45,6 +45,7 @@
         )
         host.gate = LimitGate(
             this_host=HostAddress(name, data_centre, ip),
+            first_number=first_sequence,
             clock=lambda: self.now,
             peer_table=peer_table,
             limits=host.limits,
