--- a/tests/prove.py
+++ b/tests/prove.py
@@ -114,7 +114,7 @@
     Row(
         "entry-server-limits",
         "send_without_permission",
-        "python -m pytest -x -q tests/functional/test_server_limits.py -k than_its",
+        "python -m pytest -x -q tests/functional/test_limited_servers.py -k than_its",
     ),
     Row(
         "entry-silent-store",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -47,6 +47,13 @@
 # Requests sent to bring those crashes about, and the pause between two.
 MAX_CRASHING_REQUESTS = 30
 CRASH_PAUSE_S = 0.1
+# Limit of one server at the end, in requests per second, and what it may get of all
+# hosts from the contact time on.
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+MAX_LIMITED_REQUESTS = int(1.5 * LIMIT_WINDOW_S * LIMIT_PER_S) + 5
+# Limits of single servers while faults strike.
+FAULT_LIMITS_PER_S = (0.0, 1.0, 5.0, 40.0)
 
 
 class Report(NamedTuple):
@@ -170,7 +177,15 @@
         """Inject one fault drawn from the seed; timed faults end before the return."""
         kind = self.rng.choice(
             ["kill", "freeze", "term", "hup", "link", "reset", "store", "refuse"]
-            + ["answers", "answers", "configuration", "drain", "history", "crash"]
+            + [
+                "answers",
+                "answers",
+                "configuration",
+                "drain",
+                "history",
+                "crash",
+                "limit",
+            ]
         )
         length_s = self.rng.uniform(0.3, 3.0)
         host = self.rng.choice([*self.hosts.values()])
@@ -232,6 +247,12 @@
         for _ in range(3):
             self._send_crashing(host)
 
+    def _strike_limit(self, host, server, length_s):
+        limited = self.world.servers[server]
+        limited.limit_per_s = self.rng.choice(FAULT_LIMITS_PER_S)
+        gevent.sleep(length_s)
+        limited.limit_per_s = None
+
     def _send_crashing(self, host):
         try:
             caller = Caller(host.ip)
@@ -285,7 +306,23 @@
             return [
                 f"after the faults only {served} of {len(after)} requests were served"
             ]
-        return self._check_blocked()
+        return self._check_limit() + self._check_blocked()
+
+    def _check_limit(self):
+        """Check that all hosts together keep to the limit of a server."""
+        server = self.world.servers[self.rng.choice([*self.links])]
+        server.limit_per_s = LIMIT_PER_S
+        gevent.sleep(CONTACT_S)
+        before = server.arrivals
+        gevent.sleep(LIMIT_WINDOW_S)
+        got = server.arrivals - before
+        server.limit_per_s = None
+        if got > MAX_LIMITED_REQUESTS:
+            return [
+                f"{server.name} got {got} requests in {LIMIT_WINDOW_S} s under a limit "
+                f"of {LIMIT_PER_S} a second"
+            ]
+        return []
 
     def _check_blocked(self):
         """Check that all hosts learn on which prompt part engines crash."""
