Log and count errors that nobody expected, and what made a host give a server up

Callers saw a request end without an answer. The log could not tell a stream that broke off at its server from one that only paused, nor a caller that left from an error of the host: both ended as gone, with a trace on standard error at most. attempt broke now has left_early and quiet_ms; unexpected error has request, server, type and trace and is counted by type. No decision changes.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -98,6 +98,9 @@
         Whether the connection has served earlier requests.
     begun_at : float or None
         When the head of the answer arrived; None before that.
+    heard_at : float or None
+        When the request was sent, or the server last sent a part of its answer; None
+        before that.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         self._head: AnswerHead | None = None
         self.reused = False
         self.begun_at: float | None = None
+        self.heard_at: float | None = None
 
     def send(
         self,
@@ -168,6 +172,7 @@
         )
         try:
             connection.send(self._call.method, self._call.target, headers, body)
+            self.heard_at = self._clock()
         except ConnectionBrokenError as error:
             raise _convert(error) from error
 
@@ -193,7 +198,7 @@
         except ConnectionBrokenError as error:
             raise _convert(error) from error
         self._head = head
-        self.begun_at = self._clock()
+        self.begun_at = self.heard_at = self._clock()
         if head.request_id == "":
             # Also a refusal: it may belong to an earlier request.
             raise OutcomeUnknownError(f"answer {head.status} names no request")
@@ -236,6 +241,7 @@
             piece = self._connection.read_piece(deadline)
         except ConnectionBrokenError as error:
             raise _convert(error) from error
+        self.heard_at = self._clock()
         if piece is None:
             connection, self._connection = self._connection, None
             if self._head.closes_connection:
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -311,7 +311,9 @@
             silent=error.silent,
             unreachable=error.unreachable,
             closed=error.closed,
-            answering_ms=self._measure_answering_ms(attempt),
+            left_early=error.silent and self._clock() < self._deadline,
+            quiet_ms=self._measure_ms_since(attempt.heard_at),
+            answering_ms=self._measure_ms_since(attempt.begun_at),
             prompt=self._call.format_prompt(),
             reason=str(error),
         )
@@ -328,10 +330,8 @@
         else:
             self._router.record_outcome(attempt.endpoint, failed=True)
 
-    def _measure_answering_ms(self, attempt: Attempt) -> float | None:
-        if attempt.begun_at is None:
-            return None
-        return round((self._clock() - attempt.begun_at) * 1000, 1)
+    def _measure_ms_since(self, time: float | None) -> float | None:
+        return None if time is None else round((self._clock() - time) * 1000, 1)
 
     def _check_retry(
         self, route: Route, service: str, *, sent: bool, reason: str
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -82,6 +82,11 @@
         self.limit_refusals = counter(
             "limit_refusals", "Choices of a server that its limit did not permit"
         )
+        self.unexpected_errors = counter(
+            "unexpected_errors",
+            "Errors that no code expects, raised while requests were served",
+            "error",
+        )
         self.prompt_tokens = counter(
             "prompt_tokens", "Prompt tokens sent to engines that keep context"
         )
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -7,6 +7,7 @@
 
 from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
@@ -17,6 +18,9 @@
 from rosemarystream._internal.gateway.request_errors import RequestEndedError
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.unexpected_errors import (
+    record_unexpected_error,
+)
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.log_entries import RequestEnded
 from rosemarystream._internal.platform.headers import decode_call
@@ -89,6 +93,16 @@
                 answer.send_error(
                     error.kind, str(error), retry_after_s=error.retry_after
                 )
+        except Exception as error:
+            outcome = ErrorKind.INTERNAL.value
+            exchange.reason = f"unexpected {type(error).__name__}"
+            record_unexpected_error(
+                error,
+                metrics=self._router.metrics,
+                request=call.request_id,
+                server=exchange.tried[-1] if exchange.tried else "",
+            )
+            raise
         finally:
             self._log_ended(call, exchange, answer, outcome)
 
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -146,6 +146,11 @@
         acknowledging TCP segments.
     closed : bool
         Whether the server closed or reset the connection, as one that crashes does.
+    left_early : bool
+        Whether this host gave the server up before the time of the request was over.
+    quiet_ms : float or None
+        Time since the server last sent anything for the request, or since the request
+        was sent; None if it was not sent.
     answering_ms : float or None
         Time from the head of the answer to its break; None if no head had arrived.
     prompt : list of str
@@ -160,11 +165,34 @@
     silent: bool
     unreachable: bool
     closed: bool = False
+    left_early: bool = False
+    quiet_ms: float | None = None
     answering_ms: float | None = None
     prompt: list[str] = []
     reason: str
 
 
+class UnexpectedError(LogEntry, frozen=True, kw_only=True):
+    """An error that no code expects was raised while a request was served.
+
+    Attributes
+    ----------
+    request, server : str
+        Identifier of the request, and the server at which it was tried last.
+    error : str
+        Type of the error.
+    trace : list of str
+        Calls that led to it, as file, line and function; the innermost is the last.
+    """
+
+    message = "unexpected error"
+    level = ERROR
+    request: str
+    server: str
+    error: str
+    trace: list[str]
+
+
 class ServerCrashed(LogEntry, frozen=True, kw_only=True):
     """A server ended while it worked on a request: it refuses connections.
 
