--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -22,6 +22,8 @@
 EVENT_STREAM = (b"content-type", b"text/event-stream")
 # Interval of the bytes of a stalled stream.
 TRICKLE_S = 0.05
+# Bytes of an answer's head that are sent before a pause in it.
+PAUSED_HEAD_BYTES = 20
 
 
 class Fault(StrEnum):
@@ -48,6 +50,9 @@
     EMPTY_UNFRAMED = "empty_unframed"
     CORRUPT_EVENT = "spoilt_event"
     TRICKLE = "trickle"
+    PAUSE = "pause"
+    PAUSE_IN_HEAD = "pause_in_head"
+    PAUSE_IN_BODY = "pause_in_body"
 
 
 ANOTHER_ANSWER = (
@@ -120,6 +125,8 @@
 
     Attributes
     ----------
+    pause_s : float
+        Length of a pause, after which it goes on with its answer, in seconds.
     load : str
         What it tells of its load with each answer.
     limit_per_s : float or None
@@ -149,6 +156,7 @@
         self.address = f"{address[0]}:{address[1]}"
         self.data_centre = data_centre
         self.work_s = work_s
+        self.pause_s = 1.3
         self.load = "1,0,8"
         self.limit_per_s: float | None = None
         self.faults_without_limit: set[Fault] = set()
@@ -245,6 +253,8 @@
             return False
         if fault in EARLIER_ANSWERS:
             connection.sendall(EARLIER_ANSWERS[fault])
+        if fault is Fault.PAUSE and self._pause(connection, run):
+            return False
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
@@ -259,10 +269,27 @@
             return False
         if self._events:
             return self._stream(connection, protocol, run, fault, identity)
-        return self._answer_plain(connection, protocol, fault, identity)
+        return self._answer_plain(connection, protocol, run, fault, identity)
+
+    def _pause(self, connection, run) -> bool:
+        """Pause; return whether the host has closed the connection meanwhile."""
+        return _wait_for_close(connection, run, self.pause_s)
+
+    def _send_with_pause(self, connection, run, data: bytes, sent_before: int) -> bool:
+        """Send data with a pause in it; return False if the host has closed."""
+        connection.sendall(data[:sent_before])
+        if self._pause(connection, run):
+            return False
+        connection.sendall(data[sent_before:])
+        return True
 
-    def _answer_plain(self, connection, protocol, fault, identity) -> bool:
+    def _answer_plain(self, connection, protocol, run, fault, identity) -> bool:
         body = f"done by {self.name}".encode()
+        if fault in (Fault.PAUSE_IN_HEAD, Fault.PAUSE_IN_BODY):
+            data = _encode_answer(protocol, 200, identity, body)
+            in_head = fault is Fault.PAUSE_IN_HEAD
+            sent_before = PAUSED_HEAD_BYTES if in_head else len(data) - len(body) // 2
+            return self._send_with_pause(connection, run, data, sent_before)
         if fault is Fault.CUT:
             head = h11.Response(
                 status_code=200, headers=[*identity, (b"content-length", b"500")]
@@ -286,12 +313,21 @@
         if fault in UNFRAMED_FAULTS:
             return self._stream_unframed(connection, run, fault, identity)
         headers = [*identity, EVENT_STREAM, (b"transfer-encoding", b"chunked")]
-        connection.sendall(
-            protocol.send(h11.Response(status_code=200, headers=headers))
-        )
+        head = protocol.send(h11.Response(status_code=200, headers=headers))
+        if fault is not Fault.PAUSE_IN_HEAD:
+            connection.sendall(head)
+        elif not self._send_with_pause(connection, run, head, PAUSED_HEAD_BYTES):
+            return False
         if self.crashing_parts.intersection(run.list_shared_parts()):
             self.crash()
             return False
+        if not self._send_events(connection, protocol, run, fault):
+            return False
+        connection.sendall(protocol.send(h11.EndOfMessage()))
+        return True
+
+    def _send_events(self, connection, protocol, run, fault) -> bool:
+        """Send the events; return False if the stream ends before the last."""
         for sent, event in _list_events(run):
             if fault is Fault.CUT and sent == self._cut_after:
                 half = event[: len(event) // 2]
@@ -302,10 +338,15 @@
             if fault is Fault.CORRUPT_EVENT and sent == self._cut_after:
                 connection.sendall(b"zz\r\nnot a chunk\r\n")
                 return False
-            connection.sendall(protocol.send(h11.Data(data=event)))
+            data = protocol.send(h11.Data(data=event))
+            if fault is Fault.PAUSE_IN_BODY and sent == self._cut_after:
+                middle = len(data) // 2
+                if not self._send_with_pause(connection, run, data, middle):
+                    return False
+                continue
+            connection.sendall(data)
             if _wait_for_close(connection, run, self.work_s):
                 return False
-        connection.sendall(protocol.send(h11.EndOfMessage()))
         return True
 
     def _stream_unframed(self, connection, run, fault, identity) -> bool:
@@ -366,11 +407,14 @@
 
 
 def _answer(connection, protocol, status, headers, body) -> bool:
+    connection.sendall(_encode_answer(protocol, status, headers, body))
+    return True
+
+
+def _encode_answer(protocol, status, headers, body) -> bytes:
     framed = [*headers, (b"content-length", b"%d" % len(body))]
     data = protocol.send(h11.Response(status_code=status, headers=framed))
-    data += protocol.send(h11.Data(data=body)) + protocol.send(h11.EndOfMessage())
-    connection.sendall(data)
-    return True
+    return data + protocol.send(h11.Data(data=body)) + protocol.send(h11.EndOfMessage())
 
 
 def _wait_for_close(connection, run: Run, seconds: float | None = None) -> bool:
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -10,6 +10,7 @@
 from tests.lib.entry_world import (
     Caller,
     World,
+    list_event_ids,
     make_configuration,
     make_route,
     wait_until,
@@ -53,12 +54,6 @@
         server.faults = shared
 
 
-def list_event_ids(body):
-    return [
-        int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")
-    ]
-
-
 STREAM = {"sticky": True, "resumable": True}
 PROMPT = ("X-Rosemarystream-Prompt-Prefix", "a:20,b:10")
 
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -267,6 +267,12 @@
         self.socket.close()
 
 
+def list_event_ids(body):
+    return [
+        int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")
+    ]
+
+
 def get(ip, port, path):
     caller = Caller(ip, port)
     try:
