Divide the exchange: the sequence of attempts, the relayed answer, what is logged

Which servers a request may go to moves to attempt_sequence, passing an answer on to answer_relay, what is logged at the end to request_record. A stream that was cut for good within its events is logged as stream_broken in each case, before as outcome_unknown or timed_out in some. No other behaviour changes.

--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -0,0 +1,195 @@
+"""Passes the answer of one attempt on to the caller."""
+
+from collections.abc import Callable
+from math import inf
+
+from rosemarystream._internal.decisions.timeouts import compute_stall_timeout
+from rosemarystream._internal.exceptions import ErrorKind
+from rosemarystream._internal.gateway.answer_writer import AnswerWriter
+from rosemarystream._internal.gateway.attempt import Attempt, OutcomeUnknownError
+from rosemarystream._internal.gateway.crash_reporter import CrashReporter
+from rosemarystream._internal.gateway.event_stream import EventStream
+from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.route import Route
+from rosemarystream._internal.platform.headers import AnswerHead
+from rosemarystream._internal.utils.loop_share import LoopShare
+from rosemarystream._internal.utils.server_sent_events import EventTooLongError
+
+# Answers up to this size are buffered, and relayed once they are complete.
+BUFFERED_BODY_BYTES = 262_144
+# Statuses of answers that have no body and need no length.
+NO_BODY_STATUSES = (204, 304)
+SERVER_ERROR = 500
+# Time from the head of an answer after which a server that still sends events counts as
+# one that can answer the prompt.
+SOUND_ANSWER_S = 1.0
+
+
+class AnswerRelay:
+    """Relays answers of servers to one request.
+
+    Parameters
+    ----------
+    shared_parts : tuple of int
+        Numbers of the shared parts of the request's prompt.
+    deadline : float
+        Time by which the request ends.
+    crashes : CrashReporter
+        Is told of answers that are complete.
+    on_event : callable
+        Called when an event of a stream has arrived.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        route: Route,
+        shared_parts: tuple[int, ...],
+        deadline: float,
+        answer: AnswerWriter,
+        router: Router,
+        crashes: CrashReporter,
+        clock: Callable[[], float],
+        on_event: Callable[[], None],
+    ) -> None:
+        self._call = call
+        self._route = route
+        self._shared_parts = shared_parts
+        self._deadline = deadline
+        self._answer = answer
+        self._router = router
+        self._crashes = crashes
+        self._clock = clock
+        self._on_event = on_event
+        self._stream = EventStream(last_event=call.last_event_id)
+        self._loop_share = LoopShare()
+
+    @property
+    def last_event(self) -> bytes:
+        """Identifier of the last event that the caller has, or empty."""
+        return self._stream.last_event
+
+    def relay(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Relay an answer to its end.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If the answer is not complete, and another attempt may follow.
+        RequestEndedError
+            If it breaks off after the caller's answer has begun, for good.
+        """
+        if head.is_event_stream and head.is_success:
+            self._relay_events(attempt, head)
+        elif self._answer.has_begun:
+            raise OutcomeUnknownError("a stream can't go on as an answer")
+        else:
+            self._relay_body(attempt, head)
+
+    def _relay_body(self, attempt: Attempt, head: AnswerHead) -> None:
+        pieces: list[bytes] = []
+        size = 0
+        while (piece := attempt.read_piece(self._deadline)) is not None:
+            pieces.append(piece)
+            size += len(piece)
+            if size > BUFFERED_BODY_BYTES:
+                self._relay_long_body(attempt, head, b"".join(pieces))
+                return
+        if not pieces and self._lacks_end(head):
+            # A server that crashes after the head ends its answer in the same way.
+            raise OutcomeUnknownError("the answer ended before its body", closed=True)
+        self._record_answered(attempt, head, failed=head.status >= SERVER_ERROR)
+        self._answer.send_whole(head.status, head.headers, b"".join(pieces))
+
+    def _lacks_end(self, head: AnswerHead) -> bool:
+        """Return whether only the end of the connection shows that of a body."""
+        has_body = self._call.method != b"HEAD" and head.status not in NO_BODY_STATUSES
+        return has_body and not head.is_delimited
+
+    def _relay_long_body(
+        self, attempt: Attempt, head: AnswerHead, received: bytes
+    ) -> None:
+        self._answer.send_head(head.status, head.headers)
+        self._answer.send_piece(received)
+        while (piece := attempt.read_piece(self._deadline)) is not None:
+            self._answer.send_piece(piece)
+        self._answer.end()
+        self._record_answered(attempt, head)
+
+    def _record_answered(
+        self, attempt: Attempt, head: AnswerHead, *, failed: bool = False
+    ) -> None:
+        """Record that an answer has ended as it should."""
+        self._router.record_outcome(attempt.endpoint, failed=failed)
+        if head.is_delimited:
+            self._crashes.record_answer(self._call, self._shared_parts)
+        else:
+            self._crashes.report_ended(attempt.endpoint, self._call, self._shared_parts)
+
+    def _relay_events(self, attempt: Attempt, head: AnswerHead) -> None:
+        self._stream.begin_attempt()
+        stall_s = compute_stall_timeout(self._route)
+        stalled_at = self._clock() + stall_s
+        sound_at = self._clock() + SOUND_ANSWER_S
+        while True:
+            events = self._read_events(attempt, stalled_at)
+            if events is None:
+                break
+            self._on_event()
+            # Only events that the caller gets are progress, not any bytes.
+            if self._relay_all(events, head):
+                stalled_at = self._clock() + stall_s
+                if self._clock() >= sound_at:
+                    self._crashes.record_answer(self._call, self._shared_parts)
+                    sound_at = inf
+        self._stream.check_end(is_delimited=head.is_delimited)
+        if not self._answer.has_begun:
+            self._answer.send_head(head.status, head.headers)
+        self._answer.end()
+        self._record_answered(attempt, head)
+
+    def _read_events(self, attempt: Attempt, stalled_at: float) -> list[bytes] | None:
+        """Return the events that the next piece completes, or None at the end."""
+        deadline = self._deadline
+        if self._route.resumable:
+            deadline = min(deadline, stalled_at)
+        piece = attempt.read_piece(deadline)
+        if piece is None:
+            return None
+        try:
+            return self._stream.split(piece)
+        except EventTooLongError as error:
+            raise OutcomeUnknownError(str(error)) from error
+
+    def _relay_all(self, events: list[bytes], head: AnswerHead) -> bool:
+        """Relay events; return False if the caller has all of them already."""
+        is_progress = False
+        for event in events:
+            # One piece may hold thousands of short events.
+            self._loop_share.take_step()
+            is_progress |= self._relay_event(event, head)
+        return is_progress
+
+    def _relay_event(self, event: bytes, head: AnswerHead) -> bool:
+        """Relay an event; return False if the caller has it already."""
+        if not self._stream.accept(event):
+            return False
+        if not self._answer.has_begun:
+            self._answer.send_head(head.status, head.headers)
+        self._answer.send_piece(event)
+        return True
+
+    def check_resumable(self, reason: str) -> None:
+        """Check that an answer that broke off may go on at another server.
+
+        Raises
+        ------
+        RequestEndedError
+            If it may not.
+        """
+        is_resumable = self._route.resumable and self._stream.has_begun
+        if self._answer.has_begun and not is_resumable:
+            raise RequestEndedError(ErrorKind.STREAM_BROKEN, reason)
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -0,0 +1,187 @@
+"""The attempts of one request: at which servers, and whether another is allowed.
+
+A request that may have run is repeated only if its route says that it is repeatable.
+"""
+
+from collections.abc import Callable
+
+from rosemarystream._internal.decisions.placement import Placement
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.exceptions import ErrorKind
+from rosemarystream._internal.gateway.limit_gate import LimitGate
+from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.request_record import RequestRecord
+from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.models.route import Route
+
+# Attempts per request at servers to which no connection could be made.
+MAX_UNSENT_ATTEMPTS = 4
+# Limited servers that are asked for a permission before all of them are passed over.
+MAX_QUOTA_QUESTIONS = 4
+
+
+class AttemptSequence:
+    """Chooses the servers of a request's attempts, and allows them or not.
+
+    Parameters
+    ----------
+    route, service : Route, str
+        Where the request belongs; also in `record`.
+    shared_parts : tuple of int
+        Numbers of the shared parts of the request's prompt.
+    deadline : float
+        Time by which the request ends.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether a server may have run the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        record: RequestRecord,
+        route: Route,
+        service: str,
+        shared_parts: tuple[int, ...],
+        deadline: float,
+        router: Router,
+        gate: LimitGate,
+        blocks: PromptBlocks,
+        clock: Callable[[], float],
+    ) -> None:
+        self._record = record
+        self._route = route
+        self._service = service
+        self._shared_parts = shared_parts
+        self._deadline = deadline
+        self._router = router
+        self._gate = gate
+        self._blocks = blocks
+        self._clock = clock
+        self._unsent_attempts = 0
+        self.may_have_run = False
+
+    @property
+    def has_more(self) -> bool:
+        """Whether the route allows an attempt after the one in progress."""
+        return self._record.sends + 1 < self._route.max_attempts
+
+    def choose_next(self) -> Placement:
+        """Return the server of the next attempt.
+
+        Raises
+        ------
+        RequestEndedError
+            If there is none.
+        """
+        if self._clock() >= self._deadline:
+            raise self.make_final_error("the time is over")
+        self._check_prompt()
+        placement = self._place()
+        if placement is None:
+            raise self._make_unplaced_error()
+        self._record.placement = placement
+        self._record.tried.append(placement.endpoint.name)
+        return placement
+
+    def _place(self) -> Placement | None:
+        """Return a server that may be sent the request now, if there is one."""
+        limited: list[str] = []
+        while True:
+            placement = self._router.place(
+                self._route,
+                self._service,
+                self._record.call,
+                rank=self._record.rank,
+                exclude=[*self._record.tried, *limited],
+            )
+            if placement is None or self._gate.admit(placement.endpoint):
+                return placement
+            self._router.metrics.limit_refusals.inc()
+            self._record.limited.append(placement.endpoint.name)
+            limited.append(placement.endpoint.name)
+            if len(limited) >= MAX_QUOTA_QUESTIONS:
+                limited = self._router.list_limited(self._service)
+
+    def _make_unplaced_error(self) -> RequestEndedError:
+        service = self._service
+        wait_s = self._router.measure_limit_wait(service, exclude=self._record.tried)
+        if wait_s is None:
+            error = self.make_final_error(f"no server of {service} can be reached")
+            # Another host may reach what this one can't.
+            error.should_reconnect = True
+            return error
+        if self.may_have_run:
+            return self.make_final_error(f"the servers of {service} take no more")
+        return RequestEndedError(
+            ErrorKind.OVERLOADED,
+            f"the servers of {service} limit their requests",
+            retry_after_s=max(wait_s, self._router.suggest_retry_after()),
+        )
+
+    def _check_prompt(self) -> None:
+        """Check that servers don't crash on a part of the prompt.
+
+        Raises
+        ------
+        RequestEndedError
+            If they do.
+        """
+        now = self._clock()
+        blocked = self._blocks.find_blocked(self._shared_parts, now)
+        if blocked is None:
+            return
+        name = self._record.call.parts[self._shared_parts.index(blocked)].name
+        reason = f"servers crash on the prompt part {name}"
+        if self.may_have_run:
+            raise self.make_final_error(reason)
+        raise RequestEndedError(
+            ErrorKind.BLOCKED_PROMPT,
+            reason,
+            retry_after_s=self._blocks.measure_left(blocked, now),
+        )
+
+    def record_not_run(self, *, sent: bool) -> None:
+        """Record that the last server certainly has not run the request."""
+        if sent:
+            self._record.sends += 1
+        else:
+            self._unsent_attempts += 1
+
+    def record_unknown_outcome(self) -> None:
+        """Record that the last server may have run the request."""
+        self._record.sends += 1
+        self.may_have_run = True
+
+    def check_retry(self, *, sent: bool, reason: str) -> None:
+        """Check that another attempt is allowed, and count it as a retry.
+
+        Raises
+        ------
+        RequestEndedError
+            If it is not: the final error of the request.
+        """
+        if self.may_have_run and not self._route.is_repeatable:
+            raise self.make_final_error(reason)
+        if not sent:
+            if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
+                raise self.make_final_error(reason)
+            return
+        if self._record.sends >= self._route.max_attempts:
+            raise self.make_final_error(reason)
+        if not self._router.take_retry(self._service):
+            raise self.make_final_error(f"{reason}; the retry budget is used up")
+
+    def make_final_error(self, reason: str) -> RequestEndedError:
+        """Return the error with which the request ends."""
+        is_over = self._clock() >= self._deadline
+        if self.may_have_run:
+            kind = ErrorKind.TIMED_OUT if is_over else ErrorKind.OUTCOME_UNKNOWN
+            return RequestEndedError(kind, reason)
+        return RequestEndedError(
+            ErrorKind.NO_BACKEND,
+            reason,
+            retry_after_s=self._router.suggest_retry_after(),
+        )
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -19,14 +19,19 @@
     ----------
     last_event : bytes
         The same, with the events accepted since.
+    has_begun : bool
+        Whether any attempt was answered with a stream.
     """
 
     def __init__(self, *, last_event: bytes) -> None:
         self.last_event = last_event
-        self.begin_attempt()
+        self.has_begun = False
+        self._splitter = EventSplitter()
+        self._has_events = False
 
     def begin_attempt(self) -> None:
         """Forget what is left of the answer of the attempt before."""
+        self.has_begun = True
         self._splitter = EventSplitter()
         self._has_events = False
 
--- a/src/rosemarystream/_internal/gateway/request_errors.py
+++ b/src/rosemarystream/_internal/gateway/request_errors.py
@@ -4,9 +4,17 @@
 
 
 class RequestEndedError(RosemarystreamError):
-    """A request ends with an error of the closed list of `ErrorKind`."""
+    """A request ends with an error of the closed list of `ErrorKind`.
+
+    Attributes
+    ----------
+    should_reconnect : bool
+        Whether the caller's connection is closed, so that its next request may reach
+        another host.
+    """
 
     def __init__(
         self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
     ) -> None:
         super().__init__(message, kind=kind, retry_after=retry_after_s)
+        self.should_reconnect = False
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -173,13 +173,13 @@
 
 def refuse_unknown_outcomes():
     from rosemarystream._internal.exceptions import ErrorKind
-    from rosemarystream._internal.gateway.exchange import Exchange
+    from rosemarystream._internal.gateway.attempt_sequence import AttemptSequence
     from rosemarystream._internal.gateway.request_errors import RequestEndedError
 
     def make_final_error(self, reason):
         return RequestEndedError(ErrorKind.NO_BACKEND, reason, retry_after_s=0.1)
 
-    Exchange._make_final_error = make_final_error
+    AttemptSequence.make_final_error = make_final_error
 
 
 def accept_any_answer():
