Wait on for a silent server unless another attempt may be sent

Callers' streams were cut in their middle, and plain requests ended with 502, when a sound server paused for a second or so: a request was left after the stall time-out, and only then it was asked whether another attempt was allowed. With no attempt left, the retry budget used up or no server with room, nothing could follow and the request ended at once.

The attempt that is to follow is now reserved before the one in progress is left: attempts, time, blocked prompt, retry budget, a server and its permission are asked at that moment. If one is missing, the host waits on, passes the late answer on, and asks again after another time-out, so that a server that hangs is left once the budget allows it. No retry is taken for a request whose time is over.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -40,6 +40,8 @@
         Is told of answers that are complete.
     on_event : callable
         Called when an event of a stream has arrived.
+    is_left : callable
+        Returns whether a server is left that has been silent until now.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         crashes: CrashReporter,
         clock: Callable[[], float],
         on_event: Callable[[], None],
+        is_left: Callable[[float], bool],
     ) -> None:
         self._call = call
         self._route = route
@@ -64,8 +67,10 @@
         self._crashes = crashes
         self._clock = clock
         self._on_event = on_event
+        self._is_left = is_left
         self._stream = EventStream(last_event=call.last_event_id)
         self._loop_share = LoopShare()
+        self._stalled_at = 0.0
 
     @property
     def last_event(self) -> bytes:
@@ -131,17 +136,14 @@
 
     def _relay_events(self, attempt: Attempt, head: AnswerHead) -> None:
         self._stream.begin_attempt()
-        stall_s = compute_stall_timeout(self._route)
-        stalled_at = self._clock() + stall_s
+        self._expect_progress()
         sound_at = self._clock() + SOUND_ANSWER_S
-        while True:
-            events = self._read_events(attempt, stalled_at)
-            if events is None:
-                break
+        while (piece := self._read_piece(attempt)) is not None:
+            events = self._split(piece)
             self._on_event()
             # Only events that the caller gets are progress, not any bytes.
             if self._relay_all(events, head):
-                stalled_at = self._clock() + stall_s
+                self._expect_progress()
                 if self._clock() >= sound_at:
                     self._crashes.record_answer(self._call, self._shared_parts)
                     sound_at = inf
@@ -151,14 +153,22 @@
         self._answer.end()
         self._record_answered(attempt, head)
 
-    def _read_events(self, attempt: Attempt, stalled_at: float) -> list[bytes] | None:
-        """Return the events that the next piece completes, or None at the end."""
-        deadline = self._deadline
-        if self._route.resumable:
-            deadline = min(deadline, stalled_at)
-        piece = attempt.read_piece(deadline)
-        if piece is None:
-            return None
+    def _expect_progress(self) -> None:
+        self._stalled_at = self._clock() + compute_stall_timeout(self._route)
+
+    def _read_piece(self, attempt: Attempt) -> bytes | None:
+        """Return the next piece; a stalled stream is left if it can go on elsewhere."""
+        if not self._route.resumable:
+            return attempt.read_piece(self._deadline)
+        while True:
+            try:
+                return attempt.read_piece(min(self._deadline, self._stalled_at))
+            except OutcomeUnknownError as error:
+                if not error.silent or self._is_left(self._clock()):
+                    raise
+                self._expect_progress()
+
+    def _split(self, piece: bytes) -> list[bytes]:
         try:
             return self._stream.split(piece)
         except EventTooLongError as error:
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -61,29 +61,59 @@
         self._blocks = blocks
         self._clock = clock
         self._unsent_attempts = 0
+        self._reserved: Placement | None = None
         self.may_have_run = False
 
     @property
-    def has_more(self) -> bool:
+    def may_repeat(self) -> bool:
         """Whether the route allows an attempt after the one in progress."""
-        return self._record.sends + 1 < self._route.max_attempts
+        has_more = self._record.sends + 1 < self._route.max_attempts
+        return has_more and self._route.is_repeatable
+
+    def reserve_next(self) -> bool:
+        """Reserve an attempt to follow the one in progress, which may then be left.
+
+        Returns
+        -------
+        bool
+            False if none is allowed now: the one in progress has to be waited for.
+        """
+        now = self._clock()
+        if not self.may_repeat or now >= self._deadline:
+            return False
+        if self._blocks.find_blocked(self._shared_parts, now) is not None:
+            return False
+        # Asked first, as `_place` may use up a permission of a limited server.
+        if not self._router.has_retry(self._service):
+            return False
+        placement = self._place()
+        if placement is None or not self._router.take_retry(self._service):
+            return False
+        self._reserved = placement
+        return True
 
     def choose_next(self) -> Placement:
-        """Return the server of the next attempt.
+        """Return the server of the next attempt, the reserved one if there is one.
 
         Raises
         ------
         RequestEndedError
             If there is none.
         """
+        placement, self._reserved = self._reserved, None
+        if placement is None:
+            placement = self._choose()
+        self._record.placement = placement
+        self._record.tried.append(placement.endpoint.name)
+        return placement
+
+    def _choose(self) -> Placement:
         if self._clock() >= self._deadline:
             raise self.make_final_error("the time is over")
         self._check_prompt()
         placement = self._place()
         if placement is None:
             raise self._make_unplaced_error()
-        self._record.placement = placement
-        self._record.tried.append(placement.endpoint.name)
         return placement
 
     def _place(self) -> Placement | None:
@@ -158,18 +188,23 @@
     def check_retry(self, *, sent: bool, reason: str) -> None:
         """Check that another attempt is allowed, and count it as a retry.
 
+        A reserved one is allowed, and counted already.
+
         Raises
         ------
         RequestEndedError
             If it is not: the final error of the request.
         """
+        if self._reserved is not None:
+            return
         if self.may_have_run and not self._route.is_repeatable:
             raise self.make_final_error(reason)
         if not sent:
             if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
                 raise self.make_final_error(reason)
             return
-        if self._record.sends >= self._route.max_attempts:
+        is_over = self._clock() >= self._deadline
+        if is_over or self._record.sends >= self._route.max_attempts:
             raise self.make_final_error(reason)
         if not self._router.take_retry(self._service):
             raise self.make_final_error(f"{reason}; the retry budget is used up")
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -166,6 +166,7 @@
             crashes=self._crashes,
             clock=self._clock,
             on_event=self._record_first_event,
+            is_left=self._is_left,
         )
 
     def _compute_deadline(self, route: Route) -> float:
@@ -220,22 +221,34 @@
             last_event_id=self._relay.last_event,
             source=source.address if source else None,
         )
-        has_more = self._attempts.has_more
-        attempt_deadline = compute_attempt_deadline(
-            self._route,
-            now=self._clock(),
-            deadline=self._deadline,
-            more_attempts=has_more,
-        )
-        head = attempt.read_head(attempt_deadline)
+        head = self._read_head(attempt)
         self._router.record_answer(attempt.endpoint, slowness=head.slowness)
-        if head.status >= SERVER_ERROR and has_more and self._route.is_repeatable:
+        if head.status >= SERVER_ERROR and self._attempts.may_repeat:
             # Relayed to the caller if no later attempt succeeds.
             body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
             self._failed_answer = (head, body)
             raise OutcomeUnknownError(f"failed with {head.status}")
         self._relay.relay(attempt, head)
 
+    def _read_head(self, attempt: Attempt) -> AnswerHead:
+        """Return the head of the answer; a silent server is left if that is of use."""
+        while True:
+            attempt_deadline = compute_attempt_deadline(
+                self._route,
+                now=self._clock(),
+                deadline=self._deadline,
+                more_attempts=self._attempts.may_repeat,
+            )
+            try:
+                return attempt.read_head(attempt_deadline)
+            except OutcomeUnknownError as error:
+                if not error.silent or self._is_left(self._clock()):
+                    raise
+
+    def _is_left(self, now: float) -> bool:
+        """Return whether a silent server is left, for another one or for good."""
+        return now >= self._deadline or self._attempts.reserve_next()
+
     def _record_first_event(self) -> None:
         self._end_prefill()
         if self._record.first_event_s is None:
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -377,6 +377,10 @@
         """Record a caller's request; the retry budget grows with these."""
         self._find_budget(service).record_request(self._clock())
 
+    def has_retry(self, service: str) -> bool:
+        """Return whether a service's budget allows another retry now."""
+        return self._count_retries(service, self._clock()) >= 1.0
+
     def take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; False if it is used up."""
         now = self._clock()
