End a request with a whole answer when an error is raised that nobody expected

Callers' connections were closed without an answer, and the log said that they had gone. Whatever was raised while a request was served, beyond the few errors that relay expects, left the greenlet of the connection: a configuration with a route that has no target does it to every caller of that route (IndexError), an unusable address of a server to those that it is chosen for.

Relay now ends such a request itself: a whole 500 (internal) that says not_run if no server can have had the request and unknown otherwise, or a visible break if the answer had begun. An answer that is complete stays so. The listener does the same for readiness, metrics and state dump, and for what is raised while a request is read. What an attempt has begun (load, prefill, connection) ends whatever is raised by any of it.

The log has request, server, type and trace, and no text of the error, which may quote the caller.

--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -6,7 +6,7 @@
 import msgspec
 from gevent import socket
 
-from rosemarystream._internal.exceptions import ANSWERS, ErrorKind
+from rosemarystream._internal.exceptions import ANSWERS, ErrorKind, Execution
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.platform.headers import encode_retry_after
 
@@ -74,8 +74,9 @@
         self.is_closing = self.is_closing or self._is_leaving()
         if self.is_closing:
             headers.append((b"connection", b"close"))
+        data = self._protocol.send(h11.Response(status_code=status, headers=headers))
         self.status = status
-        return self._protocol.send(h11.Response(status_code=status, headers=headers))
+        return data
 
     def send_piece(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -87,7 +88,12 @@
         self.is_finished = True
 
     def send_error(
-        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+        execution: Execution | None = None,
     ) -> None:
         """Send an error answer.
 
@@ -97,6 +103,8 @@
             Decides the status, and what the answer says about execution.
         retry_after_s : float or None
             Delay after which the caller may try again, in seconds.
+        execution : Execution or None
+            Whether the request was executed; as the table says of the kind if None.
         """
         row = ANSWERS[kind]
         headers: Headers = [(b"content-type", b"application/json")]
@@ -106,12 +114,28 @@
             {
                 "error": kind,
                 "message": message,
-                "execution": row.execution,
+                "execution": execution or row.execution,
                 "next_step": row.next_step,
             }
         )
         self.send_whole(row.status, headers, body)
 
+    def end_with_failure(self, execution: Execution) -> None:
+        """End the answer after an error that no code expects.
+
+        An answer that has begun breaks off, unless it is complete.
+        """
+        if self.is_finished:
+            return
+        self.is_closing = True
+        if self.has_begun:
+            return
+        if self._protocol.our_state is h11.ERROR:
+            self._protocol = h11.Connection(h11.SERVER)
+        self.send_error(
+            ErrorKind.INTERNAL, "an unexpected error in this host", execution=execution
+        )
+
     def _write(self, data: bytes) -> None:
         try:
             self._connection.sendall(data)
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -96,6 +96,8 @@
     ----------
     reused : bool
         Whether the connection has served earlier requests.
+    is_sent : bool
+        Whether the server may have received the request.
     begun_at : float or None
         When the head of the answer arrived; None before that.
     heard_at : float or None
@@ -120,6 +122,7 @@
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         self.reused = False
+        self.is_sent = False
         self.begun_at: float | None = None
         self.heard_at: float | None = None
 
@@ -170,6 +173,7 @@
             last_event_id=last_event_id,
             source=source,
         )
+        self.is_sent = True
         try:
             connection.send(self._call.method, self._call.target, headers, body)
             self.heard_at = self._clock()
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from contextlib import ExitStack
 from functools import partial
 
 from logbook import Logger
@@ -96,9 +97,15 @@
         self._clock = clock
         self._ends_at = ends_at
         self._shared_parts = hash_shared_parts(call.parts)
+        self._attempts: AttemptSequence | None = None
         self._prefilling: Placement | None = None
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request."""
+        return self._attempts is not None and self._attempts.may_have_run
+
     def run(self) -> str:
         """Serve the request and return its outcome.
 
@@ -191,9 +198,17 @@
             clock=self._clock,
             on_head=partial(self._router.record_limit, endpoint),
         )
-        self._router.begin(endpoint)
-        self._router.begin_prefill(placement, self._call)
-        self._prefilling = placement
+        with ExitStack() as ends:
+            ends.callback(attempt.close)
+            self._router.begin(endpoint)
+            ends.callback(self._router.end, endpoint)
+            self._router.begin_prefill(placement, self._call)
+            self._prefilling = placement
+            ends.callback(self._end_prefill)
+            return self._complete(attempt, placement)
+
+    def _complete(self, attempt: Attempt, placement: Placement) -> bool:
+        """Make an attempt and record how it ends; return whether it is the last."""
         try:
             self._run_attempt(attempt, placement)
             self._record.sends += 1
@@ -205,10 +220,9 @@
             self._record_unknown_outcome(attempt, error)
             self._relay.check_resumable(str(error))
             self._attempts.check_retry(sent=True, reason=str(error))
-        finally:
-            attempt.close()
-            self._end_prefill()
-            self._router.end(endpoint)
+        except Exception:
+            self._attempts.may_have_run |= attempt.is_sent
+            raise
         return False
 
     def _run_attempt(self, attempt: Attempt, placement: Placement) -> None:
@@ -276,6 +290,7 @@
     def _record_unknown_outcome(
         self, attempt: Attempt, error: OutcomeUnknownError
     ) -> None:
+        self._attempts.record_unknown_outcome()
         entry = AttemptBroken(
             request=self._call.request_id,
             server=attempt.endpoint.name,
@@ -295,7 +310,6 @@
             self._crashes.report_closed(
                 attempt.endpoint, self._call, self._shared_parts
             )
-        self._attempts.record_unknown_outcome()
         if error.unreachable:
             self._router.record_unreachable(attempt.endpoint)
         else:
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -13,7 +13,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
-from rosemarystream._internal.exceptions import ErrorKind, RequestError
+from rosemarystream._internal.exceptions import ErrorKind, Execution, RequestError
 from rosemarystream._internal.gateway.answer_writer import (
     AnswerWriter,
     CallerDisconnectedError,
@@ -88,7 +88,8 @@
 
     kind: ErrorKind
     message: str
-    retry_after_s: float | None
+    retry_after_s: float | None = None
+    execution: Execution | None = None
 
 
 class Listener:
@@ -101,6 +102,8 @@
         `CallerDisconnectedError` is raised when the caller disconnects.
     get_limits : callable
         Returns the limits in force.
+    record_error : callable
+        Called with an error that no code expects.
 
     Attributes
     ----------
@@ -117,10 +120,12 @@
         address: str,
         handler: Handler,
         get_limits: Callable[[], CallerLimits],
+        record_error: Callable[[Exception], None],
         clock: Callable[[], float],
     ) -> None:
         self.handler = handler
         self.get_limits = get_limits
+        self.record_error = record_error
         self.clock = clock
         self.leaving = False
         self.held_bytes = 0
@@ -205,6 +210,17 @@
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
+        except OSError:
+            raise
+        except Exception as error:
+            self._listener.record_error(error)
+            # Only the request was read so far: `_answer` ends what it has begun.
+            self._refusal = _Refusal(
+                ErrorKind.INTERNAL,
+                "an unexpected error in this host",
+                execution=Execution.NOT_RUN,
+            )
+            return False
         finally:
             self.busy = False
             self._listener.held_bytes -= self._held_bytes
@@ -222,12 +238,19 @@
         self._socket.settimeout(self._listener.get_limits().idle_timeout_s)
         watch = _DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
         try:
-            self._listener.handler(request, answer)
+            self._handle(request, answer)
         finally:
             watch.stop()
         self._buffer += watch.data
         return answer.is_finished and not answer.is_closing
 
+    def _handle(self, request: Request, answer: AnswerWriter) -> None:
+        try:
+            self._listener.handler(request, answer)
+        except Exception as error:
+            answer.end_with_failure(Execution.UNKNOWN)
+            self._listener.record_error(error)
+
     def _refuse(self, refusal: _Refusal) -> None:
         write_log_entry(
             log,
@@ -242,7 +265,10 @@
         )
         self._socket.settimeout(LINGER_TIMEOUT_S)
         answer.send_error(
-            refusal.kind, refusal.message, retry_after_s=refusal.retry_after_s
+            refusal.kind,
+            refusal.message,
+            retry_after_s=refusal.retry_after_s,
+            execution=refusal.execution,
         )
         self._linger()
 
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -48,6 +48,9 @@
     ConfigurationWatch,
     ServerWatch,
 )
+from rosemarystream._internal.gateway.unexpected_errors import (
+    record_unexpected_error,
+)
 from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.log_entries import (
     HostExchangeFailed,
@@ -207,18 +210,21 @@
             address=host.caller_address,
             handler=self._relay.serve,
             get_limits=self._get_limits,
+            record_error=self._record_error,
             clock=self._clock,
         )
         self._ready_listener = Listener(
             address=host.ready_address,
             handler=self._serve_readiness,
             get_limits=CallerLimits,
+            record_error=self._record_error,
             clock=self._clock,
         )
         self._metrics_listener = Listener(
             address=f"{host.ip}:{host.metrics_port}",
             handler=self._serve_metrics,
             get_limits=CallerLimits,
+            record_error=self._record_error,
             clock=self._clock,
         )
         self._state = StateReport(
@@ -301,6 +307,9 @@
         configuration = self._replica.configuration
         return configuration.limits if configuration else CallerLimits()
 
+    def _record_error(self, error: Exception) -> None:
+        record_unexpected_error(error, metrics=self._metrics)
+
     def _report_load_change(self) -> None:
         self._peering.report_load_change()
 
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -5,7 +5,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
-from rosemarystream._internal.exceptions import ErrorKind
+from rosemarystream._internal.exceptions import ErrorKind, Execution
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
@@ -64,7 +64,12 @@
 
     def serve(self, request: Request, answer: AnswerWriter) -> None:
         """Serve one request and log its outcome."""
-        call = decode_call(request.method, request.target, request.headers)
+        try:
+            call = decode_call(request.method, request.target, request.headers)
+        except Exception as error:
+            answer.end_with_failure(Execution.NOT_RUN)
+            record_unexpected_error(error, metrics=self._router.metrics)
+            return
         record = RequestRecord(call=call, received_at=request.received_at)
         exchange = Exchange(
             call=call,
@@ -89,17 +94,21 @@
             _send_error(answer, error)
         except Exception as error:
             outcome = ErrorKind.INTERNAL.value
-            record.reason = f"unexpected {type(error).__name__}"
-            record_unexpected_error(
-                error,
-                metrics=self._router.metrics,
-                request=call.request_id,
-                server=record.tried[-1] if record.tried else "",
-            )
-            raise
+            ran = Execution.UNKNOWN if exchange.may_have_run else Execution.NOT_RUN
+            answer.end_with_failure(ran)
+            self._record_unexpected(record, error)
         finally:
             self._log_ended(record, answer, outcome)
 
+    def _record_unexpected(self, record: RequestRecord, error: Exception) -> None:
+        record.reason = f"unexpected {type(error).__name__}"
+        record_unexpected_error(
+            error,
+            metrics=self._router.metrics,
+            request=record.call.request_id,
+            server=record.tried[-1] if record.tried else "",
+        )
+
     def _log_ended(
         self, record: RequestRecord, answer: AnswerWriter, outcome: str
     ) -> None:
--- a/tests/properties/test_parsers.py
+++ b/tests/properties/test_parsers.py
@@ -138,15 +138,18 @@
         writer.send_whole(200, [], b"")
 
     limits = CallerLimits(head_timeout_s=0.1, idle_timeout_s=0.1)
+    unexpected = []
     created = Listener(
         address="127.0.0.1:0",
         handler=answer,
         get_limits=lambda: limits,
+        record_error=unexpected.append,
         clock=time.monotonic,
     )
     created.start()
     yield created
     created.stop()
+    assert unexpected == []
 
 
 @given(noise=NOISE, cuts=CUTS)
