--- a/tests/functional/test_review_of_lost_answers.py
+++ b/tests/functional/test_review_of_lost_answers.py
@@ -202,6 +202,26 @@
     assert is_whole(reply), reply
 
 
+@pytest.mark.parametrize(
+    ("path", "fault"),
+    [("/look/1", Fault.PAUSE_IN_HEAD), ("/chat/1", Fault.PAUSE_IN_BODY)],
+)
+def test_a_paused_server_is_left_for_one_that_is_known_to_be_gone(
+    world, pair, path, fault
+):
+    names = ("p1", "p2") if path == "/look/1" else ("e1", "e2")
+    sound, gone = (world.servers[name] for name in names)
+    gone.stop()
+    router = pair.gateway._router
+    for endpoint in router.replica.list_endpoints():
+        if endpoint.name == gone.name:
+            router.record_gone(endpoint)
+    sound.faults.append(fault)
+    reply = pair.call(path, headers=HEADERS, wait_ms=WAIT_MS)
+    assert sound.runs
+    assert is_whole(reply), reply
+
+
 @pytest.mark.parametrize(
     ("path", "pauses_s"),
     [
