Answer HEAD requests that are refused, and whatever fails before an answer's first byte

Callers of HEAD got neither an answer nor a refusal for an unknown key or path, or when no server was left: h11 takes no body for such an answer, the error was raised within the handling of the refusal, where nothing caught it, and the answer counted as begun as soon as its head was encoded.

An answer to HEAD has no body now, errors of refusals end like all others, and an answer has begun when a part is handed to the socket.

--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -23,6 +23,8 @@
 
     Parameters
     ----------
+    has_body : bool
+        Whether the answer may have a body, as none to a HEAD request has.
     is_closing : bool
         Whether the connection is closed after this answer.
     is_leaving : callable
@@ -33,6 +35,8 @@
     ----------
     status : int
         Status that was sent; 0 before the head is sent.
+    has_begun : bool
+        Whether a part may have been sent, so that no other answer can follow.
     is_finished : bool
         Whether the answer has been sent completely.
     """
@@ -42,26 +46,25 @@
         *,
         connection: socket.socket,
         protocol: h11.Connection,
+        has_body: bool = True,
         is_closing: bool,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._connection = connection
         self._protocol = protocol
+        self._has_body = has_body
         self.is_closing = is_closing
         self._is_leaving = is_leaving
         self.status = 0
+        self.has_begun = False
         self.is_finished = False
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the head has been sent, so that no other answer can follow."""
-        return self.status != 0
-
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         framed = [*headers, (b"content-length", b"%d" % len(body))]
         data = self._start(status, framed)
-        data += self._protocol.send(h11.Data(data=body)) or b""
+        if self._has_body:
+            data += self._protocol.send(h11.Data(data=body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._write(data)
         self.is_finished = True
@@ -130,13 +133,14 @@
         self.is_closing = True
         if self.has_begun:
             return
-        if self._protocol.our_state is h11.ERROR:
-            self._protocol = h11.Connection(h11.SERVER)
+        # The old one may have taken parts of an answer that were never sent.
+        self._protocol = h11.Connection(h11.SERVER)
         self.send_error(
             ErrorKind.INTERNAL, "an unexpected error in this host", execution=execution
         )
 
     def _write(self, data: bytes) -> None:
+        self.has_begun = True
         try:
             self._connection.sendall(data)
         except OSError as error:
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -232,6 +232,7 @@
         answer = AnswerWriter(
             connection=self._socket,
             protocol=protocol,
+            has_body=request.method != b"HEAD",
             is_closing=is_closing,
             is_leaving=lambda: self._listener.leaving,
         )
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -87,11 +87,7 @@
         )
         outcome = "gone"
         try:
-            outcome = exchange.run()
-        except RequestEndedError as error:
-            outcome = error.kind.value
-            record.reason = str(error)
-            _send_error(answer, error)
+            outcome = _run(exchange, record, answer)
         except Exception as error:
             outcome = ErrorKind.INTERNAL.value
             ran = Execution.UNKNOWN if exchange.may_have_run else Execution.NOT_RUN
@@ -120,6 +116,16 @@
         write_log_entry(log, entry)
 
 
+def _run(exchange: Exchange, record: RequestRecord, answer: AnswerWriter) -> str:
+    """Answer a request, with its own error if need be; return the outcome."""
+    try:
+        return exchange.run()
+    except RequestEndedError as error:
+        record.reason = str(error)
+        _send_error(answer, error)
+        return error.kind.value
+
+
 def _send_error(answer: AnswerWriter, error: RequestEndedError) -> None:
     answer.is_closing |= error.should_reconnect
     if answer.has_begun:
--- a/tests/functional/test_unexpected_errors.py
+++ b/tests/functional/test_unexpected_errors.py
@@ -77,6 +77,8 @@
     (AnswerWriter, "send_piece", STREAMS),
     (AnswerWriter, "end", STREAMS),
     (AnswerWriter, "send_whole", PLAIN),
+    (AnswerWriter, "_start", PATHS),
+    (AnswerWriter, "_write", PATHS),
     (EventStream, "check_end", STREAMS),
     (ConnectionPool, "put", PATHS),
     (CrashReporter, "record_answer", PLAIN),
