Don't end a request while a sound server reads its long body

Callers with bodies of some 400 KB and more got 502 when a server paused for a second before it read them: TCP_USER_TIMEOUT counts the time in which a receive window is closed as unacknowledged. And the time limit of each read was that of the greenlet that sends the rest of the body, which ended without a word after a short pause, so that the server waited for the rest (504).

The options of connections have a module of their own.

--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -12,11 +12,17 @@
 import gevent
 import h11
 from gevent import socket
+from gevent.socket import wait_write
 
 from rosemarystream._internal.exceptions import BackendError, ConnectError
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.loop_share import LoopShare
+from rosemarystream._internal.utils.tcp_options import (
+    LONG_REQUEST_BYTES,
+    limit_unacknowledged,
+    set_socket_options,
+)
 
 Clock = Callable[[], float]
 
@@ -29,11 +35,6 @@
 LATE_READ_S = 0.1
 # Largest body that is read to its end only to keep a connection usable.
 MAX_DISCARDED_BYTES = 65_536
-# A server whose TCP acknowledges nothing for this time counts as unreachable.
-UNACKNOWLEDGED_MS = 900
-PROBE_IDLE_S = 1
-PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
 
 
 class ConnectionBrokenError(BackendError):
@@ -85,6 +86,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._request_events: list[h11.Event] = []
         self._send_greenlet: gevent.Greenlet | None = None
+        self._is_long = False
         self._loop_share = LoopShare()
         self._late_until: float | None = None
 
@@ -129,9 +131,8 @@
         self._request_events.append(h11.EndOfMessage())
         data = self._encode_request()
         try:
-            sent = self._socket._sock.send(data)
-        except BlockingIOError:
-            sent = 0
+            self._allow_long_request(len(data) > LONG_REQUEST_BYTES)
+            sent = self._send_some(memoryview(data))
         except OSError as error:
             raise ConnectionBrokenError(
                 f"sending to {self.address}: {error}"
@@ -143,15 +144,31 @@
         """Encode the request; h11 expects its answer from then on."""
         return b"".join(self._protocol.send(event) for event in self._request_events)
 
+    def _allow_long_request(self, is_long: bool) -> None:
+        if is_long != self._is_long:
+            assert self._socket is not None
+            limit_unacknowledged(self._socket, is_long=is_long)
+            self._is_long = is_long
+
     def _send_remainder(self, data: bytes) -> None:
+        """Send the rest; the time limit of the socket is that of the reads only."""
         assert self._socket is not None
+        rest = memoryview(data)
         try:
-            self._socket.settimeout(None)
-            self._socket.sendall(data)
+            while rest:
+                wait_write(self._socket.fileno())
+                rest = rest[self._send_some(rest) :]
         except OSError:
             # Reading the answer fails with the same error.
             return
 
+    def _send_some(self, data: memoryview) -> int:
+        assert self._socket is not None
+        try:
+            return self._socket._sock.send(data)
+        except BlockingIOError:
+            return 0
+
     def read_head(self, deadline: float) -> ResponseHead:
         """Read the head of the final (not 1xx) answer.
 
@@ -330,14 +347,3 @@
         if len(body) > max_bytes:
             raise AnswerTooLongError(f"{address} sent a body of over {max_bytes} bytes")
     return bytes(body)
-
-
-def set_socket_options(tcp_socket: socket.socket) -> None:
-    """Set options by which the operating system detects dead connections."""
-    tcp = socket.IPPROTO_TCP
-    tcp_socket.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp_socket.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    tcp_socket.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    tcp_socket.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
-    tcp_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
