Answer what a planned stop ends, and finish what it has begun to read

Cause: `leave` returned with greenlets still serving, and the process ended; only requests that had been read whole counted as in progress; the listener went on until the exit. Now the host stops listening, closes idle connections that have no unread bytes, and ends the rest with what is true: 502 outcome_unknown once sent to a server, 503 leaving if not; an answer that has begun breaks off. Requests taken late are due 0.15 s before the end, as a late answer is still read for 0.1 s after its deadline.

Ruled out: answers that are due right before the end.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -33,7 +33,10 @@
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
-from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.request_errors import (
+    HostStoppedError,
+    RequestEndedError,
+)
 from rosemarystream._internal.gateway.request_record import (
     RequestRecord,
     measure_ms_since,
@@ -115,8 +118,7 @@
         self._resolve()
         self._router.record_request(self._service)
         try:
-            while not self._attempt_once():
-                pass
+            self._attempt_until_answered()
             return "answered"
         except RequestEndedError as error:
             if self._failed_answer is None or self._answer.has_begun:
@@ -179,6 +181,13 @@
             )
         return deadline
 
+    def _attempt_until_answered(self) -> None:
+        try:
+            while not self._attempt_once():
+                pass
+        except HostStoppedError as error:
+            raise self._attempts.make_stopped_error() from error
+
     def _attempt_once(self) -> bool:
         """Make the next attempt; return whether the request is answered."""
         placement = self._attempts.choose_next()
@@ -204,6 +213,10 @@
             self._record_unknown_outcome(attempt, error)
             self._relay.check_resumable(str(error))
             self._attempts.check_retry(sent=True, reason=str(error))
+        except HostStoppedError:
+            if attempt.heard_at is not None:
+                self._attempts.record_unknown_outcome()
+            raise
         finally:
             attempt.close()
             self._end_prefill()
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -4,6 +4,7 @@
 disconnect ends the request that is being served.
 """
 
+import socket as plain_socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
     CallerDisconnectedError,
 )
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.request_errors import HostStoppedError
 from rosemarystream._internal.models.log_entries import (
     CallerConnectionBroken,
     RequestRefusedEarly,
@@ -142,10 +144,27 @@
         for connection in [*self._connections]:
             connection.close_if_idle()
 
+    def stop_accepting(self) -> None:
+        """Stop listening; connections that are open go on."""
+        self._server.close()
+
+    def end_requests(self) -> None:
+        """End each request with the answer that is true, if none has begun."""
+        for connection in [*self._connections]:
+            connection.end_request()
+
     def count_busy(self) -> int:
         """Return the number of requests in progress."""
         return sum(connection.busy for connection in self._connections)
 
+    def count_unfinished(self) -> int:
+        """Return the number of requests in progress, being read or being refused."""
+        return sum(not connection.is_idle for connection in self._connections)
+
+    def has_connections(self) -> bool:
+        """Return whether any connection is open."""
+        return bool(self._connections)
+
     def _serve(self, opened: socket.socket, _: object) -> None:
         connection = _CallerConnection(listener=self, opened=opened)
         self._connections.add(connection)
@@ -164,7 +183,10 @@
         self._buffer = b""
         self._received_at = 0.0
         self.busy = False
+        # Whether nothing of a request has been read since the last answer.
+        self.is_idle = True
         self._closed = False
+        self._greenlet = gevent.getcurrent()
         self._held_bytes = 0
         self._refusal: _Refusal | None = None
         self._loop_share = LoopShare()
@@ -174,10 +196,10 @@
         """Serve requests until either side closes."""
         try:
             while not self._closed and self._serve_next():
-                pass
+                self.is_idle = True
             if self._refusal is not None:
                 self._refuse(self._refusal)
-        except CallerDisconnectedError:
+        except (CallerDisconnectedError, HostStoppedError):
             pass
         except OSError as error:
             write_log_entry(log, CallerConnectionBroken(error=str(error)))
@@ -185,11 +207,21 @@
             self._socket.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress or buffered."""
-        if not self.busy and not self._buffer:
+        """Close the connection unless a part of a request has arrived."""
+        if self.is_idle and not self._buffer and not self._has_unread_bytes():
             self._closed = True
             self._socket.close()
 
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self._socket._sock.recv(1, plain_socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def end_request(self) -> None:
+        """End the request that is being read or served."""
+        gevent.kill(self._greenlet, HostStoppedError("this host stops"))
+
     def _serve_next(self) -> bool:
         limits = self._listener.get_limits()
         protocol = h11.Connection(
@@ -205,6 +237,10 @@
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
+        except HostStoppedError as error:
+            if not self.busy and not self.is_idle:
+                self._refusal = _Refusal(ErrorKind.LEAVING, str(error), 0.0)
+            return False
         finally:
             self.busy = False
             self._listener.held_bytes -= self._held_bytes
@@ -298,6 +334,7 @@
                     ErrorKind.BAD_REQUEST, "too many line ends before the request"
                 )
             if self._buffer and deadline is None:
+                self.is_idle = False
                 self._received_at = self._listener.clock()
                 deadline = self._received_at + limits.head_timeout_s
             end = find_head_end(self._buffer)
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -85,6 +85,11 @@
 # Time before the end of a shutdown at which requests in progress are aborted.
 END_MARGIN_S = 0.4
 LEAVE_POLL_S = 0.05
+# Time before that in which the last answers that are due are read.
+LAST_ANSWER_S = 0.15
+# Time in which answers to aborted requests are written.
+LAST_WRITE_S = 0.1
+LAST_WRITE_POLL_S = 0.01
 # Interval of the probes of unreachable services.
 PROBE_S = 0.25
 # Interval of reports to a statsd server.
@@ -493,11 +498,24 @@
             gevent.sleep(LEAVE_POLL_S)
             if self._clock() - began_at < IDLE_CLOSE_S:
                 continue
-            self._relay.end_at(end)
+            self._relay.end_at(end - LAST_ANSWER_S)
             self._caller_listener.close_idle()
-            if not self._caller_listener.count_busy():
+            if not self._caller_listener.count_unfinished():
                 break
-        write_log_entry(log, Stopped(busy=self._caller_listener.count_busy()))
+        self._finish(end)
+
+    def _finish(self, end: float) -> None:
+        """Take no more connections, and end what is still in progress at the end."""
+        listener = self._caller_listener
+        listener.stop_accepting()
+        while listener.has_connections() and self._clock() < end:
+            gevent.sleep(LAST_WRITE_POLL_S)
+            listener.close_idle()
+        write_log_entry(log, Stopped(busy=listener.count_busy()))
+        listener.end_requests()
+        written_by = self._clock() + LAST_WRITE_S
+        while listener.has_connections() and self._clock() < written_by:
+            gevent.sleep(LAST_WRITE_POLL_S)
 
 
 def run_gateway(path: Path) -> int:
--- a/src/rosemarystream/_internal/gateway/request_errors.py
+++ b/src/rosemarystream/_internal/gateway/request_errors.py
@@ -1,4 +1,4 @@
-"""The error with which a request ends before it has an answer of a server."""
+"""Errors with which a request ends before it has an answer of a server."""
 
 from rosemarystream._internal.exceptions import ErrorKind, RosemarystreamError
 
@@ -18,3 +18,10 @@
     ) -> None:
         super().__init__(message, kind=kind, retry_after=retry_after_s)
         self.should_reconnect = False
+
+
+class HostStoppedError(BaseException):
+    """The host stops, and ends the request.
+
+    Not an `Exception`, so that no handler of failed attempts catches it.
+    """
