Take the planned stop out of the process module

gateway/shutdown.py decides when to refuse, to close idle connections and to end what is left (ShutdownPlan, without I/O) and carries it out (Shutdown); gateway/disconnect_watch.py leaves listener.py, which is shorter than before the fix. The switch ignore_disconnects in tests/lib/switches.py follows the move.

--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -19,6 +19,7 @@
     AnswerWriter,
     CallerDisconnectedError,
 )
+from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.request_errors import HostStoppedError
 from rosemarystream._internal.models.log_entries import (
@@ -38,8 +39,6 @@
 
 READ_BYTES = 65_536
 BACKLOG = 1024
-# Bytes of pipelined requests that are buffered while one is being served.
-MAX_PIPELINED_BYTES = 262_144
 # Time in which the rest of a refused request is read and discarded.
 LINGER_TIMEOUT_S = 0.5
 LINGER_BYTES = 1_000_000
@@ -256,7 +255,7 @@
             is_leaving=lambda: self._listener.leaving,
         )
         self._socket.settimeout(self._listener.get_limits().idle_timeout_s)
-        watch = _DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
+        watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
         try:
             self._listener.handler(request, answer)
         finally:
@@ -417,43 +416,3 @@
                 "too many large requests at once",
                 retry_after_s=NO_ROOM_RETRY_S,
             )
-
-
-class _DisconnectWatch:
-    """Detects a caller's disconnect while its request is served.
-
-    Attributes
-    ----------
-    data : bytes
-        Pipelined bytes that were read meanwhile.
-    """
-
-    def __init__(
-        self, *, opened: socket.socket, greenlet: gevent.greenlet.Greenlet
-    ) -> None:
-        self.data = b""
-        self._socket = opened
-        self._greenlet = greenlet
-        # Event mask 1 (readable), and a callback, as in gevent's own socket waits.
-        self._watcher = gevent.get_hub().loop.io(opened.fileno(), 1)
-        self._watcher.start(self._on_readable)
-
-    def _on_readable(self) -> None:
-        try:
-            data = self._socket._sock.recv(READ_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        if not data:
-            self.stop()
-            gevent.kill(self._greenlet, CallerDisconnectedError("closed"))
-            return
-        self.data += data
-        if len(self.data) > MAX_PIPELINED_BYTES:
-            self.stop()
-
-    def stop(self) -> None:
-        """Stop the detection."""
-        self._watcher.stop()
-        self._watcher.close()
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -42,6 +42,7 @@
     list_changes,
     load_gateway_settings,
 )
+from rosemarystream._internal.gateway.shutdown import Shutdown, make_shutdown_plan
 from rosemarystream._internal.gateway.state import StateReport
 from rosemarystream._internal.gateway.state_pulls import StatePuller
 from rosemarystream._internal.gateway.store_watches import (
@@ -53,7 +54,6 @@
     HostExchangeFailed,
     HostFound,
     HostLost,
-    Leaving,
     PromptPartBlocked,
     PromptPartReleased,
     ServersNotReturned,
@@ -62,7 +62,6 @@
     SettingsReloaded,
     SettingsReloadFailed,
     Started,
-    Stopped,
 )
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
@@ -80,16 +79,6 @@
 # the others start as well.
 SEED_ANSWER_S = 0.1
 FIRST_START_SEED_ANSWER_S = 0.6
-# Time after the start of a shutdown from which idle connections are closed.
-IDLE_CLOSE_S = 2.5
-# Time before the end of a shutdown at which requests in progress are aborted.
-END_MARGIN_S = 0.4
-LEAVE_POLL_S = 0.05
-# Time before that in which the last answers that are due are read.
-LAST_ANSWER_S = 0.15
-# Time in which answers to aborted requests are written.
-LAST_WRITE_S = 0.1
-LAST_WRITE_POLL_S = 0.01
 # Interval of the probes of unreachable services.
 PROBE_S = 0.25
 # Interval of reports to a statsd server.
@@ -486,36 +475,14 @@
 
     def leave(self) -> None:
         """Finish the requests in progress, at most for the shutdown time, then stop."""
-        began_at = self._clock()
-        end = began_at + self._settings.bounds.shutdown_ms / 1000 - END_MARGIN_S
-        left_ms = round((end - began_at) * _MS_PER_S, 1)
-        write_log_entry(
-            log, Leaving(busy=self._caller_listener.count_busy(), end_in_ms=left_ms)
-        )
         self._leaving.set()
-        self._caller_listener.leaving = True
-        while self._clock() < end:
-            gevent.sleep(LEAVE_POLL_S)
-            if self._clock() - began_at < IDLE_CLOSE_S:
-                continue
-            self._relay.end_at(end - LAST_ANSWER_S)
-            self._caller_listener.close_idle()
-            if not self._caller_listener.count_unfinished():
-                break
-        self._finish(end)
-
-    def _finish(self, end: float) -> None:
-        """Take no more connections, and end what is still in progress at the end."""
-        listener = self._caller_listener
-        listener.stop_accepting()
-        while listener.has_connections() and self._clock() < end:
-            gevent.sleep(LAST_WRITE_POLL_S)
-            listener.close_idle()
-        write_log_entry(log, Stopped(busy=listener.count_busy()))
-        listener.end_requests()
-        written_by = self._clock() + LAST_WRITE_S
-        while listener.has_connections() and self._clock() < written_by:
-            gevent.sleep(LAST_WRITE_POLL_S)
+        shutdown_s = self._settings.bounds.shutdown_ms / _MS_PER_S
+        Shutdown(
+            plan=make_shutdown_plan(began_at=self._clock(), shutdown_s=shutdown_s),
+            listener=self._caller_listener,
+            refuse_due_after=self._relay.end_at,
+            clock=self._clock,
+        ).run()
 
 
 def run_gateway(path: Path) -> int:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -59,7 +59,7 @@
         self._ends_at: float | None = None
 
     def end_at(self, deadline: float) -> None:
-        """Set when this host stops; requests that may last longer are refused."""
+        """Refuse requests that are due later from now on, as this host stops."""
         self._ends_at = deadline
 
     def serve(self, request: Request, answer: AnswerWriter) -> None:
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -200,9 +200,9 @@
 
 
 def ignore_disconnects():
-    from rosemarystream._internal.gateway.listener import _DisconnectWatch
+    from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 
-    _DisconnectWatch._on_readable = _DisconnectWatch.stop
+    DisconnectWatch._on_readable = DisconnectWatch.stop
 
 
 def keep_removed_servers():
