--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -4,6 +4,7 @@
 disconnect ends the request that is being served.
 """
 
+import socket as plain_socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -18,7 +19,9 @@
     AnswerWriter,
     CallerDisconnectedError,
 )
+from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.request_errors import HostStoppedError
 from rosemarystream._internal.models.log_entries import (
     CallerConnectionBroken,
     RequestRefusedEarly,
@@ -36,8 +39,8 @@
 
 READ_BYTES = 65_536
 BACKLOG = 1024
-# Bytes of pipelined requests that are buffered while one is being served.
-MAX_PIPELINED_BYTES = 262_144
+# Time in which a caller has to take in each piece of an answer.
+WRITE_TIMEOUT_S = 15.0
 # Time in which the rest of a refused request is read and discarded.
 LINGER_TIMEOUT_S = 0.5
 LINGER_BYTES = 1_000_000
@@ -92,6 +95,11 @@
     execution: Execution | None = None
 
 
+_NOT_RUN_FAILURE = _Refusal(
+    ErrorKind.INTERNAL, "an unexpected error in this host", execution=Execution.NOT_RUN
+)
+
+
 class Listener:
     """Accepts connections and passes their requests to a handler.
 
@@ -147,10 +155,27 @@
         for connection in [*self._connections]:
             connection.close_if_idle()
 
+    def stop_accepting(self) -> None:
+        """Stop listening; connections that are open go on."""
+        self._server.close()
+
+    def end_requests(self) -> None:
+        """End each request with the answer that is true, if none has begun."""
+        for connection in [*self._connections]:
+            connection.end_request()
+
     def count_busy(self) -> int:
         """Return the number of requests in progress."""
         return sum(connection.busy for connection in self._connections)
 
+    def count_unfinished(self) -> int:
+        """Return the number of requests in progress, being read or being refused."""
+        return sum(not connection.is_idle for connection in self._connections)
+
+    def has_connections(self) -> bool:
+        """Return whether any connection is open."""
+        return bool(self._connections)
+
     def _serve(self, opened: socket.socket, _: object) -> None:
         connection = _CallerConnection(listener=self, opened=opened)
         self._connections.add(connection)
@@ -169,7 +194,10 @@
         self._buffer = b""
         self._received_at = 0.0
         self.busy = False
+        # Whether nothing of a request has been read since the last answer.
+        self.is_idle = True
         self._closed = False
+        self._greenlet = gevent.getcurrent()
         self._held_bytes = 0
         self._refusal: _Refusal | None = None
         self._loop_share = LoopShare()
@@ -179,10 +207,10 @@
         """Serve requests until either side closes."""
         try:
             while not self._closed and self._serve_next():
-                pass
+                self.is_idle = True
             if self._refusal is not None:
                 self._refuse(self._refusal)
-        except CallerDisconnectedError:
+        except (CallerDisconnectedError, HostStoppedError):
             pass
         except OSError as error:
             write_log_entry(log, CallerConnectionBroken(error=str(error)))
@@ -190,17 +218,30 @@
             self._socket.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress or buffered."""
-        if not self.busy and not self._buffer:
+        """Close the connection unless a part of a request has arrived."""
+        if self.is_idle and not self._buffer and not self._has_unread_bytes():
             self._closed = True
             self._socket.close()
 
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self._socket._sock.recv(1, plain_socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def end_request(self) -> None:
+        """End the request that is being read or served."""
+        gevent.kill(self._greenlet, HostStoppedError("this host stops"))
+
     def _serve_next(self) -> bool:
-        limits = self._listener.get_limits()
-        protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.head_bytes + 1024
-        )
         try:
+            if not self._await_request():
+                return False
+            # Those in force now: the connection may have been idle for long.
+            limits = self._listener.get_limits()
+            protocol = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limits.head_bytes + 1024
+            )
             request = self._read_request(protocol, limits)
             if request is None:
                 return False
@@ -210,16 +251,17 @@
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
+        except HostStoppedError as error:
+            if not self.busy and not self.is_idle:
+                self._refusal = _Refusal(ErrorKind.LEAVING, str(error), 0.0)
+            return False
         except OSError:
             raise
         except Exception as error:
             self._listener.record_error(error)
-            # Only the request was read so far: `_answer` ends what it has begun.
-            self._refusal = _Refusal(
-                ErrorKind.INTERNAL,
-                "an unexpected error in this host",
-                execution=Execution.NOT_RUN,
-            )
+            if not self.busy:
+                self._refusal = _NOT_RUN_FAILURE
+            return False
             return False
         finally:
             self.busy = False
@@ -236,8 +278,8 @@
             is_closing=is_closing,
             is_leaving=lambda: self._listener.leaving,
         )
-        self._socket.settimeout(self._listener.get_limits().idle_timeout_s)
-        watch = _DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
+        self._socket.settimeout(WRITE_TIMEOUT_S)
+        watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
         try:
             self._handle(request, answer)
         finally:
@@ -311,9 +353,15 @@
             event.method, event.target, list(event.headers), body, self._received_at
         )
 
-    def _read_head(self, limits: CallerLimits) -> bytes | None:
-        self._socket.settimeout(limits.idle_timeout_s)
-        deadline: float | None = None
+    def _await_request(self) -> bool:
+        """Wait for the first byte of a request; False if there is none.
+
+        Raises
+        ------
+        _RefusedRequestError
+            If only line ends come.
+        """
+        self._socket.settimeout(self._listener.get_limits().idle_timeout_s)
         skipped = 0
         while True:
             self._loop_share.take_step()
@@ -324,9 +372,22 @@
                 raise _RefusedRequestError(
                     ErrorKind.BAD_REQUEST, "too many line ends before the request"
                 )
-            if self._buffer and deadline is None:
+            if self._buffer:
+                self.is_idle = False
                 self._received_at = self._listener.clock()
-                deadline = self._received_at + limits.head_timeout_s
+                return True
+            try:
+                data = self._socket.recv(READ_BYTES)
+            except TimeoutError:
+                return False
+            if not data:
+                return False
+            self._buffer = data
+
+    def _read_head(self, limits: CallerLimits) -> bytes | None:
+        deadline = self._received_at + limits.head_timeout_s
+        while True:
+            self._loop_share.take_step()
             end = find_head_end(self._buffer)
             if end > limits.head_bytes or (
                 not end and len(self._buffer) > limits.head_bytes
@@ -337,14 +398,11 @@
             if end:
                 head, self._buffer = self._buffer[:end], self._buffer[end:]
                 return head
-            if deadline is not None:
-                remaining_s = deadline - self._listener.clock()
-                self._socket.settimeout(max(0.001, remaining_s))
+            remaining_s = deadline - self._listener.clock()
+            self._socket.settimeout(max(0.001, remaining_s))
             try:
                 data = self._socket.recv(READ_BYTES)
             except TimeoutError:
-                if deadline is None:
-                    return None
                 raise _RefusedRequestError(
                     ErrorKind.SLOW_SENDER, f"no whole head in {limits.head_timeout_s} s"
                 ) from None
@@ -407,43 +465,3 @@
                 "too many large requests at once",
                 retry_after_s=NO_ROOM_RETRY_S,
             )
-
-
-class _DisconnectWatch:
-    """Detects a caller's disconnect while its request is served.
-
-    Attributes
-    ----------
-    data : bytes
-        Pipelined bytes that were read meanwhile.
-    """
-
-    def __init__(
-        self, *, opened: socket.socket, greenlet: gevent.greenlet.Greenlet
-    ) -> None:
-        self.data = b""
-        self._socket = opened
-        self._greenlet = greenlet
-        # Event mask 1 (readable), and a callback, as in gevent's own socket waits.
-        self._watcher = gevent.get_hub().loop.io(opened.fileno(), 1)
-        self._watcher.start(self._on_readable)
-
-    def _on_readable(self) -> None:
-        try:
-            data = self._socket._sock.recv(READ_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        if not data:
-            self.stop()
-            gevent.kill(self._greenlet, CallerDisconnectedError("closed"))
-            return
-        self.data += data
-        if len(self.data) > MAX_PIPELINED_BYTES:
-            self.stop()
-
-    def stop(self) -> None:
-        """Stop the detection."""
-        self._watcher.stop()
-        self._watcher.close()
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -42,6 +42,7 @@
     list_changes,
     load_gateway_settings,
 )
+from rosemarystream._internal.gateway.shutdown import Shutdown, make_shutdown_plan
 from rosemarystream._internal.gateway.state import StateReport
 from rosemarystream._internal.gateway.state_pulls import StatePuller
 from rosemarystream._internal.gateway.store_watches import (
@@ -56,7 +57,6 @@
     HostExchangeFailed,
     HostFound,
     HostLost,
-    Leaving,
     PromptPartBlocked,
     PromptPartReleased,
     ServersNotReturned,
@@ -65,7 +65,6 @@
     SettingsReloaded,
     SettingsReloadFailed,
     Started,
-    Stopped,
 )
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
@@ -83,11 +82,6 @@
 # the others start as well.
 SEED_ANSWER_S = 0.1
 FIRST_START_SEED_ANSWER_S = 0.6
-# Time after the start of a shutdown from which idle connections are closed.
-IDLE_CLOSE_S = 2.5
-# Time before the end of a shutdown at which requests in progress are aborted.
-END_MARGIN_S = 0.4
-LEAVE_POLL_S = 0.05
 # Interval of the probes of unreachable services.
 PROBE_S = 0.25
 # Interval of reports to a statsd server.
@@ -490,23 +484,14 @@
 
     def leave(self) -> None:
         """Finish the requests in progress, at most for the shutdown time, then stop."""
-        began_at = self._clock()
-        end = began_at + self._settings.bounds.shutdown_ms / 1000 - END_MARGIN_S
-        left_ms = round((end - began_at) * _MS_PER_S, 1)
-        write_log_entry(
-            log, Leaving(busy=self._caller_listener.count_busy(), end_in_ms=left_ms)
-        )
         self._leaving.set()
-        self._caller_listener.leaving = True
-        while self._clock() < end:
-            gevent.sleep(LEAVE_POLL_S)
-            if self._clock() - began_at < IDLE_CLOSE_S:
-                continue
-            self._relay.end_at(end)
-            self._caller_listener.close_idle()
-            if not self._caller_listener.count_busy():
-                break
-        write_log_entry(log, Stopped(busy=self._caller_listener.count_busy()))
+        shutdown_s = self._settings.bounds.shutdown_ms / _MS_PER_S
+        Shutdown(
+            plan=make_shutdown_plan(began_at=self._clock(), shutdown_s=shutdown_s),
+            listener=self._caller_listener,
+            refuse_due_after=self._relay.end_at,
+            clock=self._clock,
+        ).run()
 
 
 def run_gateway(path: Path) -> int:
