Keep a silent server's connection until another one begins to answer

The next server is now asked while the first connection stays open. It is taken once it has sent the head of a success; if it refuses, fails or breaks off, or the first server goes on before that, the first is waited for. Servers that are assumed to be gone are not chosen for this. A pause within a late answer to an earlier request no longer costs the one behind it. The recording of outcomes and the counting of an attempt have modules of their own.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -40,8 +40,8 @@
         Is told of answers that are complete.
     on_event : callable
         Called when an event of a stream has arrived.
-    is_left : callable
-        Returns whether a server is left that has been silent until now.
+    leave_silent : callable
+        Called while a server is silent; returns whether it is left.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         crashes: CrashReporter,
         clock: Callable[[], float],
         on_event: Callable[[], None],
-        is_left: Callable[[float], bool],
+        leave_silent: Callable[[], bool],
     ) -> None:
         self._call = call
         self._route = route
@@ -67,7 +67,7 @@
         self._crashes = crashes
         self._clock = clock
         self._on_event = on_event
-        self._is_left = is_left
+        self._leave_silent = leave_silent
         self._stream = EventStream(last_event=call.last_event_id)
         self._loop_share = LoopShare()
         self._stalled_at = 0.0
@@ -164,7 +164,7 @@
             try:
                 return attempt.read_piece(min(self._deadline, self._stalled_at))
             except OutcomeUnknownError as error:
-                if not error.silent or self._is_left(self._clock()):
+                if not error.silent or self._leave_silent():
                     raise
                 self._expect_progress()
 
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -94,6 +94,8 @@
 
     Attributes
     ----------
+    call, endpoint : Call, Endpoint
+        The request and the server.
     reused : bool
         Whether the connection has served earlier requests.
     is_sent : bool
@@ -115,12 +117,14 @@
         on_head: Callable[[AnswerHead], None],
     ) -> None:
         self.endpoint = endpoint
-        self._call = call
+        self.call = call
         self._pool = pool
         self._clock = clock
         self._on_head = on_head
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
+        # Whether the rest of a late answer to an earlier request comes first.
+        self._is_discarding = False
         self.reused = False
         self.is_sent = False
         self.begun_at: float | None = None
@@ -165,7 +169,7 @@
                 raise NotRunError(str(error), sent=False) from error
         self._connection = connection
         headers = encode_call(
-            self._call,
+            self.call,
             wait_s=deadline - self._clock(),
             server=self.endpoint.name,
             workspace=workspace,
@@ -175,14 +179,20 @@
         )
         self.is_sent = True
         try:
-            connection.send(self._call.method, self._call.target, headers, body)
+            connection.send(self.call.method, self.call.target, headers, body)
             self.heard_at = self._clock()
         except ConnectionBrokenError as error:
             raise _convert(error) from error
 
+    def has_more(self) -> bool:
+        """Return whether the server has sent something that hasn't been read."""
+        return self._connection is not None and self._connection.has_data()
+
     def read_head(self, deadline: float) -> AnswerHead:
         """Return the head of the server's answer to this request.
 
+        To be called again if the server was silent until the deadline.
+
         Raises
         ------
         NotRunError
@@ -193,10 +203,13 @@
         assert self._connection is not None
         try:
             for _ in range(MAX_SKIPPED_ANSWERS):
+                if self._is_discarding:
+                    self._connection.discard_late_answer(deadline)
+                    self._is_discarding = False
                 head = decode_answer(*self._connection.read_head(deadline))
-                if head.request_id in ("", self._call.request_id):
+                if head.request_id in ("", self.call.request_id):
                     break
-                self._connection.discard_late_answer(deadline)
+                self._is_discarding = True
             else:
                 raise ConnectionBrokenError("only answers to other requests came")
         except ConnectionBrokenError as error:
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -61,7 +61,6 @@
         self._blocks = blocks
         self._clock = clock
         self._unsent_attempts = 0
-        self._reserved: Placement | None = None
         self.may_have_run = False
 
     @property
@@ -70,54 +69,55 @@
         has_more = self._record.sends + 1 < self._route.max_attempts
         return has_more and self._route.is_repeatable
 
-    def reserve_next(self) -> bool:
-        """Reserve an attempt to follow the one in progress, which may then be left.
+    def choose_early(self) -> Placement | None:
+        """Return the server of an attempt beside the one in progress.
 
-        Returns
-        -------
-        bool
-            False if none is allowed now: the one in progress has to be waited for.
+        It counts as a retry. None if no other attempt is allowed now, so that the one
+        in progress has to be waited for.
         """
         now = self._clock()
         if not self.may_repeat or now >= self._deadline:
-            return False
+            return None
         if self._blocks.find_blocked(self._shared_parts, now) is not None:
-            return False
+            return None
         # Asked first, as `_place` may use up a permission of a limited server.
         if not self._router.has_retry(self._service):
-            return False
-        placement = self._place()
+            return None
+        placement = self._place(may_probe=False)
         if placement is None or not self._router.take_retry(self._service):
-            return False
-        self._reserved = placement
-        return True
+            return None
+        self._record_choice(placement)
+        return placement
 
     def choose_next(self) -> Placement:
-        """Return the server of the next attempt, the reserved one if there is one.
+        """Return the server of the next attempt.
 
         Raises
         ------
         RequestEndedError
             If there is none.
         """
-        placement, self._reserved = self._reserved, None
-        if placement is None:
-            placement = self._choose()
-        self._record.placement = placement
-        self._record.tried.append(placement.endpoint.name)
-        return placement
-
-    def _choose(self) -> Placement:
         if self._clock() >= self._deadline:
             raise self.make_final_error("the time is over")
         self._check_prompt()
-        placement = self._place()
+        placement = self._place(may_probe=True)
         if placement is None:
             raise self._make_unplaced_error()
+        self._record_choice(placement)
         return placement
 
-    def _place(self) -> Placement | None:
-        """Return a server that may be sent the request now, if there is one."""
+    def _record_choice(self, placement: Placement) -> None:
+        self._record.placement = placement
+        self._record.tried.append(placement.endpoint.name)
+
+    def _place(self, *, may_probe: bool) -> Placement | None:
+        """Return a server that may be sent the request now, if there is one.
+
+        Parameters
+        ----------
+        may_probe : bool
+            Whether it may be one that is assumed to be unreachable.
+        """
         limited: list[str] = []
         while True:
             placement = self._router.place(
@@ -126,6 +126,7 @@
                 self._record.call,
                 rank=self._record.rank,
                 exclude=[*self._record.tried, *limited],
+                may_probe=may_probe,
             )
             if placement is None or self._gate.admit(placement.endpoint):
                 return placement
@@ -188,15 +189,11 @@
     def check_retry(self, *, sent: bool, reason: str) -> None:
         """Check that another attempt is allowed, and count it as a retry.
 
-        A reserved one is allowed, and counted already.
-
         Raises
         ------
         RequestEndedError
             If it is not: the final error of the request.
         """
-        if self._reserved is not None:
-            return
         if self.may_have_run and not self._route.is_repeatable:
             raise self.make_final_error(reason)
         if not sent:
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -5,11 +5,9 @@
 """
 
 from collections.abc import Callable
-from contextlib import ExitStack
+from contextlib import closing
 from functools import partial
 
-from logbook import Logger
-
 from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.decisions.prompt_blocks import (
     PromptBlocks,
@@ -28,28 +26,30 @@
     NotRunError,
     OutcomeUnknownError,
 )
+from rosemarystream._internal.gateway.attempt_outcomes import AttemptOutcomes
 from rosemarystream._internal.gateway.attempt_sequence import AttemptSequence
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.counted_attempt import CountedAttempt
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Request
-from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.request_errors import (
     HostStoppedError,
     RequestEndedError,
 )
-from rosemarystream._internal.gateway.request_record import (
-    RequestRecord,
-    measure_ms_since,
-)
+from rosemarystream._internal.gateway.request_record import RequestRecord
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.models.call import Call
-from rosemarystream._internal.models.log_entries import AttemptBroken, AttemptNotRun
 from rosemarystream._internal.models.route import Route
 from rosemarystream._internal.platform.headers import AnswerHead
 
-log = Logger(__name__)
+# Interval at which a silent server is looked at while another one is asked.
+LOOK_INTERVAL_S = 0.02
+
+
+class _NotNeededError(Exception):
+    """The server before goes on, so the other one need not answer."""
 
 
 class Exchange:
@@ -101,7 +101,8 @@
         self._ends_at = ends_at
         self._shared_parts = hash_shared_parts(call.parts)
         self._attempts: AttemptSequence | None = None
-        self._prefilling: Placement | None = None
+        self._current: CountedAttempt | None = None
+        self._successor: CountedAttempt | None = None
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
 
     @property
@@ -165,6 +166,15 @@
             blocks=self._blocks,
             clock=self._clock,
         )
+        self._outcomes = AttemptOutcomes(
+            call=self._call,
+            shared_parts=self._shared_parts,
+            deadline=self._deadline,
+            attempts=self._attempts,
+            router=self._router,
+            crashes=self._crashes,
+            clock=self._clock,
+        )
         self._relay = AnswerRelay(
             call=self._call,
             route=route,
@@ -175,7 +185,7 @@
             crashes=self._crashes,
             clock=self._clock,
             on_event=self._record_first_event,
-            is_left=self._is_left,
+            leave_silent=self._leave_silent,
         )
 
     def _compute_deadline(self, route: Route) -> float:
@@ -198,45 +208,64 @@
 
     def _attempt_once(self) -> bool:
         """Make the next attempt; return whether the request is answered."""
-        placement = self._attempts.choose_next()
-        endpoint = placement.endpoint
+        self._current, self._successor = self._successor, None
+        if self._current is None:
+            self._current = self._begin_attempt(self._attempts.choose_next())
+        with closing(self._current) as current:
+            return self._complete(current)
+
+    def _begin_attempt(self, placement: Placement) -> CountedAttempt:
         attempt = Attempt(
             call=self._call,
-            endpoint=endpoint,
+            endpoint=placement.endpoint,
             pool=self._pool,
             clock=self._clock,
-            on_head=partial(self._router.record_limit, endpoint),
+            on_head=partial(self._router.record_limit, placement.endpoint),
         )
-        with ExitStack() as ends:
-            ends.callback(attempt.close)
-            self._router.begin(endpoint)
-            ends.callback(self._router.end, endpoint)
-            self._router.begin_prefill(placement, self._call)
-            self._prefilling = placement
-            ends.callback(self._end_prefill)
-            return self._complete(attempt, placement)
+        counted = CountedAttempt(
+            attempt=attempt, placement=placement, router=self._router
+        )
+        try:
+            counted.begin()
+        except Exception:
+            counted.close()
+            raise
+        return counted
 
-    def _complete(self, attempt: Attempt, placement: Placement) -> bool:
+    def _complete(self, current: CountedAttempt) -> bool:
         """Make an attempt and record how it ends; return whether it is the last."""
         try:
-            self._run_attempt(attempt, placement)
+            self._run_attempt(current)
             self._record.sends += 1
             return True
         except NotRunError as error:
-            self._record_not_run(attempt, error)
+            self._outcomes.record_not_run(current.attempt, error)
             self._attempts.check_retry(sent=error.sent, reason=str(error))
         except OutcomeUnknownError as error:
-            self._record_unknown_outcome(attempt, error)
-            self._relay.check_resumable(str(error))
-            self._attempts.check_retry(sent=True, reason=str(error))
+            self._outcomes.record_unknown(current.attempt, error)
+            if self._successor is None:
+                self._relay.check_resumable(str(error))
+                self._attempts.check_retry(sent=True, reason=str(error))
         except (Exception, HostStoppedError):
-            self._attempts.may_have_run |= attempt.is_sent
+            self._attempts.may_have_run |= current.attempt.is_sent
             raise
         return False
 
-    def _run_attempt(self, attempt: Attempt, placement: Placement) -> None:
-        source = placement.source
-        attempt.send(
+    def _run_attempt(self, current: CountedAttempt) -> None:
+        attempt = current.attempt
+        head = current.head
+        if head is None:
+            self._send(current)
+            head = self._read_head(attempt)
+        self._router.record_answer(attempt.endpoint, slowness=head.slowness)
+        if head.status >= SERVER_ERROR and self._attempts.may_repeat:
+            self._keep_failure(attempt, head)
+            raise OutcomeUnknownError(f"failed with {head.status}")
+        self._relay.relay(attempt, head)
+
+    def _send(self, current: CountedAttempt) -> None:
+        source = current.placement.source
+        current.attempt.send(
             self._body,
             deadline=self._deadline,
             workspace=self._record.workspace,
@@ -244,14 +273,11 @@
             last_event_id=self._relay.last_event,
             source=source.address if source else None,
         )
-        head = self._read_head(attempt)
-        self._router.record_answer(attempt.endpoint, slowness=head.slowness)
-        if head.status >= SERVER_ERROR and self._attempts.may_repeat:
-            # Relayed to the caller if no later attempt succeeds.
-            body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
-            self._failed_answer = (head, body)
-            raise OutcomeUnknownError(f"failed with {head.status}")
-        self._relay.relay(attempt, head)
+
+    def _keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Keep an answer that is relayed to the caller if no better one follows."""
+        body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
+        self._failed_answer = (head, body)
 
     def _read_head(self, attempt: Attempt) -> AnswerHead:
         """Return the head of the answer; a silent server is left if that is of use."""
@@ -265,61 +291,60 @@
             try:
                 return attempt.read_head(attempt_deadline)
             except OutcomeUnknownError as error:
-                if not error.silent or self._is_left(self._clock()):
+                if not error.silent or self._leave_silent():
                     raise
 
-    def _is_left(self, now: float) -> bool:
-        """Return whether a silent server is left, for another one or for good."""
-        return now >= self._deadline or self._attempts.reserve_next()
+    # Change from a silent server to another one
 
-    def _record_first_event(self) -> None:
-        self._end_prefill()
-        if self._record.first_event_s is None:
-            self._record.first_event_s = self._clock() - self._record.received_at
+    def _leave_silent(self) -> bool:
+        """Leave a silent server if another one begins to answer, or the time is over.
 
-    def _end_prefill(self) -> None:
-        if self._prefilling is not None:
-            self._router.end_prefill(self._prefilling)
-            self._prefilling = None
+        Returns
+        -------
+        bool
+            False if the server has to be waited for.
+        """
+        if self._clock() >= self._deadline:
+            return True
+        placement = self._attempts.choose_early()
+        if placement is None:
+            return False
+        successor = self._begin_attempt(placement)
+        try:
+            self._send(successor)
+            successor.head = self._await_head(successor.attempt)
+        except NotRunError as error:
+            self._outcomes.record_not_run(successor.attempt, error)
+        except OutcomeUnknownError as error:
+            self._outcomes.record_unknown(successor.attempt, error)
+        except _NotNeededError as error:
+            self._outcomes.record_not_needed(successor.attempt, str(error))
+        finally:
+            if successor.head is None:
+                successor.close()
+        if successor.head is not None:
+            self._successor = successor
+        return self._successor is not None
 
-    def _record_not_run(self, attempt: Attempt, error: NotRunError) -> None:
-        entry = AttemptNotRun(
-            request=self._call.request_id,
-            server=attempt.endpoint.name,
-            sent=error.sent,
-            reason=str(error),
-        )
-        write_log_entry(log, entry)
-        self._attempts.record_not_run(sent=error.sent)
-        if error.sent:
-            self._router.record_rejected(attempt.endpoint)
-        else:
-            self._router.record_unreachable(attempt.endpoint)
+    def _await_head(self, attempt: Attempt) -> AnswerHead:
+        """Return the head of a success, unless the server before goes on first."""
+        while True:
+            look_at = min(self._deadline, self._clock() + LOOK_INTERVAL_S)
+            try:
+                head = attempt.read_head(look_at)
+                break
+            except OutcomeUnknownError as error:
+                if not error.silent or self._clock() >= self._deadline:
+                    raise
+            if self._current.attempt.has_more():
+                raise _NotNeededError("the server before has gone on")
+        if head.is_success:
+            return head
+        if head.status >= SERVER_ERROR:
+            self._keep_failure(attempt, head)
+        raise OutcomeUnknownError(f"failed with {head.status}")
 
-    def _record_unknown_outcome(
-        self, attempt: Attempt, error: OutcomeUnknownError
-    ) -> None:
-        self._attempts.record_unknown_outcome()
-        entry = AttemptBroken(
-            request=self._call.request_id,
-            server=attempt.endpoint.name,
-            reused=attempt.reused,
-            silent=error.silent,
-            unreachable=error.unreachable,
-            closed=error.closed,
-            left_early=error.silent and self._clock() < self._deadline,
-            quiet_ms=measure_ms_since(attempt.heard_at, self._clock),
-            answering_ms=measure_ms_since(attempt.begun_at, self._clock),
-            prompt=self._call.format_prompt(),
-            reason=str(error),
-        )
-        write_log_entry(log, entry)
-        if error.closed:
-            self._router.metrics.answers_closed.inc()
-            self._crashes.report_closed(
-                attempt.endpoint, self._call, self._shared_parts
-            )
-        if error.unreachable:
-            self._router.record_unreachable(attempt.endpoint)
-        else:
-            self._router.record_outcome(attempt.endpoint, failed=True)
+    def _record_first_event(self) -> None:
+        self._current.end_prefill()
+        if self._record.first_event_s is None:
+            self._record.first_event_s = self._clock() - self._record.received_at
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -146,6 +146,7 @@
         *,
         rank: int,
         exclude: Sequence[str],
+        may_probe: bool = True,
     ) -> Placement | None:
         """Choose the server for the next attempt of a request.
 
@@ -153,6 +154,8 @@
         ----------
         exclude : sequence of str
             Servers that have been tried already, or don't permit another request.
+        may_probe : bool
+            Whether one may be chosen that is assumed to be unreachable.
 
         Returns
         -------
@@ -162,7 +165,10 @@
         now = self._clock()
         ready = self.replica.list_ready(service)
         untried = [endpoint for endpoint in ready if endpoint.name not in exclude]
-        reachable = self._select_reachable(service, untried, now)
+        if may_probe:
+            reachable = self._select_reachable(service, untried, now)
+        else:
+            reachable = [e for e in untried if not self._is_unresponsive(e, now)]
         candidates = [e for e in reachable if self.limits.is_open(e.number, now)]
         load = self._loads.sum_fleet(now)
         if route.keeps_context and call.parts:
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -311,6 +311,15 @@
         self.idle_since = self._clock()
         return True
 
+    def has_data(self) -> bool:
+        """Return whether bytes have arrived that haven't been read."""
+        if self._socket is None:
+            return False
+        try:
+            return bool(self._socket._sock.recv(1, plain_socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def is_reusable(self) -> bool:
         """Return whether an idle connection is open without unexpected data."""
         if self._socket is None:
--- a/tests/functional/test_entry_requests.py
+++ b/tests/functional/test_entry_requests.py
@@ -4,7 +4,7 @@
 import pytest
 
 from rosemarystream._internal.decisions.placement import PREFILL_S
-from rosemarystream._internal.gateway import exchange
+from rosemarystream._internal.gateway import attempt_outcomes
 from rosemarystream._internal.models.log_entries import AttemptBroken
 from standins.backend_server import ERROR_EVENT, EVENTS, Fault
 from tests.lib.entry_world import (
@@ -62,7 +62,9 @@
 def broken_attempts(monkeypatch):
     """Log entries of the attempts that broke."""
     entries = []
-    monkeypatch.setattr(exchange, "write_log_entry", lambda log, e: entries.append(e))
+    monkeypatch.setattr(
+        attempt_outcomes, "write_log_entry", lambda log, e: entries.append(e)
+    )
     return entries
 
 
--- a/tests/functional/test_unexpected_errors.py
+++ b/tests/functional/test_unexpected_errors.py
@@ -5,7 +5,7 @@
 
 from rosemarystream._internal.gateway import (
     attempt,
-    exchange,
+    attempt_outcomes,
     relay,
     unexpected_errors,
 )
@@ -117,7 +117,7 @@
 def entries(monkeypatch):
     """Log entries of the host."""
     written = []
-    for module in (relay, exchange, unexpected_errors):
+    for module in (relay, attempt_outcomes, unexpected_errors):
         monkeypatch.setattr(
             module, "write_log_entry", lambda log, entry: written.append(entry)
         )
