--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -230,6 +230,25 @@
     stop.wait_gone()
 
 
+def test_a_caller_that_still_sends_at_the_end_reads_the_refusal(stop):
+    caller = Caller(stop.host.ip)
+    caller.socket.settimeout(READ_S)
+    stop.tell()
+    head = f"POST /look/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 90000\r\n\r\n"
+    caller.socket.sendall(head.encode())
+    sending = gevent.spawn(_send_slowly, caller)
+    reply = caller.read()
+    sending.kill()
+    assert (reply.status, reply.complete) == (503, True), reply
+    stop.wait_gone()
+
+
+def _send_slowly(caller):
+    while True:
+        caller.socket.sendall(b"x")
+        gevent.sleep(0.002)
+
+
 def test_a_host_whose_log_is_not_read_takes_nothing_on_at_its_end(tmp_path):
     reading, writing = os.pipe()
     stop = Stop(tmp_path, stdout=writing)
@@ -357,3 +376,22 @@
     statuses = [exchange.reply.status for exchange in exchanges]
     assert problems == []
     assert statuses.count(200) > CLIENTS
+
+
+@pytest.mark.parametrize("after_s", [0.2, 0.5, 0.8, 1.1])
+def test_a_host_that_is_told_to_stop_while_it_starts_loses_no_answer(stop, after_s):
+    stop.host.stop()
+    stop.set_work(0.3)
+    stop.host.start()
+    clients = [Client(stop, number) for number in range(CLIENTS)]
+    running = [gevent.spawn(client.run) for client in clients]
+    gevent.sleep(after_s)
+    stop.tell()
+    wait_until(lambda: stop.host.process.poll() is not None, seconds=GONE_S + 0.5)
+    gevent.joinall(running, timeout=READ_S)
+    run = stop.list_run()
+    exchanges = [exchange for client in clients for exchange in client.exchanges]
+    assert [x for e in exchanges for x in e.list_problems(stop, run)] == []
+    # Before the process has set its handler, the signal ends it at once.
+    assert stop.host.process.returncode in (0, -signal.SIGTERM)
+    assert stop.host.process.returncode == 0 or not run
