Show in tests that an unexpected error ends a loop of a host for good

A watch of the store, the gossip, the housekeeping, the writes of blocks, the probes and the exchange of hosts each run in a greenlet that nothing looks after. The tests raise an error once at each call of a loop's body, and three times in a row at the last, on a host under load, and check afterwards that changes of the store, gossip, blocks and requests go on, and that loop_failures_total has counted each error.

--- /dev/null
+++ b/tests/functional/test_failing_loops.py
@@ -0,0 +1,283 @@
+"""Unexpected errors in the long-lived loops of an entry host under load."""
+
+import itertools
+
+import gevent
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from rosemarystream._internal.decisions.prompt_blocks import BLOCK_S, Block
+from rosemarystream._internal.gateway import store_watches
+from rosemarystream._internal.platform.store import BLOCKED_PARTS, HOSTS, Store
+from tests.lib.entry_world import (
+    METRICS_PORT,
+    World,
+    get,
+    make_configuration,
+    wait_until,
+)
+
+ERRORS_IN_A_ROW = 3
+ALWAYS = 1_000_000
+CALLERS = 4
+# Time for the pauses after a series of errors, and for the work that follows.
+RECOVERY_S = 8.0
+_numbers = itertools.count(20)
+
+
+class OddError(Exception):
+    """An error that no code expects."""
+
+
+class FailingCall:
+    """Makes the next calls of a method raise; others are passed on."""
+
+    def __init__(self, monkeypatch, owner, name, *, concerns=lambda *arguments: True):
+        self.left = 0
+        self._original = getattr(owner, name)
+        self._concerns = concerns
+        original, failing = self._original, self
+
+        def call(*arguments, **named):
+            if failing.left and concerns(*arguments):
+                failing.left -= 1
+                raise OddError(f"odd {name}")
+            return original(*arguments, **named)
+
+        monkeypatch.setattr(owner, name, call)
+
+
+class Load:
+    """Callers that repeat requests until they are stopped."""
+
+    def __init__(self, host):
+        self._host = host
+        self._stopped = False
+        self.replies = []
+        self._callers = [gevent.spawn(self._run, n) for n in range(CALLERS)]
+
+    def _run(self, number):
+        path = "/look/1" if number % 2 else "/brief/1"
+        while not self._stopped:
+            self.replies.append(self._host.call(path))
+            gevent.sleep(0.02)
+
+    def stop(self):
+        self._stopped = True
+        gevent.joinall(self._callers, raise_error=True)
+
+    def list_odd(self):
+        return [x for x in self.replies if x.status != 200 or not x.complete]
+
+
+@pytest.fixture
+def world():
+    created = World()
+    created.add_server("p1")
+    created.add_server("e1", "engines")
+    created.add_host("h1")
+    created.add_host("h2", seeds=["h1"])
+    for host in created.hosts.values():
+        wait_until(lambda host=host: host.list_servers() == ["e1", "p1"])
+        wait_until(lambda host=host: len(host.list_hosts()) == 1)
+    yield created
+    created.stop()
+
+
+@pytest.fixture
+def load(world):
+    created = Load(world.hosts["h1"])
+    yield created
+    created.stop()
+
+
+def list_points(world, loop):
+    """Return object and method of the calls in a loop's body, on the first host."""
+    gateway = world.hosts["h1"].gateway
+    watches = dict(
+        zip(
+            ("configuration_watch", "server_watch", "block_watch"),
+            gateway._watches,
+            strict=True,
+        )
+    )
+    if loop in watches:
+        watch = watches[loop]
+        return [(watch, "_is_watcher"), (watch._store, "watch"), (watch._store, "list")]
+    return {
+        "block_writes": [(gateway._watches[2]._writer, "create")],
+        "gossip_receive": [
+            (gateway._peer_table, "record_alive"),
+            (gateway._loads, "accept_host"),
+            (gateway._contexts, "accept_cache_updates"),
+            (gateway._router.speeds, "accept_reports"),
+            (gateway._router.limits, "accept_reports"),
+            (gateway._puller, "pull_contexts"),
+        ],
+        "gossip_rounds": [
+            (gateway._contexts, "take_cache_updates"),
+            (gateway._blocks, "take_updates"),
+            (gateway._loads, "sum_others_by_host"),
+            (gateway._router.speeds, "list_all"),
+            (gateway._peer_table, "list_unheard"),
+        ],
+        "housekeeping": [
+            (gateway._peer_table, "remove_stale"),
+            (gateway._replica, "expire"),
+            (gateway._peer_table, "take_changes"),
+            (gateway._blocks, "expire"),
+            (gateway._blocks, "take_changes"),
+            (gateway._router, "log_limit_changes"),
+            (gateway._state, "record_version"),
+        ],
+        "service_probes": [(gateway._router, "list_unreachable_services")],
+        "limited_sends": [(gateway._router, "log_limited_sends")],
+    }[loop]
+
+
+def read_metrics(world):
+    text = get(world.hosts["h1"].ip, METRICS_PORT, "/metrics").body.decode()
+    return [
+        sample
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
+
+
+def count_failures(world, loop):
+    return sum(
+        sample.value
+        for sample in read_metrics(world)
+        if sample.name == "rosemarystream_loop_failures_total"
+        and sample.labels["loop"] == loop
+    )
+
+
+def accept_block(world):
+    gateway = world.hosts["h1"].gateway
+    part, now = next(_numbers), gateway._clock()
+    gateway._blocks.accept_block(
+        Block(part, now, now + BLOCK_S), now, is_forwarded=True
+    )
+    return f"{part:016x}"
+
+
+def list_records(world):
+    store = Store(address=world.store.address, clock=lambda: 0.0)
+    try:
+        return [item.name for item in store.list(BLOCKED_PARTS).objects]
+    finally:
+        store.close()
+
+
+def check_all_works(world):
+    """Check the work of each loop on all hosts."""
+    hosts = world.hosts.values()
+    number = next(_numbers)
+    world.store.write("config", "main", make_configuration(number))
+    server = world.add_server(f"p{number}")
+    record = accept_block(world)
+    for host in hosts:
+        wait_until(lambda host=host: host.get_version() == number, RECOVERY_S)
+        wait_until(
+            lambda host=host: server.name in host.list_servers("plain"), RECOVERY_S
+        )
+        wait_until(
+            lambda host=host: record in host.read_state()["blocked_parts"], RECOVERY_S
+        )
+        wait_until(lambda host=host: len(host.list_hosts()) == 1, RECOVERY_S)
+    wait_until(lambda: record in list_records(world), RECOVERY_S)
+    wait_until(lambda: is_called(world, server), RECOVERY_S)
+
+
+def is_called(world, server):
+    for host in world.hosts.values():
+        assert host.call("/look/1").status == 200
+    return server.arrivals > 0
+
+
+def provoke(world):
+    """Give the loops work: listings of the store, and a block to write."""
+    world.store.drop_history()
+    accept_block(world)
+
+
+def fail_calls(world, failing, count):
+    failing.left = count
+    with gevent.Timeout(RECOVERY_S, AssertionError(f"{failing.left} calls not made")):
+        while failing.left:
+            provoke(world)
+            gevent.sleep(0.2)
+
+
+@pytest.mark.parametrize(
+    "loop",
+    [
+        "configuration_watch",
+        "server_watch",
+        "block_watch",
+        "block_writes",
+        "gossip_receive",
+        "gossip_rounds",
+        "housekeeping",
+        "service_probes",
+        "limited_sends",
+    ],
+)
+def test_a_loop_goes_on_after_unexpected_errors(world, load, monkeypatch, loop):
+    for owner, name in list_points(world, loop):
+        failing = FailingCall(monkeypatch, owner, name)
+        fail_calls(world, failing, 1)
+    fail_calls(world, failing, ERRORS_IN_A_ROW)
+    check_all_works(world)
+    expected = len(list_points(world, loop)) + ERRORS_IN_A_ROW
+    assert count_failures(world, loop) >= expected
+    assert load.replies
+    assert load.list_odd() == []
+
+
+def test_an_entry_of_the_store_that_raises_keeps_no_other_from_use(world, monkeypatch):
+    failing = FailingCall(
+        monkeypatch,
+        store_watches,
+        "decode_endpoint",
+        concerns=lambda name, *_: name == "odd",
+    )
+    failing.left = ALWAYS
+    world.store.write("servers", "odd", {"address": "none"})
+    wait_until(lambda: failing.left < ALWAYS)
+    check_all_works(world)
+    gevent.sleep(2.0)
+    seen = failing.left
+    gevent.sleep(2.0)
+    assert failing.left == seen
+    assert count_failures(world, "server_watch") == ALWAYS - seen
+
+
+def test_a_message_that_raises_keeps_no_other_from_receipt(world, monkeypatch):
+    world.add_host("h3", seeds=["h1"])
+    peer_table = world.hosts["h1"].gateway._peer_table
+    wait_until(lambda: world.hosts["h1"].list_hosts() == ["h2", "h3"])
+    failing = FailingCall(
+        monkeypatch, peer_table, "record_alive", concerns=lambda name, *_: name == "h3"
+    )
+    failing.left = ALWAYS
+    wait_until(lambda: world.hosts["h1"].list_hosts() == ["h2"])
+    for _ in range(20):
+        gevent.sleep(0.05)
+        assert "h2" in world.hosts["h1"].list_hosts()
+    assert count_failures(world, "gossip_receive") > 0
+
+
+def test_a_host_registers_in_the_store_after_unexpected_errors(monkeypatch):
+    failing = FailingCall(
+        monkeypatch, Store, "put", concerns=lambda store, kind, *_: kind == HOSTS
+    )
+    failing.left = ERRORS_IN_A_ROW
+    world = World()
+    try:
+        world.add_host("h1")
+        wait_until(lambda: HOSTS in world.store._objects, RECOVERY_S)
+        assert count_failures(world, "host_exchange") == ERRORS_IN_A_ROW
+    finally:
+        world.stop()
