Run all loops of an entry host under a supervisor

What callers saw: changes of servers and of the configuration no longer arrived at a host, its gossip stopped, or blocks no longer lapsed, after one unexpected error in the loop concerned. Nothing in the logs or metrics told of it.

Cause: each loop ran in a greenlet of its own, which ends with the first error that its body doesn't expect, with a trace on standard error only.

All long-lived loops are now started by the supervisor. An unexpected error is logged with type and trace ('loop failed', without the text of the error, which may quote a caller), counted (loop_failures_total) and shown in the state dump (failing_loops); the loop starts again after a pause that grows from 0.1 to 1 s, and begins anew after 3 s of sound work. A watch reports the store as lost, so that another host follows it, and lists anew. One message or store entry that raises is dropped and counted without a pause; a change that was kept out is read once more with a new listing. Background work that ends by itself (pulls and their answers, checks of crashed servers, reload) is logged and counted as 'task failed' and task_failures_total; pulls pause for 1 s.

Ruled out: joining the greenlets in the main one, which would end the host with its first error.

Constructors of watches, puller, peering, relay and crash reporter get a supervisor; three tests that build them pass one, nothing else in them has changed.

--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -41,6 +41,7 @@
     """Watches the blocked prompt parts, and writes those that hosts have found."""
 
     kind = BLOCKED_PARTS
+    loop = "block_watch"
 
     def __init__(
         self,
@@ -60,7 +61,9 @@
     def start(self) -> None:
         """Start to watch, and to write."""
         super().start()
-        self._write_task = gevent.spawn(self._write_blocks)
+        self._write_task = self._supervisor.start_loop(
+            "block_writes", self._write_blocks
+        )
 
     def stop(self) -> None:
         """Stop watching and writing."""
@@ -71,7 +74,7 @@
 
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
         for item in objects:
-            self._accept(item, False, revision)
+            self._accept_safely(item, False, revision)
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         try:
@@ -95,6 +98,7 @@
         self._blocks.accept_block(Block(part, began_at, until), now, is_forwarded=True)
 
     def _write_blocks(self) -> None:
+        self._writer.close()
         while True:
             gevent.sleep(WRITE_INTERVAL_S)
             if not self._has_blocks() or not self._is_watcher():
--- a/src/rosemarystream/_internal/gateway/crash_reporter.py
+++ b/src/rosemarystream/_internal/gateway/crash_reporter.py
@@ -12,6 +12,7 @@
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.log_entries import ServerCrashed
@@ -39,11 +40,13 @@
         pool: ConnectionPool,
         router: Router,
         clock: Callable[[], float],
+        supervisor: Supervisor,
     ) -> None:
         self._blocks = blocks
         self._pool = pool
         self._router = router
         self._clock = clock
+        self._supervisor = supervisor
         self._checks: dict[int, gevent.Greenlet] = {}
         self._crashed = BoundedDict[int, None](most=MAX_CRASHED)
 
@@ -58,7 +61,7 @@
             Numbers of the shared parts of the call's prompt, also below.
         """
         if parts:
-            gevent.spawn(self._check, endpoint, call, parts)
+            self._start_check(endpoint, call, parts, False)
 
     def report_ended(
         self, endpoint: Endpoint, call: Call, parts: tuple[int, ...]
@@ -69,20 +72,22 @@
         because of that, and if it isn't, it has answered.
         """
         if parts and not self._blocks.are_answered(parts, self._clock()):
-            gevent.spawn(self._check, endpoint, call, parts, is_answered=True)
+            self._start_check(endpoint, call, parts, True)
 
     def record_answer(self, call: Call, parts: tuple[int, ...]) -> None:
         """Record that an engine has answered a request and goes on running."""
         if call.parts:
             self._blocks.record_answer(parts, self._clock())
 
+    def _start_check(
+        self, endpoint: Endpoint, call: Call, parts: tuple[int, ...], is_answered: bool
+    ) -> None:
+        self._supervisor.start_task(
+            "crash_check", self._check, endpoint, call, parts, is_answered
+        )
+
     def _check(
-        self,
-        endpoint: Endpoint,
-        call: Call,
-        parts: tuple[int, ...],
-        *,
-        is_answered: bool = False,
+        self, endpoint: Endpoint, call: Call, parts: tuple[int, ...], is_answered: bool
     ) -> None:
         server = hash_name_32(f"{endpoint.name}/{endpoint.incarnation}")
         if not self._has_crashed(server, endpoint):
@@ -103,7 +108,8 @@
             return True
         check = self._checks.get(server)
         if check is None:
-            check = self._checks[server] = gevent.spawn(self._is_gone, endpoint)
+            check = self._supervisor.start_task("probe", self._is_gone, endpoint)
+            self._checks[server] = check
             check.link(lambda _: self._checks.pop(server, None))
         if not check.get():
             return False
--- a/src/rosemarystream/_internal/gateway/logs.py
+++ b/src/rosemarystream/_internal/gateway/logs.py
@@ -195,11 +195,12 @@
 
 
 def set_up_gateway_logs(*, host: str, level: str) -> QueuedJsonHandler:
-    """Send all logs of the process to standard output as JSON lines."""
+    """Send all logs of the process to standard output as JSON lines.
+
+    The caller starts the loops that write them (`write_queued`, `report_dropped`).
+    """
     logbook.concurrency.enable_gevent()
     handler = QueuedJsonHandler(host=host, level=level, descriptor=sys.stdout.fileno())
     log_filter.minimum_level = handler.level
     handler.push_application()
-    gevent.spawn(handler.write_queued)
-    gevent.spawn(handler.report_dropped)
     return handler
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -87,6 +87,12 @@
             "Errors that no code expects, raised while requests were served",
             "error",
         )
+        self.loop_failures = counter(
+            "loop_failures", "Unexpected errors in loops of this host", "loop"
+        )
+        self.task_failures = counter(
+            "task_failures", "Unexpected errors that ended background work", "task"
+        )
         self.prompt_tokens = counter(
             "prompt_tokens", "Prompt tokens sent to engines that keep context"
         )
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -32,6 +32,7 @@
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.gateway.state_pulls import StatePuller
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import (
     CrashUpdates,
     GossipMessage,
@@ -67,6 +68,8 @@
 # Time for which another host's report that it has lost the store is valid.
 STORE_REPORT_LIFE_S = 1.5
 
+RECEIVE_LOOP = "gossip_receive"
+
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
 _encode = msgspec.msgpack.encode
 
@@ -126,6 +129,8 @@
         Returns the numbers of the servers that this host has ejected.
     on_ejections : callable
         Called with the numbers of the servers that another host has ejected.
+    supervisor : Supervisor
+        Runs the rounds and the receipt of messages.
 
     Attributes
     ----------
@@ -153,6 +158,7 @@
         list_ejected: Callable[[], list[int]],
         on_ejections: Callable[[list[int]], None],
         metrics: GatewayMetrics,
+        supervisor: Supervisor,
     ) -> None:
         self._this_host = this_host
         self._port = port
@@ -171,6 +177,7 @@
         self._list_ejected = list_ejected
         self._on_ejections = on_ejections
         self._metrics = metrics
+        self._supervisor = supervisor
         self._rounds = 0
         self._reported_requests = 0
         self._reported_at = 0.0
@@ -182,7 +189,11 @@
     def start(self) -> None:
         """Start to receive, and to send in rounds; the seeds are contacted first."""
         self._socket.bind((self._this_host.ip, self._port))
-        self._tasks = [gevent.spawn(self._receive), gevent.spawn(self._run_rounds)]
+        start_loop = self._supervisor.start_loop
+        self._tasks = [
+            start_loop(RECEIVE_LOOP, self._receive, is_needed=True),
+            start_loop("gossip_rounds", self._run_rounds, is_needed=True),
+        ]
 
     def stop(self) -> None:
         """Stop sending and receiving."""
@@ -408,7 +419,7 @@
                 write_log_entry(log, GossipFailed(error=str(error)))
                 gevent.sleep(GOSSIP_INTERVAL_S)
                 continue
-            self.accept_datagram(data, ip)
+            self._supervisor.run_step(RECEIVE_LOOP, self.accept_datagram, data, ip)
 
     def accept_datagram(self, data: bytes, ip: str) -> None:
         """Apply a message of another host; an unreadable one is logged."""
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -32,7 +32,7 @@
     set_up_gateway_logs,
     write_log_entry,
 )
-from rosemarystream._internal.gateway.metrics import GatewayMetrics, StatsdSender
+from rosemarystream._internal.gateway.metrics import StatsdSender
 from rosemarystream._internal.gateway.peering import Peering
 from rosemarystream._internal.gateway.relay import Relay
 from rosemarystream._internal.gateway.router import Router
@@ -48,6 +48,7 @@
     ConfigurationWatch,
     ServerWatch,
 )
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.log_entries import (
     HostExchangeFailed,
@@ -108,6 +109,8 @@
         File of the settings; read again on SIGHUP.
     count_dropped_entries : callable
         Returns the number of log entries dropped since the start.
+    supervisor : Supervisor, optional
+        Runs the loops of the process.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         settings: GatewaySettings,
         path: Path,
         count_dropped_entries: Callable[[], int] = lambda: 0,
+        supervisor: Supervisor | None = None,
     ) -> None:
         self._settings = settings
         self._path = path
@@ -132,7 +136,8 @@
         self._loads = LoadTable()
         self._contexts = ContextMap()
         self._blocks = PromptBlocks()
-        self._metrics = GatewayMetrics()
+        self._supervisor = supervisor or Supervisor(clock=self._clock)
+        self._metrics = self._supervisor.metrics
         self._pool = ConnectionPool(clock=self._clock)
         self._router = Router(
             data_centre=host.data_centre,
@@ -154,6 +159,7 @@
             contexts=self._contexts,
             blocks=self._blocks,
             on_change=self._forget_departed,
+            supervisor=self._supervisor,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -181,6 +187,7 @@
             list_ejected=self._router.list_ejected,
             on_ejections=self._router.accept_ejections,
             metrics=self._metrics,
+            supervisor=self._supervisor,
         )
         self._watches = [
             watch(
@@ -189,6 +196,7 @@
                 replica=self._replica,
                 is_watcher=self._is_watcher,
                 on_change=self._announce,
+                supervisor=self._supervisor,
             )
             for watch in (
                 self._make_configuration_watch,
@@ -202,6 +210,7 @@
             gate=self._gate,
             blocks=self._blocks,
             clock=self._clock,
+            supervisor=self._supervisor,
         )
         self._caller_listener = Listener(
             address=host.caller_address,
@@ -230,6 +239,7 @@
             loads=self._loads,
             router=self._router,
             blocks=self._blocks,
+            list_failing_loops=self._supervisor.list_failing,
             count_busy=self._caller_listener.count_busy,
             count_dropped_entries=count_dropped_entries,
         )
@@ -254,7 +264,9 @@
         """Serve until SIGTERM; returns the exit code."""
         gevent.signal_handler(signal.SIGTERM, self._leaving.set)
         gevent.signal_handler(signal.SIGINT, self._leaving.set)
-        gevent.signal_handler(signal.SIGHUP, self._reload)
+        gevent.signal_handler(
+            signal.SIGHUP, self._supervisor.run_task, "reload", self._reload
+        )
         self.start()
         gc.freeze()
         self._leaving.wait()
@@ -269,14 +281,17 @@
         self._metrics_listener.start()
         self._puller.start()
         self._peering.start()
+        start_loop = self._supervisor.start_loop
         self._tasks = [
-            gevent.spawn(self._start_watches),
-            gevent.spawn(self._run_housekeeping),
-            gevent.spawn(self._probe_services),
-            gevent.spawn(self._log_limited_sends),
+            self._supervisor.start_task(
+                "watch_start", self._start_watches, delay_s=self._get_seed_wait()
+            ),
+            start_loop("housekeeping", self._run_housekeeping, is_needed=True),
+            start_loop("service_probes", self._probe_services, is_needed=True),
+            start_loop("limited_sends", self._log_limited_sends),
         ]
         if self._settings.metrics.statsd:
-            self._tasks.append(gevent.spawn(self._send_statsd))
+            self._tasks.append(start_loop("statsd", self._send_statsd))
 
     def stop(self) -> None:
         """Stop without finishing requests, as a killed process would."""
@@ -316,18 +331,24 @@
         self._pool.close_others(endpoints)
         self._router.forget_departed(endpoints)
 
-    def _start_watches(self) -> None:
-        """Start the store watches after the seeds have had time to answer.
+    def _get_seed_wait(self) -> float:
+        """Return the time that seeds have to answer before the store is watched.
 
         By then a host knows whether it is a collector, so that few hosts query the
         store. After a restart the wait is short: if no other host is up either, as
         after a power loss, quick recovery matters more than few queries.
         """
         first_start = self._settings.host.first_start
-        gevent.sleep(FIRST_START_SEED_ANSWER_S if first_start else SEED_ANSWER_S)
+        return FIRST_START_SEED_ANSWER_S if first_start else SEED_ANSWER_S
+
+    def _start_watches(self) -> None:
         for watch in self._watches:
             watch.start()
-        self._exchange_hosts_with_store()
+        self._tasks.append(
+            self._supervisor.start_loop(
+                "host_exchange", self._exchange_hosts_with_store
+            )
+        )
 
     def _exchange_hosts_with_store(self) -> None:
         """Register this host in the store while it is a collector; read the others."""
@@ -504,8 +525,14 @@
     """Run an entry host with the settings of a file; return the exit code."""
     settings = load_gateway_settings(path)
     handler = set_up_gateway_logs(host=settings.host.name, level=settings.log.level)
+    supervisor = Supervisor(clock=time.monotonic)
+    supervisor.start_loop("log_writes", handler.write_queued)
+    supervisor.start_loop("log_drop_reports", handler.report_dropped)
     gateway = Gateway(
-        settings=settings, path=path, count_dropped_entries=lambda: log_filter.dropped
+        settings=settings,
+        path=path,
+        count_dropped_entries=lambda: log_filter.dropped,
+        supervisor=supervisor,
     )
     code = gateway.run()
     handler.flush_at_end()
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -17,6 +17,7 @@
 from rosemarystream._internal.gateway.request_record import RequestRecord
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.gateway.unexpected_errors import (
     record_unexpected_error,
 )
@@ -36,6 +37,8 @@
         Prompt parts whose requests are rejected.
     gate : LimitGate
         Permits requests to servers that limit them.
+    supervisor : Supervisor
+        Runs the checks of servers that may have crashed.
     """
 
     def __init__(
@@ -46,13 +49,18 @@
         gate: LimitGate,
         blocks: PromptBlocks,
         clock: Callable[[], float],
+        supervisor: Supervisor,
     ) -> None:
         self._router = router
         self._pool = pool
         self._gate = gate
         self._blocks = blocks
         self._crashes = CrashReporter(
-            blocks=blocks, pool=pool, router=router, clock=clock
+            blocks=blocks,
+            pool=pool,
+            router=router,
+            clock=clock,
+            supervisor=supervisor,
         )
         self._routes = RouteLookup(replica=router.replica, clock=clock)
         self._clock = clock
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -12,6 +12,7 @@
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.metrics import HostGauges
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.supervisor import FailingLoop
 
 # Value of `heard_ms` for a host that has never given a sign of life.
 NEVER_HEARD_MS = -1.0
@@ -64,6 +65,8 @@
     blocked_parts : dict of str to float
         Numbers of the prompt parts whose requests are rejected, as in the store, with
         the time until the end of the block in seconds.
+    failing_loops : dict of str to FailingLoop
+        Loops of the host that have failed and don't count as sound yet.
     """
 
     host: str
@@ -76,6 +79,7 @@
     workspaces: list[str]
     out_of_reach: list[str]
     blocked_parts: dict[str, float]
+    failing_loops: dict[str, FailingLoop]
     is_collector: bool
     collectors: list[str]
     servers: dict[str, ServerState]
@@ -87,6 +91,8 @@
 
     Parameters
     ----------
+    list_failing_loops : callable
+        Returns the loops that don't count as sound.
     count_busy : callable
         Returns the number of requests in progress.
     count_dropped_entries : callable
@@ -109,6 +115,7 @@
         loads: LoadTable,
         router: Router,
         blocks: PromptBlocks,
+        list_failing_loops: Callable[[], dict[str, FailingLoop]],
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
     ) -> None:
@@ -120,6 +127,7 @@
         self._loads = loads
         self._router = router
         self._blocks = blocks
+        self._list_failing_loops = list_failing_loops
         self._count_busy = count_busy
         self._count_dropped_entries = count_dropped_entries
         self._version = 0
@@ -167,6 +175,7 @@
                 format_part(block.part): round(block.until - now, 1)
                 for block in self._blocks.list_blocks()
             },
+            failing_loops=self._list_failing_loops(),
             is_collector=self._name in collectors,
             collectors=collectors,
             servers=self._list_servers(now),
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -7,6 +7,7 @@
 import struct
 import zlib
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 import msgspec
@@ -19,6 +20,7 @@
 from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import accept_document
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import (
     CrashUpdates,
     PullAnswer,
@@ -37,6 +39,8 @@
 DOCUMENT_TIMEOUT_S = 4.0
 # Time after a failed pull in which no other one is started.
 FAILURE_PAUSE_S = 0.25
+# The same after an unexpected error, which the next answer may raise again.
+UNEXPECTED_ERROR_PAUSE_S = 1.0
 # Hosts that a host asks for the map of cached prompt parts after its start.
 CONTEXT_PULLS = 3
 # Most entries of that map in an answer, so that it stays below the size of a frame.
@@ -63,6 +67,8 @@
         Where this host listens; the port is the same on all hosts.
     on_change : callable
         Called after the replica has changed.
+    supervisor : Supervisor
+        Runs the pulls.
     """
 
     def __init__(
@@ -74,6 +80,7 @@
         contexts: ContextMap,
         blocks: PromptBlocks,
         on_change: Callable[[], None],
+        supervisor: Supervisor,
     ) -> None:
         self._port = address[1]
         self._clock = clock
@@ -82,10 +89,11 @@
         self._blocks = blocks
         self._contexts_from: set[str] = set()
         self._on_change = on_change
+        self._supervisor = supervisor
         self._active_pulls: set[str] = set()
         self._paused_until = 0.0
         self._compressed = (0, b"")
-        self._server = StreamServer(address, self._serve)
+        self._server = StreamServer(address, self._serve_safely)
 
     def start(self) -> None:
         """Start listening."""
@@ -119,10 +127,17 @@
         if kind in self._active_pulls or self._clock() < self._paused_until:
             return False
         self._active_pulls.add(kind)
-        gevent.spawn(self._pull, kind, ip, request)
+        self._supervisor.start_task("pull", self._pull, kind, ip, request)
         return True
 
     def _pull(self, kind: str, ip: str, request: PullRequest) -> None:
+        try:
+            self._exchange(kind, ip, request)
+        except Exception:
+            self._paused_until = self._clock() + UNEXPECTED_ERROR_PAUSE_S
+            raise
+
+    def _exchange(self, kind: str, ip: str, request: PullRequest) -> None:
         timeout_s = _get_timeout(request)
         try:
             with (
@@ -163,6 +178,9 @@
             return False
         return accept_document(self._replica, document)
 
+    def _serve_safely(self, connection: socket.socket, address: Any) -> None:
+        self._supervisor.run_task("pull_answer", self._serve, connection, address)
+
     def _serve(self, connection: socket.socket, _: object) -> None:
         try:
             with connection:
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -12,6 +12,7 @@
 
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.log_entries import (
     ConfigurationActivated,
@@ -71,6 +72,8 @@
 
     Parameters
     ----------
+    supervisor : Supervisor
+        Runs the watch.
     is_watcher : callable
         Returns whether this host is a watcher now.
     on_change : callable
@@ -83,6 +86,7 @@
     """
 
     kind: str
+    loop: str
 
     def __init__(
         self,
@@ -92,19 +96,21 @@
         replica: Replica,
         is_watcher: Callable[[], bool],
         on_change: Callable[[], None],
+        supervisor: Supervisor,
     ) -> None:
         self._store = store
         self._clock = clock
         self._replica = replica
         self._is_watcher = is_watcher
         self._on_change = on_change
+        self._supervisor = supervisor
         self._task: gevent.Greenlet | None = None
         self._revision: int | None = None
         self.lost_at: float | None = None
 
     def start(self) -> None:
         """Start the watch: list the objects once, then follow their changes."""
-        self._task = gevent.spawn(self._run)
+        self._task = self._supervisor.start_loop(self.loop, self._run)
 
     def stop(self) -> None:
         """Stop watching."""
@@ -113,6 +119,16 @@
         self._store.close()
 
     def _run(self) -> None:
+        """Follow the store from a new listing; another host does after an error."""
+        self._store.close()
+        self._revision = None
+        try:
+            self._follow()
+        except Exception as error:
+            self._report_lost(f"unexpected {type(error).__name__}")
+            raise
+
+    def _follow(self) -> None:
         pause_s = FIRST_PAUSE_S
         while True:
             if not self._is_watcher():
@@ -144,20 +160,31 @@
             self._revision = listing.revision
             return
         wait_s = self._choose_wait()
-        overdue = gevent.spawn_later(wait_s + OVERDUE_AFTER_S, self._mark_overdue)
+        overdue = self._supervisor.start_task(
+            "overdue_answer", self._mark_overdue, delay_s=wait_s + OVERDUE_AFTER_S
+        )
         try:
             changes = self._store.watch(self.kind, self._revision, wait_s)
         finally:
             overdue.kill(block=False)
-        changed = False
-        for change in changes.changes:
-            changed |= self._accept(change.object, change.deleted, changes.revision)
-        self._revision = changes.revision
-        if changed:
+        changed = [
+            self._accept_safely(change.object, change.deleted, changes.revision)
+            for change in changes.changes
+        ]
+        # What an error kept out is read once more, with a new listing.
+        self._revision = None if None in changed else changes.revision
+        if any(changed):
             self._on_change()
         # Changes that follow closely then arrive in one call.
         gevent.sleep(BATCH_S)
 
+    def _accept_safely(
+        self, item: StoredObject, deleted: bool, revision: int
+    ) -> bool | None:
+        """Apply an entry; return None if an unexpected error kept it out."""
+        accept = self._accept
+        return self._supervisor.run_step(self.loop, accept, item, deleted, revision)
+
     def _choose_wait(self) -> float:
         """Return how long a call waits at the store for the first change."""
         return WATCH_TIMEOUT_S
@@ -201,6 +228,7 @@
     """
 
     kind = CONFIGURATION
+    loop = "configuration_watch"
 
     def __init__(
         self,
@@ -215,7 +243,7 @@
         return SHORT_WATCH_TIMEOUT_S if self._keeps_waits_short() else WATCH_TIMEOUT_S
 
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
-        changed = [self._accept(item, False, revision) for item in objects]
+        changed = [self._accept_safely(item, False, revision) for item in objects]
         if any(changed):
             self._on_change()
 
@@ -232,13 +260,15 @@
     """Watches the registered servers."""
 
     kind = SERVERS
+    loop = "server_watch"
 
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
         if self.lost_at is not None:
             self._replica.begin_store_recovery(self._clock())
-        endpoints = [
-            endpoint for item in objects if (endpoint := self._decode(item)) is not None
+        decoded = [
+            self._supervisor.run_step(self.loop, self._decode, item) for item in objects
         ]
+        endpoints = [endpoint for endpoint in decoded if endpoint is not None]
         changed = self._replica.accept_listing(endpoints, revision, self._clock())
         if changed:
             write_log_entry(log, ServersListed(news=changed, revision=revision))
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -12,6 +12,7 @@
 # Maximum rate per kind of entries written by a host; entries beyond it are counted.
 ENTRIES_PER_S = 50
 REQUEST_ENTRIES_PER_S = 100
+FAILURE_ENTRIES_PER_S = 10
 
 
 class LogEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -193,6 +194,61 @@
     trace: list[str]
 
 
+class LoopFailed(LogEntry, frozen=True, kw_only=True):
+    """An unexpected error ended a loop of the host, or one step of it.
+
+    Attributes
+    ----------
+    loop : str
+        Name of the loop.
+    error : str
+        Type of the error.
+    trace : list of str
+        Calls that led to it, as file, line and function; the innermost is the last.
+    pause_ms : float
+        Time until the loop starts again; 0 if it went on with the next step.
+    """
+
+    message = "loop failed"
+    level = ERROR
+    limit_per_s = FAILURE_ENTRIES_PER_S
+    loop: str
+    error: str
+    trace: list[str]
+    pause_ms: float
+
+    @property
+    def kind(self) -> str:
+        """Loops have separate limits, so that each is seen to fail."""
+        return f"{self.message} {self.loop}"
+
+
+class TaskFailed(LogEntry, frozen=True, kw_only=True):
+    """An unexpected error ended work in the background; it is not repeated.
+
+    Attributes
+    ----------
+    task : str
+        Name of the kind of work.
+    error : str
+        Type of the error.
+    trace : list of str
+        Calls that led to it, as file, line and function; the innermost is the last.
+    """
+
+    message = "task failed"
+    level = ERROR
+    limit_per_s = FAILURE_ENTRIES_PER_S
+    task: str
+    error: str
+    trace: list[str]
+
+    @property
+    def kind(self) -> str:
+        """Kinds of work have separate limits."""
+        return f"{self.message} {self.task}"
+
+
 class ServerCrashed(LogEntry, frozen=True, kw_only=True):
     """A server ended while it worked on a request: it refuses connections.
 
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -1,6 +1,7 @@
 """Unexpected errors in the long-lived loops of an entry host under load."""
 
 import itertools
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -18,6 +19,10 @@
 )
 
 ERRORS_IN_A_ROW = 3
+FAILURE_COUNTERS = (
+    "rosemarystream_loop_failures_total",
+    "rosemarystream_task_failures_total",
+)
 ALWAYS = 1_000_000
 CALLERS = 4
 # Time for the pauses after a series of errors, and for the work that follows.
@@ -115,11 +120,11 @@
             (gateway._puller, "pull_contexts"),
         ],
         "gossip_rounds": [
-            (gateway._contexts, "take_cache_updates"),
+            (gateway._peer_table, "list_unheard"),
             (gateway._blocks, "take_updates"),
             (gateway._loads, "sum_others_by_host"),
             (gateway._router.speeds, "list_all"),
-            (gateway._peer_table, "list_unheard"),
+            (gateway._contexts, "take_cache_updates"),
         ],
         "housekeeping": [
             (gateway._peer_table, "remove_stale"),
@@ -135,8 +140,8 @@
     }[loop]
 
 
-def read_metrics(world):
-    text = get(world.hosts["h1"].ip, METRICS_PORT, "/metrics").body.decode()
+def read_metrics(host):
+    text = get(host.ip, METRICS_PORT, "/metrics").body.decode()
     return [
         sample
         for family in text_string_to_metric_families(text)
@@ -144,12 +149,11 @@
     ]
 
 
-def count_failures(world, loop):
+def count_failures(world, loop, host="h1"):
     return sum(
         sample.value
-        for sample in read_metrics(world)
-        if sample.name == "rosemarystream_loop_failures_total"
-        and sample.labels["loop"] == loop
+        for sample in read_metrics(world.hosts[host])
+        if sample.name in FAILURE_COUNTERS and loop in sample.labels.values()
     )
 
 
@@ -204,7 +208,7 @@
 
 def fail_calls(world, failing, count):
     failing.left = count
-    with gevent.Timeout(RECOVERY_S, AssertionError(f"{failing.left} calls not made")):
+    with gevent.Timeout(RECOVERY_S, AssertionError("calls not made")):
         while failing.left:
             provoke(world)
             gevent.sleep(0.2)
@@ -251,7 +255,8 @@
     seen = failing.left
     gevent.sleep(2.0)
     assert failing.left == seen
-    assert count_failures(world, "server_watch") == ALWAYS - seen
+    counted = sum(count_failures(world, "server_watch", host) for host in world.hosts)
+    assert counted == ALWAYS - seen
 
 
 def test_a_message_that_raises_keeps_no_other_from_receipt(world, monkeypatch):
@@ -269,6 +274,33 @@
     assert count_failures(world, "gossip_receive") > 0
 
 
+def test_a_pull_that_raises_is_counted_and_later_ones_are_made(world, monkeypatch):
+    puller = world.hosts["h2"].gateway._puller
+    failing = FailingCall(monkeypatch, puller, "_accept")
+    failing.left = 2
+    world.store.refused.add(world.hosts["h2"].store_address)
+    world.add_server("p2")
+    wait_until(lambda: "p2" in world.hosts["h2"].list_servers(), RECOVERY_S)
+    assert not failing.left
+    assert count_failures(world, "pull", "h2") == 2
+
+
+def test_a_check_of_a_server_that_raises_leaves_nothing_behind(world, monkeypatch):
+    gateway = world.hosts["h1"].gateway
+    crashes = gateway._relay._crashes
+    failing = FailingCall(monkeypatch, gateway._pool, "probe")
+    failing.left = 1
+    endpoint = next(x for x in gateway._replica.list_endpoints() if x.name == "e1")
+    call = SimpleNamespace(request_id="r", parts=(7,), format_prompt=list)
+    crashes.report_closed(endpoint, call, (7,))
+    wait_until(lambda: count_failures(world, "probe") == 1)
+    assert not crashes._checks
+    world.servers["e1"].crash()
+    crashes.report_closed(endpoint, call, (7,))
+    wait_until(lambda: len(crashes._crashed) == 1)
+    assert not crashes._checks
+
+
 def test_a_host_registers_in_the_store_after_unexpected_errors(monkeypatch):
     failing = FailingCall(
         monkeypatch, Store, "put", concerns=lambda store, kind, *_: kind == HOSTS
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -11,6 +11,7 @@
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S, Peering
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import HostAddress
 
 
@@ -25,6 +26,7 @@
         self.hosts = {}
         self._names = {}
         self._queue = []
+        self._supervisor = Supervisor(clock=lambda: self.now)
         seed_ips = [f"{make_ip(number)}:1" for number in range(seeds)]
         for number in range(hosts):
             self.add_host(number, f"dc{number % data_centres}", seed_ips)
@@ -71,6 +73,7 @@
             list_ejected=list,
             on_ejections=print,
             metrics=SimpleNamespace(beats_bytes=SimpleNamespace(inc=lambda n: None)),
+            supervisor=self._supervisor,
         )
         host.peering._socket.close()
         host.peering._socket = SimpleNamespace(
--- a/tests/unit/test_state_pulls.py
+++ b/tests/unit/test_state_pulls.py
@@ -8,6 +8,7 @@
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import RECOVERY_GRACE_S, Replica
 from rosemarystream._internal.gateway.state_pulls import StatePuller
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 
 PORT = 18_097
@@ -22,6 +23,7 @@
         contexts=ContextMap(),
         blocks=PromptBlocks(),
         on_change=lambda: None,
+        supervisor=Supervisor(clock=clock),
     )
     puller.start()
     return puller
--- a/tests/unit/test_store_watches.py
+++ b/tests/unit/test_store_watches.py
@@ -6,6 +6,7 @@
 
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.store_watches import ConfigurationWatch
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.platform.store import Listing
 
 # A change has to be in force this long after the store has accepted it.
@@ -34,6 +35,7 @@
         replica=Replica(),
         is_watcher=lambda: True,
         on_change=lambda: None,
+        supervisor=Supervisor(clock=time.monotonic),
     )
     watch.start()
     try:
