Be not ready while a loop that serving needs fails for long

A host whose gossip or housekeeping raises at every start still took new callers, with counts of other hosts that nobody renewed. It says not ready now while one of gossip_receive, gossip_rounds, housekeeping and service_probes has been failing for longer than FAILING_BOUND_S. A failing watch of the store is left out: another host watches in its place, and an odd entry must not take the whole fleet out of service.

Failed before: test_a_host_whose_gossip_fails_for_long_is_not_ready, 'AssertionError: not within 5.0 s'.

--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -463,6 +463,7 @@
             self._replica.configuration is not None
             and not self._leaving.is_set()
             and not self._unreachable_services
+            and self._supervisor.is_sound()
         )
 
     def _serve_readiness(self, request: Request, answer: AnswerWriter) -> None:
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -9,6 +9,11 @@
 
 from rosemarystream._internal.decisions.prompt_blocks import BLOCK_S, Block
 from rosemarystream._internal.gateway import store_watches
+from rosemarystream._internal.gateway.supervisor import (
+    FAILING_BOUND_S,
+    LONGEST_PAUSE_S,
+    SOUND_AFTER_S,
+)
 from rosemarystream._internal.platform.store import BLOCKED_PARTS, HOSTS, Store
 from tests.lib.entry_world import (
     METRICS_PORT,
@@ -301,6 +306,35 @@
     assert not crashes._checks
 
 
+def test_a_host_whose_gossip_fails_for_long_is_not_ready(world, load, monkeypatch):
+    host = world.hosts["h1"]
+    failing = FailingCall(monkeypatch, host.gateway._contexts, "take_cache_updates")
+    failing.left = ALWAYS
+    gevent.sleep(FAILING_BOUND_S / 2)
+    assert host.is_ready()
+    wait_until(lambda: not host.is_ready(), FAILING_BOUND_S)
+    assert host.read_state()["failing_loops"]["gossip_rounds"]["error"] == "OddError"
+    failing.left = 0
+    wait_until(host.is_ready, LONGEST_PAUSE_S + SOUND_AFTER_S + 1.0)
+    assert host.read_state()["failing_loops"] == {}
+    assert load.list_odd() == []
+
+
+def test_a_host_whose_watch_fails_stays_ready_and_another_one_watches(
+    world, monkeypatch
+):
+    host = world.hosts["h1"]
+    failing = FailingCall(monkeypatch, host.gateway._watches[1]._store, "list")
+    failing.left = ALWAYS
+    world.store.drop_history()
+    wait_until(lambda: count_failures(world, "server_watch") > 0)
+    world.add_server("p2")
+    wait_until(lambda: "p2" in host.list_servers(), RECOVERY_S)
+    gevent.sleep(FAILING_BOUND_S)
+    assert host.is_ready()
+    assert "server_watch" in host.read_state()["failing_loops"]
+
+
 def test_a_host_registers_in_the_store_after_unexpected_errors(monkeypatch):
     failing = FailingCall(
         monkeypatch, Store, "put", concerns=lambda store, kind, *_: kind == HOSTS
