Raise an unexpected error in sending a request where its answer is read

The rest of a long request is sent in a greenlet. An error that it doesn't expect ended it with a trace on standard error; the server never got the whole request, and the caller waited until the server counted as silent. The connection is shut down now, and whoever reads the answer gets the error at once, so that it is logged and counted with the request.

Failed before: test_remainder_sender.py, 'ServerUnreachableError: Connection timed out' in place of the error, after 0.9 s.

--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-import gevent
 import h11
 from gevent import socket
 
@@ -17,6 +16,8 @@
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.loop_share import LoopShare
+from rosemarystream._internal.utils.remainder_sender import RemainderSender
+from rosemarystream._internal.utils.socket_options import set_socket_options
 
 Clock = Callable[[], float]
 
@@ -29,11 +30,6 @@
 LATE_READ_S = 0.1
 # Largest body that is read to its end only to keep a connection usable.
 MAX_DISCARDED_BYTES = 65_536
-# A server whose TCP acknowledges nothing for this time counts as unreachable.
-UNACKNOWLEDGED_MS = 900
-PROBE_IDLE_S = 1
-PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
 
 
 class ConnectionBrokenError(BackendError):
@@ -84,7 +80,7 @@
         self._socket: socket.socket | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._request_events: list[h11.Event] = []
-        self._send_greenlet: gevent.Greenlet | None = None
+        self._remainder: RemainderSender | None = None
         self._loop_share = LoopShare()
         self._late_until: float | None = None
 
@@ -137,21 +133,12 @@
                 f"sending to {self.address}: {error}"
             ) from error
         if sent < len(data):
-            self._send_greenlet = gevent.spawn(self._send_remainder, data[sent:])
+            self._remainder = RemainderSender(opened=self._socket, data=data[sent:])
 
     def _encode_request(self) -> bytes:
         """Encode the request; h11 expects its answer from then on."""
         return b"".join(self._protocol.send(event) for event in self._request_events)
 
-    def _send_remainder(self, data: bytes) -> None:
-        assert self._socket is not None
-        try:
-            self._socket.settimeout(None)
-            self._socket.sendall(data)
-        except OSError:
-            # Reading the answer fails with the same error.
-            return
-
     def read_head(self, deadline: float) -> ResponseHead:
         """Read the head of the final (not 1xx) answer.
 
@@ -214,7 +201,7 @@
         """
         self.read_body(deadline, max_bytes=MAX_DISCARDED_BYTES)
         waiting = self._protocol.trailing_data[0]
-        if self._send_greenlet is not None and not self._send_greenlet.ready():
+        if self._remainder is not None and not self._remainder.is_done():
             raise ConnectionBrokenError(
                 f"{self.address} answered before it had the request"
             )
@@ -240,8 +227,10 @@
                 self._socket.settimeout(wait_s)
                 data = self._socket.recv(READ_BYTES)
                 is_closed = not data
+                self._raise_send_error()
                 self._protocol.receive_data(data)
             except OSError as error:
+                self._raise_send_error()
                 raise self._classify_error(error) from error
             except h11.ProtocolError as error:
                 if is_closed:
@@ -250,6 +239,11 @@
                     ) from error
                 raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
+    def _raise_send_error(self) -> None:
+        """Raise the unexpected error that ended the sending of the request, if any."""
+        if self._remainder is not None and self._remainder.error is not None:
+            raise self._remainder.error
+
     def _compute_wait(self, deadline: float) -> float:
         """Return how long the next read may wait, in seconds.
 
@@ -280,9 +274,9 @@
 
     def finish(self) -> bool:
         """Prepare the connection for another request; False if impossible."""
-        if self._send_greenlet is not None and not self._send_greenlet.ready():
+        if self._remainder is not None and not self._remainder.is_done():
             return False
-        self._send_greenlet = None
+        self._remainder = None
         # An idle connection must not keep the request body in memory.
         self._request_events = []
         if self._protocol.trailing_data[0]:
@@ -308,9 +302,9 @@
 
     def close(self) -> None:
         """Close the connection; the server cancels a request in progress."""
-        if self._send_greenlet is not None:
-            self._send_greenlet.kill(block=False)
-            self._send_greenlet = None
+        if self._remainder is not None:
+            self._remainder.cancel()
+            self._remainder = None
         if self._socket is not None:
             self._socket.close()
             self._socket = None
@@ -330,14 +324,3 @@
         if len(body) > max_bytes:
             raise AnswerTooLongError(f"{address} sent a body of over {max_bytes} bytes")
     return bytes(body)
-
-
-def set_socket_options(tcp_socket: socket.socket) -> None:
-    """Set options by which the operating system detects dead connections."""
-    tcp = socket.IPPROTO_TCP
-    tcp_socket.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp_socket.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    tcp_socket.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    tcp_socket.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
-    tcp_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- /dev/null
+++ b/src/rosemarystream/_internal/utils/remainder_sender.py
@@ -0,0 +1,46 @@
+"""Sends the rest of a request while its answer is read."""
+
+import gevent
+from gevent import socket
+
+
+class RemainderSender:
+    """Sends bytes in a greenlet, since a server may answer before it has them all.
+
+    Parameters
+    ----------
+    opened : socket
+        Connection to the server.
+    data : bytes
+        What the socket has not accepted yet.
+
+    Attributes
+    ----------
+    error : Exception or None
+        Unexpected error that ended the sending; the connection is shut down then.
+    """
+
+    def __init__(self, *, opened: socket.socket, data: bytes) -> None:
+        self.error: Exception | None = None
+        self._socket = opened
+        self._greenlet = gevent.spawn(self._send, data)
+
+    def is_done(self) -> bool:
+        """Return whether the sending has ended."""
+        return self._greenlet.ready()
+
+    def cancel(self) -> None:
+        """End the sending."""
+        self._greenlet.kill(block=False)
+
+    def _send(self, data: bytes) -> None:
+        try:
+            self._socket.settimeout(None)
+            self._socket.sendall(data)
+        except OSError:
+            # Reading the answer fails with the same error.
+            return
+        except Exception as error:
+            self.error = error
+            # Wakes the greenlet that reads, which raises the error.
+            self._socket.shutdown(socket.SHUT_RDWR)
