--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -0,0 +1,120 @@
+"""Lapses of what a host knows, and log entries on what has changed."""
+
+from collections.abc import Callable, Sequence
+
+import gevent
+from logbook import Logger
+
+from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.prompt_blocks import (
+    PromptBlocks,
+    format_part,
+)
+from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.peering import Peering
+from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.state import StateReport
+from rosemarystream._internal.gateway.store_watches import StoreWatch
+from rosemarystream._internal.models.log_entries import (
+    HostFound,
+    HostLost,
+    PromptPartBlocked,
+    PromptPartReleased,
+    ServersNotReturned,
+)
+
+log = Logger(__name__)
+
+HOUSEKEEPING_INTERVAL_S = 0.1
+# Interval of the log entries on requests sent to limited servers.
+LIMITED_SENDS_INTERVAL_S = 1.0
+_MS_PER_S = 1000
+
+
+class Housekeeping:
+    """Removes what has lapsed, logs changes, and keeps the state report current.
+
+    Parameters
+    ----------
+    watches : sequence of StoreWatch
+        Watches that know whether the store is lost.
+    on_expiry : callable
+        Called after servers have lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        replica: Replica,
+        peer_table: PeerTable,
+        blocks: PromptBlocks,
+        router: Router,
+        state: StateReport,
+        peering: Peering,
+        watches: Sequence[StoreWatch],
+        on_expiry: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._replica = replica
+        self._peer_table = peer_table
+        self._blocks = blocks
+        self._router = router
+        self._state = state
+        self._peering = peering
+        self._watches = watches
+        self._on_expiry = on_expiry
+
+    def run(self) -> None:
+        """Work at intervals; runs until it is killed."""
+        while True:
+            gevent.sleep(HOUSEKEEPING_INTERVAL_S)
+            now = self._clock()
+            self._peer_table.remove_stale(now)
+            self._expire_servers(now)
+            self._log_host_changes(now)
+            self._blocks.expire(now)
+            self._log_block_changes()
+            self._router.log_limit_changes()
+            self._state.record_version()
+            self._record_store_loss(now)
+
+    def log_limited_sends(self) -> None:
+        """Log, at intervals, what was sent to limited servers; runs until killed."""
+        while True:
+            gevent.sleep(LIMITED_SENDS_INTERVAL_S)
+            self._router.log_limited_sends()
+
+    def _expire_servers(self, now: float) -> None:
+        expired = self._replica.expire(now)
+        if expired:
+            write_log_entry(log, ServersNotReturned(servers=expired))
+            self._on_expiry()
+
+    def _record_store_loss(self, now: float) -> None:
+        lost = [watch.lost_at for watch in self._watches if watch.lost_at]
+        self._state.store_lost_s = now - min(lost) if lost else 0.0
+        self._peering.store_lost_ms = int(self._state.store_lost_s * _MS_PER_S)
+
+    def _log_block_changes(self) -> None:
+        for change in self._blocks.take_changes():
+            part = format_part(change.part)
+            if change.is_blocked:
+                for_ms = round(change.left_s * _MS_PER_S, 1)
+                write_log_entry(log, PromptPartBlocked(part=part, for_ms=for_ms))
+            else:
+                write_log_entry(log, PromptPartReleased(part=part))
+
+    def _log_host_changes(self, now: float) -> None:
+        changes = self._peer_table.take_changes(now)
+        for host in changes.found:
+            entry = HostFound(peer=host.name, data_centre=host.data_centre)
+            write_log_entry(log, entry)
+        for host in changes.lost:
+            entry = HostLost(
+                peer=host.name,
+                data_centre=host.data_centre,
+                silent_ms=round((now - host.last_seen_at) * _MS_PER_S, 1),
+            )
+            write_log_entry(log, entry)
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import gevent
-import msgspec
 from gevent.event import Event
 from logbook import Logger
 
@@ -18,24 +17,26 @@
 from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
     PromptBlocks,
-    format_part,
 )
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.exceptions import ConnectError, SettingsError
-from rosemarystream._internal.gateway.answer_writer import AnswerWriter
+from rosemarystream._internal.exceptions import SettingsError
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.host_registry import HostRegistry
+from rosemarystream._internal.gateway.housekeeping import Housekeeping
 from rosemarystream._internal.gateway.limit_gate import LimitGate
-from rosemarystream._internal.gateway.listener import Listener, Request
+from rosemarystream._internal.gateway.listener import Listener
 from rosemarystream._internal.gateway.logs import (
     log_filter,
     set_up_gateway_logs,
     write_log_entry,
 )
 from rosemarystream._internal.gateway.metrics import StatsdSender
+from rosemarystream._internal.gateway.operator_answers import OperatorAnswers
 from rosemarystream._internal.gateway.peering import Peering
 from rosemarystream._internal.gateway.relay import Relay
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.service_probes import ServiceProbes
 from rosemarystream._internal.gateway.settings import (
     RESTART_SECTIONS,
     GatewaySettings,
@@ -51,32 +52,19 @@
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.log_entries import (
-    HostExchangeFailed,
-    HostFound,
-    HostLost,
     Leaving,
-    PromptPartBlocked,
-    PromptPartReleased,
-    ServersNotReturned,
-    ServerStillUnreachable,
-    ServicesUnreachable,
     SettingsReloaded,
     SettingsReloadFailed,
     Started,
     Stopped,
 )
 from rosemarystream._internal.models.route import CallerLimits
-from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
+from rosemarystream._internal.platform.store import Store
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.clock import Clock
 
 log = Logger(__name__)
 
-HOUSEKEEPING_INTERVAL_S = 0.1
-# Interval of the attempts to register a collector in the store.
-REGISTER_RETRY_S = 1.0
-# Interval at which the hosts known in the store are read.
-HOSTS_INTERVAL_S = 20.0
 # Time for seeds to answer a host that restarts, and one at its first start, when
 # the others start as well.
 SEED_ANSWER_S = 0.1
@@ -86,15 +74,8 @@
 # Time before the end of a shutdown at which requests in progress are aborted.
 END_MARGIN_S = 0.4
 LEAVE_POLL_S = 0.05
-# Interval of the probes of unreachable services.
-PROBE_S = 0.25
 # Interval of reports to a statsd server.
 STATSD_INTERVAL_S = 10.0
-# Interval of the log entries on requests sent to limited servers.
-LIMITED_SENDS_INTERVAL_S = 1.0
-METRICS_TYPE = b"text/plain; version=0.0.4"
-JSON_TYPE = b"application/json"
-STATE_TARGET = b"/v1/state"
 _MS_PER_S = 1000
 
 
@@ -129,8 +110,6 @@
         self._this_host = HostAddress(host.name, host.data_centre, host.ip)
         self._leaving = Event()
         self._tasks: list[gevent.Greenlet] = []
-        self._unreachable_services: list[str] = []
-        self._probes = 0
         self._replica = Replica()
         self._peer_table = PeerTable(name=host.name, data_centre=host.data_centre)
         self._loads = LoadTable()
@@ -218,30 +197,56 @@
             get_limits=self._get_limits,
             clock=self._clock,
         )
+        self._state = StateReport(
+            name=host.name,
+            data_centre=host.data_centre,
+            clock=self._clock,
+            replica=self._replica,
+            peer_table=self._peer_table,
+            loads=self._loads,
+            router=self._router,
+            blocks=self._blocks,
+            list_failing_loops=self._supervisor.list_failing,
+            count_busy=self._caller_listener.count_busy,
+            count_dropped_entries=count_dropped_entries,
+        )
+        self._answers = OperatorAnswers(
+            state=self._state,
+            metrics=self._metrics,
+            is_ready=self._is_ready,
+            is_leaving=self._leaving.is_set,
+        )
         self._ready_listener = Listener(
             address=host.ready_address,
-            handler=self._serve_readiness,
+            handler=self._answers.serve_readiness,
             get_limits=CallerLimits,
             clock=self._clock,
         )
         self._metrics_listener = Listener(
             address=f"{host.ip}:{host.metrics_port}",
-            handler=self._serve_metrics,
+            handler=self._answers.serve_metrics,
             get_limits=CallerLimits,
             clock=self._clock,
         )
-        self._state = StateReport(
-            name=host.name,
-            data_centre=host.data_centre,
+        self._registry = HostRegistry(
+            this_host=self._this_host,
+            store=self._make_store(),
+            peer_table=self._peer_table,
+            clock=self._clock,
+        )
+        self._probes = ServiceProbes(
+            router=self._router, replica=self._replica, pool=self._pool
+        )
+        self._housekeeping = Housekeeping(
             clock=self._clock,
             replica=self._replica,
             peer_table=self._peer_table,
-            loads=self._loads,
-            router=self._router,
             blocks=self._blocks,
-            list_failing_loops=self._supervisor.list_failing,
-            count_busy=self._caller_listener.count_busy,
-            count_dropped_entries=count_dropped_entries,
+            router=self._router,
+            state=self._state,
+            peering=self._peering,
+            watches=self._watches,
+            on_expiry=self._announce,
         )
 
     def _make_configuration_watch(self, **arguments: Any) -> ConfigurationWatch:
@@ -286,9 +291,9 @@
             self._supervisor.start_task(
                 "watch_start", self._start_watches, delay_s=self._get_seed_wait()
             ),
-            start_loop("housekeeping", self._run_housekeeping, is_needed=True),
-            start_loop("service_probes", self._probe_services, is_needed=True),
-            start_loop("limited_sends", self._log_limited_sends),
+            start_loop("housekeeping", self._housekeeping.run, is_needed=True),
+            start_loop("service_probes", self._probes.run, is_needed=True),
+            start_loop("limited_sends", self._housekeeping.log_limited_sends),
         ]
         if self._settings.metrics.statsd:
             self._tasks.append(start_loop("statsd", self._send_statsd))
@@ -345,108 +350,9 @@
         for watch in self._watches:
             watch.start()
         self._tasks.append(
-            self._supervisor.start_loop(
-                "host_exchange", self._exchange_hosts_with_store
-            )
+            self._supervisor.start_loop("host_exchange", self._registry.run)
         )
 
-    def _exchange_hosts_with_store(self) -> None:
-        """Register this host in the store while it is a collector; read the others."""
-        store = self._make_store()
-        spec = {"data_centre": self._this_host.data_centre, "ip": self._this_host.ip}
-        registered = False
-        while True:
-            if self._peer_table.is_collector(self._clock()):
-                try:
-                    if not registered:
-                        store.put(HOSTS, self._this_host.name, spec)
-                    registered = True
-                    self._read_hosts(store)
-                except StoreError as error:
-                    write_log_entry(log, HostExchangeFailed(error=str(error)))
-            store.close()
-            gevent.sleep(HOSTS_INTERVAL_S if registered else REGISTER_RETRY_S)
-
-    def _read_hosts(self, store: Store) -> None:
-        now = self._clock()
-        for item in store.list(HOSTS).objects:
-            host = item.read_text_fields()
-            if "ip" in host and "data_centre" in host:
-                self._peer_table.add_peer(
-                    item.name, host["data_centre"], host["ip"], now
-                )
-
-    def _probe_services(self) -> None:
-        """Log which services are unreachable, and probe their servers."""
-        while True:
-            gevent.sleep(PROBE_S)
-            unreachable = self._router.list_unreachable_services()
-            if unreachable != self._unreachable_services:
-                write_log_entry(log, ServicesUnreachable(services=unreachable))
-            self._unreachable_services = unreachable
-            for service in unreachable:
-                self._probe_server(service)
-
-    def _probe_server(self, service: str) -> None:
-        endpoints = self._replica.list_ready(service)
-        if not endpoints:
-            return
-        self._probes += 1
-        endpoint = endpoints[self._probes % len(endpoints)]
-        try:
-            self._pool.probe(endpoint)
-        except ConnectError as error:
-            entry = ServerStillUnreachable(server=endpoint.name, reason=str(error))
-            write_log_entry(log, entry)
-            return
-        self._router.record_reachable(endpoint)
-
-    def _run_housekeeping(self) -> None:
-        while True:
-            gevent.sleep(HOUSEKEEPING_INTERVAL_S)
-            now = self._clock()
-            self._peer_table.remove_stale(now)
-            expired = self._replica.expire(now)
-            if expired:
-                write_log_entry(log, ServersNotReturned(servers=expired))
-                self._announce()
-            self._log_host_changes(now)
-            self._blocks.expire(now)
-            self._log_block_changes()
-            self._router.log_limit_changes()
-            self._state.record_version()
-            lost = [watch.lost_at for watch in self._watches if watch.lost_at]
-            self._state.store_lost_s = now - min(lost) if lost else 0.0
-            self._peering.store_lost_ms = int(self._state.store_lost_s * _MS_PER_S)
-
-    def _log_limited_sends(self) -> None:
-        while True:
-            gevent.sleep(LIMITED_SENDS_INTERVAL_S)
-            self._router.log_limited_sends()
-
-    def _log_block_changes(self) -> None:
-        for change in self._blocks.take_changes():
-            part = format_part(change.part)
-            if change.is_blocked:
-                for_ms = round(change.left_s * _MS_PER_S, 1)
-                write_log_entry(log, PromptPartBlocked(part=part, for_ms=for_ms))
-            else:
-                write_log_entry(log, PromptPartReleased(part=part))
-
-    def _log_host_changes(self, now: float) -> None:
-        changes = self._peer_table.take_changes(now)
-        for host in changes.found:
-            write_log_entry(
-                log, HostFound(peer=host.name, data_centre=host.data_centre)
-            )
-        for host in changes.lost:
-            entry = HostLost(
-                peer=host.name,
-                data_centre=host.data_centre,
-                silent_ms=round((now - host.last_seen_at) * _MS_PER_S, 1),
-            )
-            write_log_entry(log, entry)
-
     def _send_statsd(self) -> None:
         sender = StatsdSender(
             address=split_address(self._settings.metrics.statsd),
@@ -462,26 +368,10 @@
         return (
             self._replica.configuration is not None
             and not self._leaving.is_set()
-            and not self._unreachable_services
+            and not self._probes.unreachable
             and self._supervisor.is_sound()
         )
 
-    def _serve_readiness(self, request: Request, answer: AnswerWriter) -> None:
-        answer.send_whole(200 if self._is_ready() else 503, [], b"")
-
-    def _serve_metrics(self, request: Request, answer: AnswerWriter) -> None:
-        """Answer with the state dump at its path, and with the metrics elsewhere."""
-        if request.target == STATE_TARGET:
-            dump = self._state.make_dump(
-                ready=self._is_ready(), leaving=self._leaving.is_set()
-            )
-            body = msgspec.json.encode(dump)
-            answer.send_whole(200, [(b"content-type", JSON_TYPE)], body)
-            return
-        self._metrics.set_gauges(self._state.collect_gauges())
-        body = self._metrics.format_text()
-        answer.send_whole(200, [(b"content-type", METRICS_TYPE)], body)
-
     def _reload(self) -> None:
         try:
             settings = load_gateway_settings(self._path)
