--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -16,10 +16,8 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import CacheUpdate, ContextMap
-from rosemarystream._internal.decisions.load_table import Load, LoadReport, LoadTable
+from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.peer_table import (
-    CANDIDATES,
-    COLLECTORS,
     Peer,
     PeerTable,
 )
@@ -28,6 +26,8 @@
 from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.decisions.server_observations import ServerReport
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
+from rosemarystream._internal.gateway.gossip_names import list_names, take_turn
+from rosemarystream._internal.gateway.gossip_reports import GossipReports
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
@@ -52,8 +52,6 @@
 LOAD_CHANGE_REQUESTS = 2
 # Rounds between two messages to the own data centre that name hosts.
 NAMES_EVERY_ROUNDS = 5
-# Hosts named besides those next in order, other ones in each message.
-OTHER_NAMES = 4
 # Rounds between two attempts to contact a data centre of which no host is heard, and
 # the hosts contacted each time.
 RECONTACT_EVERY_ROUNDS = 10
@@ -63,24 +61,12 @@
 SEED_CONTACT_ROUNDS = 100
 SEED_CONTACT_EVERY_ROUNDS = 5
 MAX_DATAGRAM_BYTES = 65_000
-# Age of a host of which no message has arrived.
-UNHEARD_AGE_MS = -1
-# Time for which another host's report that it has lost the store is valid.
-STORE_REPORT_LIFE_S = 1.5
-
 RECEIVE_LOOP = "gossip_receive"
 
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
 _encode = msgspec.msgpack.encode
 
 
-class _StoreReport(NamedTuple):
-    """The last report of a host about its contact with the store."""
-
-    reported_at: float
-    lost_ms: int
-
-
 class _Updates(NamedTuple):
     """News that are sent in one round."""
 
@@ -181,7 +167,7 @@
         self._rounds = 0
         self._reported_requests = 0
         self._reported_at = 0.0
-        self._store_reports: dict[str, _StoreReport] = {}
+        self._reports = GossipReports(peer_table=peer_table, loads=loads)
         self.store_lost_ms = 0
         self._tasks: list[gevent.Greenlet] = []
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -324,7 +310,7 @@
             unheard.setdefault(host.data_centre, []).append(host)
         turn = self._rounds // RECONTACT_EVERY_ROUNDS
         for hosts in unheard.values():
-            for host in _take_turn(hosts, turn, RECONTACT_HOSTS):
+            for host in take_turn(hosts, turn, RECONTACT_HOSTS):
                 self._send(host.ip, message)
 
     def _make_message(
@@ -373,29 +359,11 @@
         )
         self._send(host.ip, message)
 
-    def _list_names(
-        self, now: float, *, first_data_centre: str = ""
-    ) -> list[HostAddress]:
-        """Return the hosts to name: those next in order, and some others in turn."""
-        nearby = first_data_centre or self._this_host.data_centre
-        table = self._peer_table
-        data_centres = {*table.list_data_centres(), self._this_host.data_centre}
-        named = table.list_candidates(nearby, now, CANDIDATES)
-        for data_centre in sorted(data_centres - {nearby}):
-            named += table.list_candidates(data_centre, now, COLLECTORS)
-        names = {host.name for host in named}
-        others = [
-            host
-            for host in table.list_live(now)
-            if host.data_centre == nearby and host.name not in names
-        ]
+    def _list_names(self, now: float, receivers: str = "") -> list[HostAddress]:
+        """Return the hosts to name to hosts of a data centre, by default the own."""
+        own = self._this_host.data_centre
         turn = self._rounds // NAMES_EVERY_ROUNDS
-        # Known only by name: whoever gets it hears nothing of them later.
-        reserves = [
-            HostAddress(host.name, host.data_centre, host.ip, UNHEARD_AGE_MS)
-            for host in _take_turn(others, turn, OTHER_NAMES)
-        ]
-        return [_make_name(host, now) for host in named] + reserves
+        return list_names(self._peer_table, own, receivers or own, now, turn)
 
     def _send_to(self, name: str, message: GossipMessage) -> None:
         host = self._peer_table.find(name)
@@ -434,10 +402,7 @@
     def _accept(self, message: GossipMessage) -> None:
         now = self._clock()
         sender = message.sender
-        self._peer_table.record_alive(sender.name, sender.data_centre, sender.ip, now)
-        self._accept_known_hosts(message.known_hosts, now)
-        self._accept_load(message, now)
-        self._accept_count(message, now)
+        self._reports.accept(message, now)
         self._speeds.accept_reports(
             message.slowness, now, nearby=message.scope is LoadScope.HOST
         )
@@ -452,7 +417,6 @@
                 now,
                 is_forwarded=self._peer_table.is_collector(now),
             )
-        self._store_reports[sender.name] = _StoreReport(now, message.store_lost_ms)
         if message.ejected:
             self._on_ejections(message.ejected)
         if message.wants_answer:
@@ -473,60 +437,12 @@
         self._send(message.sender.ip, reply)
 
     def _answer_first_contact(self, sender: HostAddress, now: float) -> None:
-        known_hosts = self._list_names(now, first_data_centre=sender.data_centre)
+        known_hosts = self._list_names(now, sender.data_centre)
         message = self._make_message(
             LoadScope.NONE, self._loads.sum_own(), known_hosts=known_hosts
         )
         self._send(sender.ip, message)
 
-    def _accept_known_hosts(self, known_hosts: list[HostAddress], now: float) -> None:
-        for host in known_hosts:
-            if self._peer_table.find(host.name) is None or host.age_ms < 0:
-                self._peer_table.add_peer(host.name, host.data_centre, host.ip, now)
-            if host.age_ms >= 0:
-                self._peer_table.record_alive(
-                    host.name, host.data_centre, host.ip, now - host.age_ms / 1000
-                )
-
-    def _accept_load(self, message: GossipMessage, now: float) -> None:
-        report = LoadReport(message.sequence, now, message.counts, message.prefill)
-        sender = message.sender
-        if message.scope is LoadScope.HOST:
-            self._loads.accept_host(sender.name, report)
-        elif message.scope is LoadScope.DATA_CENTRE:
-            self._loads.accept_data_centre(sender.data_centre, report)
-        elif message.scope is LoadScope.OTHERS:
-            self._loads.accept_others_sum(sender.name, report)
-
-    def _accept_count(self, message: GossipMessage, now: float) -> None:
-        if not message.live_hosts:
-            return
-        if message.scope is LoadScope.DATA_CENTRE:
-            self._peer_table.record_data_centre_count(
-                message.sender.data_centre, message.live_hosts, now
-            )
-        else:
-            self._peer_table.record_fleet_count(message.live_hosts, now)
-
     def list_lost_stores(self, now: float) -> set[str]:
         """Return the hosts that have lately reported that they lost the store."""
-        return {
-            name
-            for name, report in self._store_reports.items()
-            if report.lost_ms > 0 and now - report.reported_at <= STORE_REPORT_LIFE_S
-        }
-
-
-def _make_name(host: Peer, now: float) -> HostAddress:
-    age_ms = UNHEARD_AGE_MS
-    if host.last_seen_at:
-        age_ms = int((now - host.last_seen_at) * 1000)
-    return HostAddress(host.name, host.data_centre, host.ip, age_ms)
-
-
-def _take_turn(hosts: list[Peer], turn: int, count: int) -> list[Peer]:
-    """Return `count` of the hosts, the next ones at each turn."""
-    if len(hosts) <= count:
-        return hosts
-    start = turn * count % len(hosts)
-    return [*hosts, *hosts][start : start + count]
+        return self._reports.list_lost_stores(now)
