Keep the statsd increments when the loop that sends them starts again

A new sender counted from 0, so all increments since the start were sent once more. Failed before: test_no_increment_is_sent_to_statsd_twice_after_an_error, 'assert 2.0 == 1.0'. A test shows too that log entries are written after errors in the loop that writes them.

--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -110,6 +110,7 @@
         self._this_host = HostAddress(host.name, host.data_centre, host.ip)
         self._leaving = Event()
         self._tasks: list[gevent.Greenlet] = []
+        self._statsd: StatsdSender | None = None
         self._replica = Replica()
         self._peer_table = PeerTable(name=host.name, data_centre=host.data_centre)
         self._loads = LoadTable()
@@ -354,15 +355,17 @@
         )
 
     def _send_statsd(self) -> None:
-        sender = StatsdSender(
-            address=split_address(self._settings.metrics.statsd),
-            host=self._this_host.name,
-            metrics=self._metrics,
-        )
+        # A new sender would send all increments once more.
+        if self._statsd is None:
+            self._statsd = StatsdSender(
+                address=split_address(self._settings.metrics.statsd),
+                host=self._this_host.name,
+                metrics=self._metrics,
+            )
         while True:
             gevent.sleep(STATSD_INTERVAL_S)
             self._metrics.set_gauges(self._state.collect_gauges())
-            sender.send()
+            self._statsd.send()
 
     def _is_ready(self) -> bool:
         return (
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -4,11 +4,14 @@
 from types import SimpleNamespace
 
 import gevent
+import msgspec
 import pytest
+from gevent import socket
 from prometheus_client.parser import text_string_to_metric_families
 
 from rosemarystream._internal.decisions.prompt_blocks import BLOCK_S, Block
-from rosemarystream._internal.gateway import store_watches
+from rosemarystream._internal.gateway import process, store_watches
+from rosemarystream._internal.gateway.metrics import StatsdSender
 from rosemarystream._internal.gateway.supervisor import (
     FAILING_BOUND_S,
     LONGEST_PAUSE_S,
@@ -29,6 +32,7 @@
     "rosemarystream_task_failures_total",
 )
 ALWAYS = 1_000_000
+STATSD_WAIT_S = 0.7
 CALLERS = 4
 # Time for the pauses after a series of errors, and for the work that follows.
 RECOVERY_S = 8.0
@@ -335,6 +339,40 @@
     assert "server_watch" in host.read_state()["failing_loops"]
 
 
+def test_no_increment_is_sent_to_statsd_twice_after_an_error(world, monkeypatch):
+    host = world.hosts["h1"]
+    gateway = host.gateway
+    monkeypatch.setattr(process, "STATSD_INTERVAL_S", 0.05)
+    failing = FailingCall(monkeypatch, StatsdSender, "send")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind((host.ip, 0))
+        address = f"{host.ip}:{server.getsockname()[1]}"
+        metrics = msgspec.structs.replace(gateway._settings.metrics, statsd=address)
+        gateway._settings = msgspec.structs.replace(gateway._settings, metrics=metrics)
+        assert host.call("/look/1").status == 200
+        loop = gateway._supervisor.start_loop("statsd", gateway._send_statsd)
+        gateway._tasks.append(loop)
+        increments = read_increments(server)
+        failing.left = 1
+        increments += read_increments(server)
+    assert count_failures(world, "statsd") == 1
+    assert increments[0] == 1.0
+    assert sum(increments) == 1.0
+
+
+def read_increments(server):
+    """Return the increments of answered requests that arrive within a time."""
+    text = b""
+    with gevent.Timeout(STATSD_WAIT_S, False):
+        while True:
+            text += server.recv(65_536) + b"\n"
+    return [
+        float(line.partition(b":")[2].partition(b"|")[0])
+        for line in text.splitlines()
+        if line.startswith(b"rosemarystream.h1.requests_total.answered:")
+    ]
+
+
 def test_a_host_registers_in_the_store_after_unexpected_errors(monkeypatch):
     failing = FailingCall(
         monkeypatch, Store, "put", concerns=lambda store, kind, *_: kind == HOSTS
--- a/tests/unit/test_gateway_logs.py
+++ b/tests/unit/test_gateway_logs.py
@@ -1,6 +1,7 @@
 """Log entries of an entry host: format, size limit and a stalled log reader."""
 
 import os
+import time
 
 import gevent
 import logbook
@@ -15,6 +16,7 @@
     QueuedJsonHandler,
     write_log_entry,
 )
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.log_entries import (
     LOG_ENTRIES,
     LogEntry,
@@ -23,6 +25,9 @@
     StoreLost,
 )
 
+# Time for two restarts of a loop and a write.
+WRITTEN_S = 1.0
+
 log = logbook.Logger("rosemarystream._internal.gateway.tested")
 
 
@@ -61,6 +66,26 @@
     }
 
 
+def test_entries_are_written_after_an_unexpected_error(pipe, handler, monkeypatch):
+    flush_queue, errors = handler.flush_queue, [KeyError(), KeyError()]
+
+    def fail_at_first():
+        if errors:
+            raise errors.pop()
+        flush_queue()
+
+    monkeypatch.setattr(handler, "flush_queue", fail_at_first)
+    supervisor = Supervisor(clock=time.monotonic)
+    loop = supervisor.start_loop("log_writes", handler.write_queued)
+    try:
+        write_log_entry(log, ServerRemoved(server="e1", revision=7))
+        gevent.sleep(WRITTEN_S)
+    finally:
+        loop.kill()
+    entries = [msgspec.json.decode(x) for x in os.read(pipe[0], 65_536).splitlines()]
+    assert [x["message"] for x in entries] == ["server removed"] + ["loop failed"] * 2
+
+
 def test_long_log_entry_is_truncated(pipe, handler):
     write_log_entry(log, StoreLost(watched="x", error="e" * 100_000))
     write_log_entry(
