Let no failing step of the housekeeping keep the others from their turn

With a step that always raises, those after it never ran: blocks of prompt parts didn't lapse while another table failed. After an error the loop goes on with the next step. Failed before: test_blocks_lapse_while_other_housekeeping_fails, 'not within 8.0 s'. 'rosemarystream status' names the loops that fail.

--- a/src/rosemarystream/_internal/cli/host.py
+++ b/src/rosemarystream/_internal/cli/host.py
@@ -87,6 +87,11 @@
     ]
     if dump["out_of_reach"]:
         lines.append(f"out of reach: {', '.join(dump['out_of_reach'])}")
+    # Hosts of an earlier build report no loops.
+    lines += [
+        f"failing: {loop} for {failing['failing_s']} s ({failing['error']})"
+        for loop, failing in dump.get("failing_loops", {}).items()
+    ]
     lines += [
         f"service {name}: {service['ready']} servers ready, {service['set_aside']} "
         f"set aside, load {service['load_share']:.0%} of the bound, "
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -1,6 +1,7 @@
 """Lapses of what a host knows, and log entries on what has changed."""
 
 from collections.abc import Callable, Sequence
+from itertools import cycle
 
 import gevent
 from logbook import Logger
@@ -65,20 +66,29 @@
         self._peering = peering
         self._watches = watches
         self._on_expiry = on_expiry
+        self._steps: list[Callable[[float], None]] = [
+            self._remove_stale_hosts,
+            self._expire_servers,
+            self._log_host_changes,
+            self._expire_blocks,
+            self._log_block_changes,
+            self._log_limit_changes,
+            self._record_version,
+            self._record_store_loss,
+        ]
+        self._turns = cycle(self._steps)
 
     def run(self) -> None:
-        """Work at intervals; runs until it is killed."""
+        """Work at intervals; runs until it is killed.
+
+        After an error in one step a new start goes on with the next one, so that a
+        step that always fails keeps no other from its turn.
+        """
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
-            now = self._clock()
-            self._peer_table.remove_stale(now)
-            self._expire_servers(now)
-            self._log_host_changes(now)
-            self._blocks.expire(now)
-            self._log_block_changes()
-            self._router.log_limit_changes()
-            self._state.record_version()
-            self._record_store_loss(now)
+            for _ in self._steps:
+                step = next(self._turns)
+                step(self._clock())
 
     def log_limited_sends(self) -> None:
         """Log, at intervals, what was sent to limited servers; runs until killed."""
@@ -86,6 +96,18 @@
             gevent.sleep(LIMITED_SENDS_INTERVAL_S)
             self._router.log_limited_sends()
 
+    def _remove_stale_hosts(self, now: float) -> None:
+        self._peer_table.remove_stale(now)
+
+    def _expire_blocks(self, now: float) -> None:
+        self._blocks.expire(now)
+
+    def _log_limit_changes(self, now: float) -> None:
+        self._router.log_limit_changes()
+
+    def _record_version(self, now: float) -> None:
+        self._state.record_version()
+
     def _expire_servers(self, now: float) -> None:
         expired = self._replica.expire(now)
         if expired:
@@ -97,7 +119,7 @@
         self._state.store_lost_s = now - min(lost) if lost else 0.0
         self._peering.store_lost_ms = int(self._state.store_lost_s * _MS_PER_S)
 
-    def _log_block_changes(self) -> None:
+    def _log_block_changes(self, now: float) -> None:
         for change in self._blocks.take_changes():
             part = format_part(change.part)
             if change.is_blocked:
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from prometheus_client.parser import text_string_to_metric_families
 
+from rosemarystream._internal.cli.host import describe_state
 from rosemarystream._internal.decisions.prompt_blocks import BLOCK_S, Block
 from rosemarystream._internal.gateway import process, store_watches
 from rosemarystream._internal.gateway.metrics import StatsdSender
@@ -310,6 +311,18 @@
     assert not crashes._checks
 
 
+def test_blocks_lapse_while_other_housekeeping_fails(world, monkeypatch):
+    gateway = world.hosts["h1"].gateway
+    failing = FailingCall(monkeypatch, gateway._peer_table, "remove_stale")
+    failing.left = ALWAYS
+    now = gateway._clock()
+    block = Block(next(_numbers), now, now + 0.5)
+    gateway._blocks.accept_block(block, now, is_forwarded=True)
+    assert gateway._blocks.list_blocks()
+    wait_until(lambda: not gateway._blocks.list_blocks(), RECOVERY_S)
+    assert "housekeeping" in world.hosts["h1"].read_state()["failing_loops"]
+
+
 def test_a_host_whose_gossip_fails_for_long_is_not_ready(world, load, monkeypatch):
     host = world.hosts["h1"]
     failing = FailingCall(monkeypatch, host.gateway._contexts, "take_cache_updates")
@@ -318,6 +331,7 @@
     assert host.is_ready()
     wait_until(lambda: not host.is_ready(), FAILING_BOUND_S)
     assert host.read_state()["failing_loops"]["gossip_rounds"]["error"] == "OddError"
+    assert "failing: gossip_rounds for " in "\n".join(describe_state(host.read_state()))
     failing.left = 0
     wait_until(host.is_ready, LONGEST_PAUSE_S + SOUND_AFTER_S + 1.0)
     assert host.read_state()["failing_loops"] == {}
