--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -50,6 +50,9 @@
     ServerWatch,
 )
 from rosemarystream._internal.gateway.supervisor import Supervisor
+from rosemarystream._internal.gateway.unexpected_errors import (
+    record_unexpected_error,
+)
 from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.log_entries import (
     Leaving,
@@ -196,6 +199,7 @@
             address=host.caller_address,
             handler=self._relay.serve,
             get_limits=self._get_limits,
+            record_error=self._record_error,
             clock=self._clock,
         )
         self._state = StateReport(
@@ -221,12 +225,14 @@
             address=host.ready_address,
             handler=self._answers.serve_readiness,
             get_limits=CallerLimits,
+            record_error=self._record_error,
             clock=self._clock,
         )
         self._metrics_listener = Listener(
             address=f"{host.ip}:{host.metrics_port}",
             handler=self._answers.serve_metrics,
             get_limits=CallerLimits,
+            record_error=self._record_error,
             clock=self._clock,
         )
         self._registry = HostRegistry(
@@ -322,6 +328,9 @@
         configuration = self._replica.configuration
         return configuration.limits if configuration else CallerLimits()
 
+    def _record_error(self, error: Exception) -> None:
+        record_unexpected_error(error, metrics=self._metrics)
+
     def _report_load_change(self) -> None:
         self._peering.report_load_change()
 
