--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -9,16 +9,18 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-import gevent
 import h11
 from gevent import socket
-from gevent.socket import wait_write
 
 from rosemarystream._internal.exceptions import BackendError, ConnectError
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.loop_share import LoopShare
-from rosemarystream._internal.utils.tcp_options import (
+from rosemarystream._internal.utils.remainder_sender import (
+    RemainderSender,
+    send_some,
+)
+from rosemarystream._internal.utils.socket_options import (
     LONG_REQUEST_BYTES,
     limit_unacknowledged,
     set_socket_options,
@@ -85,7 +87,7 @@
         self._socket: socket.socket | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._request_events: list[h11.Event] = []
-        self._send_greenlet: gevent.Greenlet | None = None
+        self._remainder: RemainderSender | None = None
         self._is_long = False
         self._loop_share = LoopShare()
         self._late_until: float | None = None
@@ -132,13 +134,13 @@
         data = self._encode_request()
         try:
             self._allow_long_request(len(data) > LONG_REQUEST_BYTES)
-            sent = self._send_some(memoryview(data))
+            sent = send_some(self._socket, data)
         except OSError as error:
             raise ConnectionBrokenError(
                 f"sending to {self.address}: {error}"
             ) from error
         if sent < len(data):
-            self._send_greenlet = gevent.spawn(self._send_remainder, data[sent:])
+            self._remainder = RemainderSender(opened=self._socket, data=data[sent:])
 
     def _encode_request(self) -> bytes:
         """Encode the request; h11 expects its answer from then on."""
@@ -150,25 +152,6 @@
             limit_unacknowledged(self._socket, is_long=is_long)
             self._is_long = is_long
 
-    def _send_remainder(self, data: bytes) -> None:
-        """Send the rest; the time limit of the socket is that of the reads only."""
-        assert self._socket is not None
-        rest = memoryview(data)
-        try:
-            while rest:
-                wait_write(self._socket.fileno())
-                rest = rest[self._send_some(rest) :]
-        except OSError:
-            # Reading the answer fails with the same error.
-            return
-
-    def _send_some(self, data: memoryview) -> int:
-        assert self._socket is not None
-        try:
-            return self._socket._sock.send(data)
-        except BlockingIOError:
-            return 0
-
     def read_head(self, deadline: float) -> ResponseHead:
         """Read the head of the final (not 1xx) answer.
 
@@ -231,7 +214,7 @@
         """
         self.read_body(deadline, max_bytes=MAX_DISCARDED_BYTES)
         waiting = self._protocol.trailing_data[0]
-        if self._send_greenlet is not None and not self._send_greenlet.ready():
+        if self._remainder is not None and not self._remainder.is_done():
             raise ConnectionBrokenError(
                 f"{self.address} answered before it had the request"
             )
@@ -257,8 +240,10 @@
                 self._socket.settimeout(wait_s)
                 data = self._socket.recv(READ_BYTES)
                 is_closed = not data
+                self._raise_send_error()
                 self._protocol.receive_data(data)
             except OSError as error:
+                self._raise_send_error()
                 raise self._classify_error(error) from error
             except h11.ProtocolError as error:
                 if is_closed:
@@ -267,6 +252,11 @@
                     ) from error
                 raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
+    def _raise_send_error(self) -> None:
+        """Raise the unexpected error that ended the sending of the request, if any."""
+        if self._remainder is not None and self._remainder.error is not None:
+            raise self._remainder.error
+
     def _compute_wait(self, deadline: float) -> float:
         """Return how long the next read may wait, in seconds.
 
@@ -297,9 +287,9 @@
 
     def finish(self) -> bool:
         """Prepare the connection for another request; False if impossible."""
-        if self._send_greenlet is not None and not self._send_greenlet.ready():
+        if self._remainder is not None and not self._remainder.is_done():
             return False
-        self._send_greenlet = None
+        self._remainder = None
         # An idle connection must not keep the request body in memory.
         self._request_events = []
         if self._protocol.trailing_data[0]:
@@ -334,9 +324,9 @@
 
     def close(self) -> None:
         """Close the connection; the server cancels a request in progress."""
-        if self._send_greenlet is not None:
-            self._send_greenlet.kill(block=False)
-            self._send_greenlet = None
+        if self._remainder is not None:
+            self._remainder.cancel()
+            self._remainder = None
         if self._socket is not None:
             self._socket.close()
             self._socket = None
--- /dev/null
+++ b/src/rosemarystream/_internal/utils/remainder_sender.py
@@ -0,0 +1,58 @@
+"""Sends the rest of a request while its answer is read."""
+
+import gevent
+from gevent import socket
+from gevent.socket import wait_write
+
+
+class RemainderSender:
+    """Sends bytes in a greenlet, since a server may answer before it has them all.
+
+    Parameters
+    ----------
+    opened : socket
+        Connection to the server.
+    data : bytes
+        What the socket has not accepted yet.
+
+    Attributes
+    ----------
+    error : Exception or None
+        Unexpected error that ended the sending; the connection is shut down then.
+    """
+
+    def __init__(self, *, opened: socket.socket, data: bytes) -> None:
+        self.error: Exception | None = None
+        self._socket = opened
+        self._greenlet = gevent.spawn(self._send, data)
+
+    def is_done(self) -> bool:
+        """Return whether the sending has ended."""
+        return self._greenlet.ready()
+
+    def cancel(self) -> None:
+        """End the sending."""
+        self._greenlet.kill(block=False)
+
+    def _send(self, data: bytes) -> None:
+        rest = memoryview(data)
+        try:
+            while rest:
+                # By itself: the time limit of the socket is that of its reads.
+                wait_write(self._socket.fileno())
+                rest = rest[send_some(self._socket, rest) :]
+        except OSError:
+            # Reading the answer fails with the same error.
+            return
+        except Exception as error:
+            self.error = error
+            # Wakes the greenlet that reads, which raises the error.
+            self._socket.shutdown(socket.SHUT_RDWR)
+
+
+def send_some(opened: socket.socket, data: bytes | memoryview) -> int:
+    """Send what a socket accepts at once; return the number of bytes."""
+    try:
+        return opened._sock.send(data)
+    except BlockingIOError:
+        return 0
