Name, count and log once an object that can't be used

An odd entry was logged at each list, and operators could not see which ones were left out. The state dump now names them with the reason (left_out), the metric rosemarystream_objects_left_out counts them by kind, and the log has one entry for each revision. A configuration is treated alike, from the store and from other hosts.

--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/left_out_objects.py
@@ -0,0 +1,70 @@
+"""Objects from other processes that can't be used, and were left out."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from rosemarystream._internal.decisions.bounded_dict import BoundedDict
+
+# Objects that are remembered, so that each revision is reported once.
+MAX_OBJECTS = 1_000
+
+
+class _LeftOut(NamedTuple):
+    """The revision of an object that was left out, and why."""
+
+    revision: int
+    reason: str
+
+
+class LeftOutObjects:
+    """Remembers which objects were left out, each revision once.
+
+    Parameters
+    ----------
+    on_new : callable
+        Called with the kind of an object that is left out for the first time.
+    """
+
+    def __init__(self, *, on_new: Callable[[str], None] = lambda kind: None) -> None:
+        self._on_new = on_new
+        self._objects: BoundedDict[tuple[str, str], _LeftOut] = BoundedDict(
+            most=MAX_OBJECTS
+        )
+
+    def add(self, kind: str, name: str, revision: int, reason: str) -> bool:
+        """Record an object; return whether this revision of it is new."""
+        key = (kind, _choose_name(name, revision))
+        known = self._objects.get(key)
+        if known is not None and known.revision == revision:
+            return False
+        self._objects.put(key, _LeftOut(revision, reason))
+        self._on_new(kind)
+        return True
+
+    def remove(self, kind: str, name: str) -> None:
+        """Forget an object that is sound now, or gone."""
+        self._objects.pop((kind, name), None)
+
+    def keep_listed(self, kind: str, listed: Iterable[tuple[str, int]]) -> None:
+        """Forget the objects of a kind that are not among the listed ones.
+
+        Parameters
+        ----------
+        listed : iterable of tuple of (str, int)
+            Names and revisions.
+        """
+        if not any(key[0] == kind for key in self._objects):
+            return
+        names = {_choose_name(name, revision) for name, revision in listed}
+        for key in [*self._objects]:
+            if key[0] == kind and key[1] not in names:
+                del self._objects[key]
+
+    def list_reasons(self) -> dict[str, str]:
+        """Return why objects are left out, by kind and name."""
+        return {f"{kind}/{name}": x.reason for (kind, name), x in self._objects.items()}
+
+
+def _choose_name(name: str, revision: int) -> str:
+    """Return the name of an object, or one for an object with an unreadable name."""
+    return name or f"(unreadable, revision {revision})"
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -87,6 +87,11 @@
             "Errors that no code expects, raised while requests were served",
             "error",
         )
+        self.objects_left_out = counter(
+            "objects_left_out",
+            "Objects of the store or of other hosts that can't be used",
+            "kind",
+        )
         self.prompt_tokens = counter(
             "prompt_tokens", "Prompt tokens sent to engines that keep context"
         )
@@ -150,6 +155,10 @@
         """Return the names of a metric's labels."""
         return self._labels.get(name, ())
 
+    def count_left_out(self, kind: str) -> None:
+        """Count an object that can't be used."""
+        self.objects_left_out.labels(kind).inc()
+
     def count_request(
         self, outcome: str, seconds: float, first_event_s: float | None
     ) -> None:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -14,6 +14,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
@@ -134,6 +135,7 @@
         self._contexts = ContextMap()
         self._blocks = PromptBlocks()
         self._metrics = GatewayMetrics()
+        self._left_out = LeftOutObjects(on_new=self._metrics.count_left_out)
         self._pool = ConnectionPool(clock=self._clock)
         self._router = Router(
             data_centre=host.data_centre,
@@ -155,6 +157,7 @@
             contexts=self._contexts,
             blocks=self._blocks,
             on_change=self._forget_departed,
+            left_out=self._left_out,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -190,6 +193,7 @@
                 replica=self._replica,
                 is_watcher=self._is_watcher,
                 on_change=self._announce,
+                left_out=self._left_out,
             )
             for watch in (
                 self._make_configuration_watch,
@@ -233,6 +237,7 @@
             blocks=self._blocks,
             count_busy=self._caller_listener.count_busy,
             count_dropped_entries=count_dropped_entries,
+            left_out=self._left_out,
         )
 
     def _make_configuration_watch(self, **arguments: Any) -> ConfigurationWatch:
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TypedDict
 
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
@@ -64,6 +65,8 @@
     blocked_parts : dict of str to float
         Numbers of the prompt parts whose requests are rejected, as in the store, with
         the time until the end of the block in seconds.
+    left_out : dict of str to str
+        Why objects of the store or of other hosts are left out, by kind and name.
     """
 
     host: str
@@ -76,6 +79,7 @@
     workspaces: list[str]
     out_of_reach: list[str]
     blocked_parts: dict[str, float]
+    left_out: dict[str, str]
     is_collector: bool
     collectors: list[str]
     servers: dict[str, ServerState]
@@ -111,6 +115,7 @@
         blocks: PromptBlocks,
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
+        left_out: LeftOutObjects,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -121,6 +126,7 @@
         self._router = router
         self._blocks = blocks
         self._count_busy = count_busy
+        self._left_out = left_out
         self._count_dropped_entries = count_dropped_entries
         self._version = 0
         self._version_at = clock()
@@ -167,6 +173,7 @@
                 format_part(block.part): round(block.until - now, 1)
                 for block in self._blocks.list_blocks()
             },
+            left_out=self._left_out.list_reasons(),
             is_collector=self._name in collectors,
             collectors=collectors,
             servers=self._list_servers(now),
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -15,6 +15,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
@@ -63,6 +64,8 @@
         Where this host listens; the port is the same on all hosts.
     on_change : callable
         Called after the replica has changed.
+    left_out : LeftOutObjects
+        Records the objects of other hosts that can't be used.
     """
 
     def __init__(
@@ -74,7 +77,9 @@
         contexts: ContextMap,
         blocks: PromptBlocks,
         on_change: Callable[[], None],
+        left_out: LeftOutObjects | None = None,
     ) -> None:
+        self._left_out = left_out or LeftOutObjects()
         self._port = address[1]
         self._clock = clock
         self._replica = replica
@@ -161,7 +166,9 @@
         except zlib.error as error:
             write_log_entry(log, ConfigurationInvalid(error=f"not compressed: {error}"))
             return False
-        return accept_document(self._replica, document)
+        # The revision isn't sent; the same document is reported once.
+        revision = zlib.crc32(document)
+        return accept_document(self._replica, self._left_out, revision, document)
 
     def _serve(self, connection: socket.socket, _: object) -> None:
         try:
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -10,6 +10,7 @@
 import gevent
 from logbook import Logger
 
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.models.endpoint import Endpoint
@@ -55,13 +56,17 @@
 BATCH_S = 0.1
 
 
-def accept_document(replica: Replica, document: bytes) -> bool:
+def accept_document(
+    replica: Replica, left_out: LeftOutObjects, revision: int, document: bytes
+) -> bool:
     """Apply a configuration document of the store; return whether it is newer."""
     try:
         configuration = decode_configuration(document)
     except DocumentError as error:
-        write_log_entry(log, ConfigurationInvalid(error=str(error)))
+        if left_out.add(CONFIGURATION, CONFIGURATION_NAME, revision, str(error)):
+            write_log_entry(log, ConfigurationInvalid(error=str(error)))
         return False
+    left_out.remove(CONFIGURATION, CONFIGURATION_NAME)
     return replica.accept_configuration(configuration, document)
 
 
@@ -74,6 +79,8 @@
         Returns whether this host is a watcher now.
     on_change : callable
         Called after the replica has changed.
+    left_out : LeftOutObjects
+        Records the objects that can't be used.
 
     Attributes
     ----------
@@ -91,7 +98,9 @@
         replica: Replica,
         is_watcher: Callable[[], bool],
         on_change: Callable[[], None],
+        left_out: LeftOutObjects | None = None,
     ) -> None:
+        self._left_out = left_out or LeftOutObjects()
         self._store = store
         self._clock = clock
         self._replica = replica
@@ -140,6 +149,8 @@
         if self._revision is None:
             listing = self._store.list(self.kind)
             self._accept_listing(listing.objects, listing.revision)
+            listed = [(item.name, item.revision) for item in listing.objects]
+            self._left_out.keep_listed(self.kind, listed)
             self._revision = listing.revision
             return
         wait_s = self._choose_wait()
@@ -221,7 +232,9 @@
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted or item.name != CONFIGURATION_NAME:
             return False
-        changed = accept_document(self._replica, item.spec)
+        changed = accept_document(
+            self._replica, self._left_out, item.revision, item.spec
+        )
         if changed:
             write_log_entry(log, ConfigurationActivated(version=self._replica.version))
         return changed
@@ -245,6 +258,7 @@
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted:
+            self._left_out.remove(self.kind, item.name)
             changed = self._replica.accept_removal(item.name, revision)
             if changed:
                 write_log_entry(log, ServerRemoved(server=item.name, revision=revision))
@@ -261,7 +275,10 @@
 
     def _decode(self, item: StoredObject) -> Endpoint | None:
         try:
-            return decode_endpoint(item.name, item.read_spec(), item.revision)
+            endpoint = decode_endpoint(item.name, item.read_spec(), item.revision)
         except DocumentError as error:
-            write_log_entry(log, ServerEntryInvalid(error=str(error)))
+            if self._left_out.add(self.kind, item.name, item.revision, str(error)):
+                write_log_entry(log, ServerEntryInvalid(error=str(error)))
             return None
+        self._left_out.remove(self.kind, item.name)
+        return endpoint
--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -4,8 +4,10 @@
 import msgspec
 import pytest
 
+from rosemarystream._internal.gateway import store_watches
+from rosemarystream._internal.models.log_entries import HistoryGone, ServerEntryInvalid
 from standins.object_store import StoreFault
-from tests.lib.entry_world import World, wait_until
+from tests.lib.entry_world import METRICS_PORT, World, get, wait_until
 
 CALLS = 24
 DEEP = 5_000
@@ -152,3 +154,27 @@
     wait_until(lambda: "p7" in host.list_servers())
     world.store.remove("servers", "p9")
     wait_until(lambda: host.list_servers() == ["p1", "p7"])
+
+
+@pytest.mark.parametrize("odd", ["nested_1500", "port_too_large", "deep_status"])
+def test_an_odd_entry_is_named_and_logged_once_a_revision(world, monkeypatch, odd):
+    entries = []
+    monkeypatch.setattr(
+        store_watches, "write_log_entry", lambda log, entry: entries.append(entry)
+    )
+    host = world.add_host("h1")
+    write_odd(world, odd)
+    wait_until(lambda: host.read_state()["left_out"])
+    world.store.drop_history()
+    wait_until(lambda: any(isinstance(entry, HistoryGone) for entry in entries))
+    world.add_server("p7")
+    wait_until(lambda: "p7" in host.list_servers())
+    name = "servers/p5" if odd in CONTENTS else "servers/odd"
+    assert [*host.read_state()["left_out"]] == [name]
+    assert sum(isinstance(entry, ServerEntryInvalid) for entry in entries) == 1
+    metrics = get(host.ip, METRICS_PORT, "/").body
+    assert b'rosemarystream_objects_left_out_total{kind="servers"} 1.0' in metrics
+    world.store.write("servers", "p5", CONTENTS["no_slots"])
+    wait_until(lambda: "servers/p5" in host.read_state()["left_out"])
+    world.store.remove("servers", "p5")
+    wait_until(lambda: "servers/p5" not in host.read_state()["left_out"])
