Keep the older configuration if the newer one can't be used

Callers saw connections closed without an answer: a route without a target made choose_service raise IndexError, a negative idle timeout made settimeout raise ValueError on each connection. A version of 40 digits ended the loops that send and receive gossip (OverflowError: can't serialize ints). A tenant's name in another script raised UnicodeEncodeError for each of its callers; it is now sent as UTF-8.

All fields of the document have ranges, routes need a target, and a tenant's name has to fit a header. What is refused leaves the older configuration in force, which new hosts get from their peers.

--- a/src/rosemarystream/_internal/models/ranges.py
+++ b/src/rosemarystream/_internal/models/ranges.py
@@ -12,6 +12,12 @@
 MAX_COUNT = 2**53
 MAX_NUMBER = 2**64 - 1
 MAX_SLOTS = 1_000_000
+MAX_RANK = 2**31 - 1
+MAX_ATTEMPTS = 1_000_000
+MAX_TEXT_CHARS = 16_384
+MAX_SIZE_BYTES = 2**40
+# Longest timeout of a route or a connection: some weeks.
+MAX_TIMEOUT_MS = 2**31
 MAX_PART_TOKENS = 100_000_000
 # Longest time that a document may state, and longest age of what hosts report.
 MAX_MS = 10**13
@@ -19,6 +25,13 @@
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 # Revisions, versions, sequence numbers.
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Rank = Annotated[int, Meta(ge=0, le=MAX_RANK)]
+Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARS)]
+Attempts = Annotated[int, Meta(ge=0, le=MAX_ATTEMPTS)]
+Size = Annotated[int, Meta(ge=0, le=MAX_SIZE_BYTES)]
+HeadSize = Annotated[int, Meta(ge=1, le=MAX_SIZE_BYTES)]
+TimeoutMs = Annotated[float, Meta(gt=0, le=MAX_TIMEOUT_MS)]
+ObjectiveMs = Annotated[float, Meta(ge=0, le=MAX_TIMEOUT_MS)]
 # Hashes that identify servers (32 bits) and prompt parts (64 bits).
 Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -7,10 +7,17 @@
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.ranges import (
+    Attempts,
     Count,
     EpochMs,
+    HeadSize,
     Name,
+    ObjectiveMs,
+    Rank,
+    Size,
     Slots,
+    Text,
+    TimeoutMs,
 )
 from rosemarystream._internal.models.route import (
     CallerLimits,
@@ -31,6 +38,8 @@
 }
 # Names that a header can carry: visible characters of Latin-1.
 _HEADER_NAME = re.compile(r"[!-~\xa1-\xff]+")
+# No control characters, and no spaces at the ends.
+_HEADER_VALUE = re.compile(r"[^\x00-\x20\x7f]+([ \t]+[^\x00-\x20\x7f]+)*")
 _UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
@@ -40,52 +49,52 @@
 
 
 class _Cluster(msgspec.Struct):
-    service: str
-    weight: int
+    service: Name
+    weight: Count
 
 
 class _Route(msgspec.Struct, rename="kebab"):
-    name: str
-    host: str
-    path_prefix: str
+    name: Text
+    host: Text
+    path_prefix: Text
     kind: str
-    timeout_ms: float
-    slo_ms: float = 1000.0
-    priority: int = 5
-    service: str | None = None
+    timeout_ms: TimeoutMs
+    slo_ms: ObjectiveMs = 1000.0
+    priority: Rank = 5
+    service: Name | None = None
     weighted_clusters: list[_Cluster] = []
-    max_attempts: int = 1
+    max_attempts: Attempts = 1
     allow_anonymous: bool = False
     sticky: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 1000.0
+    gap_aim_ms: ObjectiveMs = 1000.0
 
 
 class _Engine(msgspec.Struct, rename="kebab"):
-    kv_capacity: int = 0
+    kv_capacity: Count = 0
 
 
 class _Service(msgspec.Struct, rename="kebab"):
-    name: str
-    max_connections: int = 64
+    name: Text
+    max_connections: Slots = 64
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: HeadSize = 16_384
+    max_body_bytes: Size = 4_194_304
+    header_timeout_ms: TimeoutMs = 3_000.0
+    idle_timeout_ms: TimeoutMs = 15_000.0
 
 
 class _Tenant(msgspec.Struct, rename="kebab"):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
+    name: Text
+    api_keys: list[Text] = []
+    priority: Rank | None = None
 
 
 class _Configuration(msgspec.Struct, rename="kebab"):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -140,7 +149,7 @@
             idle_timeout_s=body.limits.idle_timeout_ms / _MS_PER_S,
         ),
         workspaces={
-            key: Workspace(tenant.name, tenant.priority)
+            key: _convert_tenant(tenant)
             for tenant in body.tenants
             for key in tenant.api_keys
         },
@@ -156,6 +165,8 @@
     )
     if not targets and row.service is not None:
         targets = (Target(row.service, 1),)
+    if not targets:
+        raise DocumentError(f"route {row.name!r} has no target")
     return Route(
         name=row.name,
         host=row.host.lower(),
@@ -181,6 +192,12 @@
     )
 
 
+def _convert_tenant(row: _Tenant) -> Workspace:
+    if not _HEADER_VALUE.fullmatch(row.name):
+        raise DocumentError(f"tenant {row.name!r} has a name that no header can carry")
+    return Workspace(row.name, row.priority)
+
+
 def decode_endpoint(name: str, document: bytes, revision: int) -> Endpoint:
     """Decode the store entry of a registered backend server.
 
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -182,7 +182,7 @@
     headers.append((EXPECTED_SERVER, server.encode("latin-1")))
     headers.append((PRIORITY, b"%d" % min(max(level, 0), MAX_PRIORITY)))
     if workspace is not None:
-        headers.append((WORKSPACE, workspace.encode("latin-1")))
+        headers.append((WORKSPACE, workspace.encode()))
     if source is not None:
         headers.append((CACHE_SOURCE, source.encode("latin-1")))
     if last_event_id:
