Check the ranges of gossip and pulls as they are decoded

A host of a broken or older build could end the loops of all others: a number near 2**64 in gossip was added up or passed on and could not be encoded (OverflowError), a message that nests deeply raised RecursionError, NaN and negative ages went into the tables, and an unusable address of a host or a server was believed and passed on.

Fields of gossip, pulls and of the entries in them have ranges and lengths, which msgspec checks while it decodes. Addresses of hosts are parsed. Entries of servers that another host passes on are decoded one by one and checked as those of the store: one that can't be used is left out, named and counted. A document that can't be used isn't pulled again at once. The bytes on the wire are the same.

--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -41,6 +41,7 @@
     QuotaQuestion,
 )
 from rosemarystream._internal.models.log_entries import GossipFailed, GossipUnreadable
+from rosemarystream._internal.utils.address import is_host_ip
 
 log = Logger(__name__)
 
@@ -413,8 +414,8 @@
     def accept_datagram(self, data: bytes, ip: str) -> None:
         """Apply a message of another host; an unreadable one is logged."""
         try:
-            message = _decoder.decode(data)
-        except msgspec.DecodeError as error:
+            message = _decode(data)
+        except (msgspec.DecodeError, RecursionError) as error:
             write_log_entry(log, GossipUnreadable(ip=ip, error=str(error)))
             return
         if message.sender.name != self._this_host.name:
@@ -470,6 +471,8 @@
 
     def _accept_known_hosts(self, known_hosts: list[HostAddress], now: float) -> None:
         for host in known_hosts:
+            if not is_host_ip(host.ip):
+                continue
             if self._peer_table.find(host.name) is None or host.age_ms < 0:
                 self._peer_table.add_peer(host.name, host.data_centre, host.ip, now)
             if host.age_ms >= 0:
@@ -506,6 +509,20 @@
         }
 
 
+def _decode(data: bytes) -> GossipMessage:
+    """Decode a message.
+
+    Raises
+    ------
+    msgspec.DecodeError, RecursionError
+        If it is none, or a field is out of its range.
+    """
+    message = _decoder.decode(data)
+    if not is_host_ip(message.sender.ip):
+        raise msgspec.ValidationError("the sender's address is no IPv4 address")
+    return message
+
+
 def _make_name(host: Peer, now: float) -> HostAddress:
     age_ms = UNHEARD_AGE_MS
     if host.last_seen_at:
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -20,6 +20,7 @@
 from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import accept_document
+from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.gossip import (
     CrashUpdates,
     PullAnswer,
@@ -29,8 +30,11 @@
     ConfigurationInvalid,
     PullFailed,
     PullUnanswered,
+    ServerEntryInvalid,
     UpdatesPulled,
 )
+from rosemarystream._internal.platform.documents import DocumentError, check_endpoint
+from rosemarystream._internal.platform.store import CONFIGURATION, CONFIGURATION_NAME
 
 log = Logger(__name__)
 
@@ -47,11 +51,16 @@
 MAX_FRAME_BYTES = 4_000_000
 MAX_DOCUMENT_BYTES = 4_000_000
 READ_BYTES = 65_536
+# Kind of the entries of servers that other hosts pass on, in the state dump.
+PASSED_ON = "servers-passed-on"
+# Time after a document that can't be used in which no other one is pulled.
+REFUSED_PAUSE_S = 0.5
 _MS_PER_S = 1000
 _LENGTH = struct.Struct("!I")
 
 _request_decoder = msgspec.msgpack.Decoder(PullRequest)
 _answer_decoder = msgspec.msgpack.Decoder(PullAnswer)
+_endpoint_decoder = msgspec.msgpack.Decoder(Endpoint)
 _encode = msgspec.msgpack.encode
 
 
@@ -89,6 +98,7 @@
         self._on_change = on_change
         self._active_pulls: set[str] = set()
         self._paused_until = 0.0
+        self._document_paused_until = 0.0
         self._compressed = (0, b"")
         self._server = StreamServer(address, self._serve)
 
@@ -106,7 +116,9 @@
 
     def pull_document(self, ip: str) -> None:
         """Pull the configuration from a host, unless a pull is in progress."""
-        self._start_pull("document", ip, PullRequest(self._replica.version, None))
+        if self._clock() >= self._document_paused_until:
+            request = PullRequest(self._replica.version, None)
+            self._start_pull("document", ip, request)
 
     def pull_contexts(self, ip: str) -> None:
         """Pull the map of cached prompt parts from the first hosts heard.
@@ -136,7 +148,7 @@
             ):
                 _send_frame(connection, _encode(request))
                 answer = _answer_decoder.decode(_receive_frame(connection))
-        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
+        except (OSError, gevent.Timeout, msgspec.DecodeError, RecursionError) as error:
             write_log_entry(log, PullFailed(state=kind, ip=ip, error=str(error)))
             self._paused_until = self._clock() + FAILURE_PAUSE_S
             return
@@ -146,9 +158,14 @@
 
     def _accept(self, answer: PullAnswer) -> None:
         changed = []
-        if answer.document and self._accept_document(answer.document):
-            changed.append(f"version {self._replica.version}")
-        changed += self._replica.accept_delta(_read_delta(answer, self._clock()))
+        if answer.document:
+            if self._accept_document(answer.document):
+                changed.append(f"version {self._replica.version}")
+            else:
+                self._document_paused_until = self._clock() + REFUSED_PAUSE_S
+        endpoints = self._decode_endpoints(answer.endpoints)
+        delta = _read_delta(answer, endpoints, self._clock())
+        changed += self._replica.accept_delta(delta)
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
@@ -160,11 +177,29 @@
             write_log_entry(log, UpdatesPulled(news=changed, revision=answer.revision))
             self._on_change()
 
+    def _decode_endpoints(self, rows: list[msgspec.Raw]) -> list[Endpoint]:
+        """Return the entries that can be used; each is checked as one of the store."""
+        endpoints = []
+        for row in rows:
+            try:
+                endpoint = _endpoint_decoder.decode(row)
+                check_endpoint(endpoint)
+            except (msgspec.DecodeError, RecursionError, DocumentError) as error:
+                # What identifies the entry may be unreadable.
+                if self._left_out.add(PASSED_ON, "", zlib.crc32(row), str(error)):
+                    write_log_entry(log, ServerEntryInvalid(error=str(error)))
+                continue
+            endpoints.append(endpoint)
+        return endpoints
+
     def _accept_document(self, compressed: bytes) -> bool:
         try:
             document = zlib.decompressobj().decompress(compressed, MAX_DOCUMENT_BYTES)
         except zlib.error as error:
-            write_log_entry(log, ConfigurationInvalid(error=f"not compressed: {error}"))
+            reason = f"not compressed: {error}"
+            revision = zlib.crc32(compressed)
+            if self._left_out.add(CONFIGURATION, CONFIGURATION_NAME, revision, reason):
+                write_log_entry(log, ConfigurationInvalid(error=reason))
             return False
         # The revision isn't sent; the same document is reported once.
         revision = zlib.crc32(document)
@@ -177,7 +212,7 @@
                     request = _request_decoder.decode(_receive_frame(connection))
                 with gevent.Timeout(_get_timeout(request)):
                     _send_frame(connection, _encode(self._select_newer(request)))
-        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
+        except (OSError, gevent.Timeout, msgspec.DecodeError, RecursionError) as error:
             write_log_entry(log, PullUnanswered(error=str(error)))
 
     def _select_newer(self, request: PullRequest) -> PullAnswer:
@@ -194,7 +229,7 @@
         delta = self._replica.select_delta(request.revision)
         return PullAnswer(
             document,
-            delta.endpoints,
+            [msgspec.Raw(_encode(endpoint)) for endpoint in delta.endpoints],
             delta.removed,
             delta.revision,
             lapsing=_list_lapsing(delta, self._clock()),
@@ -215,12 +250,12 @@
     }
 
 
-def _read_delta(answer: PullAnswer, now: float) -> Delta:
+def _read_delta(answer: PullAnswer, endpoints: list[Endpoint], now: float) -> Delta:
     lapsing = {
         name: Lapse(revision, now + left_ms / _MS_PER_S)
         for name, (revision, left_ms) in answer.lapsing.items()
     }
-    return Delta(answer.endpoints, answer.removed, lapsing, answer.revision)
+    return Delta(endpoints, answer.removed, lapsing, answer.revision)
 
 
 def _get_timeout(request: PullRequest) -> float:
--- a/src/rosemarystream/_internal/models/endpoint.py
+++ b/src/rosemarystream/_internal/models/endpoint.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.hashing import hash_name_32
+from rosemarystream._internal.models.ranges import Count, EpochMs, Name, Slots
 
 
 class ServerState(StrEnum):
@@ -26,14 +27,14 @@
         Revision of the platform's store at which the entry was written.
     """
 
-    name: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    name: Name
+    service: Name
+    address: Name
+    data_centre: Name
+    slots: Slots
     state: ServerState
-    incarnation: int
-    revision: int
+    incarnation: EpochMs
+    revision: Count
 
     @property
     def number(self) -> int:
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -7,7 +7,20 @@
 
 import msgspec
 
-from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.ranges import (
+    AgeMs,
+    AgeOrNeverMs,
+    Count,
+    LimitPerS,
+    Name,
+    Number,
+    Requests,
+    Sequence,
+    Slowness,
+    Text,
+    Tokens,
+    WaitMs,
+)
 
 
 class HostAddress(msgspec.Struct, array_like=True, frozen=True):
@@ -19,10 +32,10 @@
         Time since a message of the host arrived, in milliseconds; -1 if none did.
     """
 
-    name: str
-    data_centre: str
-    ip: str
-    age_ms: int = 0
+    name: Name
+    data_centre: Name
+    ip: Text
+    age_ms: AgeOrNeverMs = 0
 
 
 class LoadScope(IntEnum):
@@ -50,9 +63,9 @@
         until it ends, in milliseconds.
     """
 
-    crashes: list[tuple[int, int, list[int]]] = []
-    answers: list[tuple[int, int]] = []
-    blocks: list[tuple[int, int, int]] = []
+    crashes: list[tuple[Number, AgeMs, list[Number]]] = []
+    answers: list[tuple[Number, AgeMs]] = []
+    blocks: list[tuple[Number, AgeMs, AgeMs]] = []
 
 
 class QuotaQuestion(msgspec.Struct, array_like=True, frozen=True):
@@ -68,8 +81,8 @@
         Whether the server is in the data centre of the host.
     """
 
-    number: int
-    server: int
+    number: Count
+    server: Number
     is_nearby: bool
 
 
@@ -86,9 +99,9 @@
         Time until the next request may be sent, if this one may not.
     """
 
-    number: int
+    number: Count
     is_permitted: bool
-    wait_ms: float
+    wait_ms: WaitMs
 
 
 class GossipMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -134,21 +147,21 @@
     """
 
     sender: HostAddress
-    sequence: int
-    version: int
-    revision: int
-    store_lost_ms: int
+    sequence: Sequence
+    version: Count
+    revision: Count
+    store_lost_ms: AgeMs
     scope: LoadScope
-    counts: dict[int, int] = {}
-    prefill: dict[int, int] = {}
-    ejected: list[int] = []
-    cache_updates: list[tuple[int, int]] = []
+    counts: dict[Number, Requests] = {}
+    prefill: dict[Number, Tokens] = {}
+    ejected: list[Number] = []
+    cache_updates: list[tuple[Number, Number]] = []
     known_hosts: list[HostAddress] = []
     wants_answer: bool = False
-    live_hosts: int = 0
-    slowness: dict[int, tuple[float, int]] = {}
+    live_hosts: Requests = 0
+    slowness: dict[Number, tuple[Slowness, AgeMs]] = {}
     crash_updates: CrashUpdates | None = None
-    limits: dict[int, tuple[float, int]] = {}
+    limits: dict[Number, tuple[LimitPerS, AgeMs]] = {}
     quota_question: QuotaQuestion | None = None
     quota_answer: QuotaAnswer | None = None
 
@@ -166,8 +179,8 @@
         Whether it asks for the map of cached prompt parts and the blocked parts.
     """
 
-    version: int | None
-    revision: int | None
+    version: Count | None
+    revision: Count | None
     wants_contexts: bool = False
 
 
@@ -179,8 +192,9 @@
     document : bytes
         Compressed configuration document of the store; empty if there is no
         newer one.
-    endpoints, removed : list of Endpoint, dict of str to int
-        Changed servers, and the revisions at which others were removed, by name.
+    endpoints, removed : list of Raw, dict of str to int
+        Changed servers, each encoded as an `Endpoint`, and the revisions at which
+        others were removed, by name.
     revision : int
         Revision up to which the servers are current.
     contexts : list of tuple of int
@@ -194,9 +208,9 @@
     """
 
     document: bytes
-    endpoints: list[Endpoint]
-    removed: dict[str, int]
-    revision: int
-    contexts: list[tuple[int, int, int]] = []
-    blocks: list[tuple[int, int, int]] = []
-    lapsing: dict[str, tuple[int, int]] = {}
+    endpoints: list[msgspec.Raw]
+    removed: dict[Name, Count]
+    revision: Count
+    contexts: list[tuple[Number, Number, AgeMs]] = []
+    blocks: list[tuple[Number, AgeMs, AgeMs]] = []
+    lapsing: dict[Name, tuple[Count, AgeMs]] = {}
--- a/src/rosemarystream/_internal/models/ranges.py
+++ b/src/rosemarystream/_internal/models/ranges.py
@@ -10,7 +10,6 @@
 MAX_NAME_CHARS = 256
 # Largest whole number that a double holds exactly with all smaller ones.
 MAX_COUNT = 2**53
-MAX_NUMBER = 2**64 - 1
 MAX_SLOTS = 1_000_000
 MAX_RANK = 2**31 - 1
 MAX_ATTEMPTS = 1_000_000
@@ -19,12 +18,18 @@
 # Longest timeout of a route or a connection: some weeks.
 MAX_TIMEOUT_MS = 2**31
 MAX_PART_TOKENS = 100_000_000
+# Requests in progress at a server, and tokens that it has to prefill.
+MAX_REQUESTS = 2**31
+MAX_TOKENS = 2**48
+MAX_SLOWNESS = 1e6
 # Longest time that a document may state, and longest age of what hosts report.
 MAX_MS = 10**13
 
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
-# Revisions, versions, sequence numbers.
+# Revisions, versions and other numbers that only grow.
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+# Numbers of messages; they begin with the time of day, which may be set back.
+Sequence = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 Rank = Annotated[int, Meta(ge=0, le=MAX_RANK)]
 Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARS)]
 Attempts = Annotated[int, Meta(ge=0, le=MAX_ATTEMPTS)]
@@ -32,8 +37,18 @@
 HeadSize = Annotated[int, Meta(ge=1, le=MAX_SIZE_BYTES)]
 TimeoutMs = Annotated[float, Meta(gt=0, le=MAX_TIMEOUT_MS)]
 ObjectiveMs = Annotated[float, Meta(ge=0, le=MAX_TIMEOUT_MS)]
-# Hashes that identify servers (32 bits) and prompt parts (64 bits).
-Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+# Hashes that identify servers (32 bits) and prompt parts (64 bits). MessagePack has no
+# larger numbers, and msgspec checks no bound beyond 63 bits.
+Number = Annotated[int, Meta(ge=0)]
 Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
-AgeMs = Annotated[int, Meta(ge=-1, le=MAX_MS)]
+AgeMs = Annotated[int, Meta(ge=0, le=MAX_MS)]
+# The age of what has never been seen is -1.
+AgeOrNeverMs = Annotated[int, Meta(ge=-1, le=MAX_MS)]
+Requests = Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
+Tokens = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
+# NaN is in no range.
+Slowness = Annotated[float, Meta(ge=0, le=MAX_SLOWNESS)]
+# Requests a second; infinite without a limit.
+LimitPerS = Annotated[float, Meta(ge=0)]
+WaitMs = Annotated[float, Meta(ge=0, le=MAX_MS)]
 EpochMs = Annotated[int, Meta(ge=0, le=MAX_MS)]
--- a/src/rosemarystream/_internal/utils/address.py
+++ b/src/rosemarystream/_internal/utils/address.py
@@ -5,8 +5,10 @@
 
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
-# Addresses kept with the result of their check: several times those of a large fleet.
-_KEPT_RESULTS = 16_384
+# Length of an IPv4 address.
+MAX_IP_CHARS = 15
+# Results of checks that are kept: several for each host of a large fleet.
+_KEPT_RESULTS = 4_096
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -15,9 +17,13 @@
     return host.strip("[]"), int(port)
 
 
-@lru_cache(_KEPT_RESULTS)
 def is_host_ip(text: str) -> bool:
     """Return whether a text is the IPv4 address of one host."""
+    return len(text) <= MAX_IP_CHARS and _is_host_ip(text)
+
+
+@lru_cache(_KEPT_RESULTS)
+def _is_host_ip(text: str) -> bool:
     try:
         ip = IPv4Address(text)
     except ValueError:
@@ -25,7 +31,6 @@
     return not (ip.is_unspecified or ip.is_multicast or ip.is_reserved)
 
 
-@lru_cache(_KEPT_RESULTS)
 def is_server_address(address: str) -> bool:
     """Return whether an address is ``ip:port`` of a host, by IPv4."""
     ip, _, port = address.rpartition(":")
