Check the records of blocked parts and hosts as other objects

A record with a number of 4,000 digits ended the watch of the blocked parts (OverflowError: integer division result too large for a float), one whose name is a number of more than 64 bits, or a negative one, ended the loop that sends gossip (can't serialize ints < -2**63 or > 2**64 - 1), and the address of a host was believed as it stood.

Both records have decoders now (platform/records.py). What can't be used is named, counted and logged once, and the others are taken.

--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -5,6 +5,7 @@
 repeat the blocks in force for hosts that missed them.
 """
 
+import re
 from collections.abc import Iterable, Sequence
 from math import inf
 from typing import NamedTuple
@@ -38,6 +39,7 @@
 # Rounds after which collectors repeat the blocks in force.
 REPEAT_BLOCKS_EVERY_ROUNDS = 10
 _MS_PER_S = 1000
+_PART_NUMBER = re.compile(r"[0-9a-f]{1,16}")
 
 
 class Block(NamedTuple):
@@ -81,6 +83,8 @@
     ValueError
         If the text is no such number.
     """
+    if not _PART_NUMBER.fullmatch(text):
+        raise ValueError(f"{text!r} is no number of a prompt part")
     return int(text, 16)
 
 
--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -19,6 +19,8 @@
     BlockNotStored,
     BlockRecordInvalid,
 )
+from rosemarystream._internal.platform.documents import DocumentError
+from rosemarystream._internal.platform.records import BlockRecord, decode_block_record
 from rosemarystream._internal.platform.store import BLOCKED_PARTS, Store
 from rosemarystream._internal.platform.store_answers import StoredObject, StoreError
 
@@ -76,17 +78,22 @@
                 self._stored_until.pop(part, None)
                 self._blocks.lift_block(part, self._clock())
             else:
-                self._accept_record(part, item.read_text_fields())
-        except (KeyError, ValueError) as error:
-            entry = BlockRecordInvalid(name=item.name, error=repr(error))
-            write_log_entry(log, entry)
+                self._accept_record(part, decode_block_record(item))
+            self._left_out.remove(self.kind, item.name)
+        except (DocumentError, ValueError) as error:
+            self._leave_out(item, error)
         return False
 
-    def _accept_record(self, part: int, fields: dict[str, str]) -> None:
+    def _leave_out(self, item: StoredObject, error: Exception) -> None:
+        if self._left_out.add(self.kind, item.name, item.revision, str(error)):
+            entry = BlockRecordInvalid(name=item.name, error=str(error))
+            write_log_entry(log, entry)
+
+    def _accept_record(self, part: int, record: BlockRecord) -> None:
         now = self._clock()
         offset_s = self._read_epoch_s() - now
-        began_at = int(fields["began_ms"]) / _MS_PER_S - offset_s
-        until = int(fields["until_ms"]) / _MS_PER_S - offset_s
+        began_at = int(record.began_ms) / _MS_PER_S - offset_s
+        until = int(record.until_ms) / _MS_PER_S - offset_s
         self._stored_until[part] = until
         self._blocks.accept_block(Block(part, began_at, until), now, is_forwarded=True)
 
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -54,6 +54,7 @@
     HostExchangeFailed,
     HostFound,
     HostLost,
+    HostRecordInvalid,
     Leaving,
     PromptPartBlocked,
     PromptPartReleased,
@@ -66,6 +67,8 @@
     Stopped,
 )
 from rosemarystream._internal.models.route import CallerLimits
+from rosemarystream._internal.platform.documents import DocumentError
+from rosemarystream._internal.platform.records import decode_host_record
 from rosemarystream._internal.platform.store import HOSTS, Store
 from rosemarystream._internal.platform.store_answers import StoreError
 from rosemarystream._internal.utils.address import split_address
@@ -354,12 +357,18 @@
 
     def _read_hosts(self, store: Store) -> None:
         now = self._clock()
-        for item in store.list(HOSTS).objects:
-            host = item.read_text_fields()
-            if "ip" in host and "data_centre" in host:
-                self._peer_table.add_peer(
-                    item.name, host["data_centre"], host["ip"], now
-                )
+        objects = store.list(HOSTS).objects
+        listed = [(item.name, item.revision) for item in objects]
+        self._left_out.keep_listed(HOSTS, listed)
+        for item in objects:
+            try:
+                host = decode_host_record(item)
+            except DocumentError as error:
+                if self._left_out.add(HOSTS, item.name, item.revision, str(error)):
+                    entry = HostRecordInvalid(name=item.name, error=str(error))
+                    write_log_entry(log, entry)
+                continue
+            self._peer_table.add_peer(host.name, host.data_centre, host.ip, now)
 
     def _probe_services(self) -> None:
         """Log which services are unreachable, and probe their servers."""
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -249,6 +249,15 @@
     error: str
 
 
+class HostRecordInvalid(LogEntry, frozen=True, kw_only=True):
+    """The record of a host in the store is invalid and is ignored."""
+
+    message = "record of a host passed over"
+    level = WARNING
+    name: str
+    error: str
+
+
 class RequestRefusedEarly(LogEntry, frozen=True, kw_only=True):
     """A request was refused before all of it was read, so its id is unknown."""
 
--- a/src/rosemarystream/_internal/platform/store_answers.py
+++ b/src/rosemarystream/_internal/platform/store_answers.py
@@ -51,13 +51,6 @@
             raise DocumentError(f"object {self.name!r} is malformed: {self.error}")
         return self.spec
 
-    def read_text_fields(self) -> dict[str, str]:
-        """Return the content if all values are strings, else an empty dict."""
-        try:
-            return msgspec.json.decode(self.spec, type=dict[str, str])
-        except (msgspec.DecodeError, RecursionError):
-            return {}
-
 
 class Change(NamedTuple):
     """A write or deletion of an object."""
