Bound the numbers in headers of callers and servers

One request could end the loop that sends the gossip of its host: a prompt part of 30 digits of tokens went into the load that the host reports (OverflowError: can't serialize ints), and the others took it for dead after a while. A deadline, a part or a server's load of 5,000 digits closed the caller's connection without an answer (ValueError of int: 4,300 digits), and so did an event with such a number.

--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -6,6 +6,9 @@
     find_event_id,
 )
 
+# Identifiers with more digits aren't compared: int() fails on some thousands.
+MAX_NUMBER_DIGITS = 18
+
 
 class EventStream:
     """Splits the answers of servers into events, and checks their order.
@@ -58,7 +61,7 @@
         identifier = find_event_id(event)
         if not identifier:
             return True
-        if self.last_event.isdigit() and identifier.isdigit():
+        if _is_number(self.last_event) and _is_number(identifier):
             ahead = int(identifier) - int(self.last_event)
             if ahead <= 0:
                 return False
@@ -89,3 +92,7 @@
         if not (is_delimited or self._has_events):
             # A server that crashes after the head ends its answer in the same way.
             raise OutcomeUnknownError("the stream ended before an event", closed=True)
+
+
+def _is_number(identifier: bytes) -> bool:
+    return identifier.isdigit() and len(identifier) <= MAX_NUMBER_DIGITS
--- a/src/rosemarystream/_internal/models/ranges.py
+++ b/src/rosemarystream/_internal/models/ranges.py
@@ -17,10 +17,10 @@
 MAX_SIZE_BYTES = 2**40
 # Longest timeout of a route or a connection: some weeks.
 MAX_TIMEOUT_MS = 2**31
-MAX_PART_TOKENS = 100_000_000
+MAX_PART_TOKENS = 10_000_000
 # Requests in progress at a server, and tokens that it has to prefill.
 MAX_REQUESTS = 2**31
-MAX_TOKENS = 2**48
+MAX_TOKENS = 2**53
 MAX_SLOWNESS = 1e6
 # Longest time that a document may state, and longest age of what hosts report.
 MAX_MS = 10**13
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -4,6 +4,11 @@
 from typing import NamedTuple
 
 from rosemarystream._internal.models.call import Call, Headers, PromptPart
+from rosemarystream._internal.models.ranges import (
+    MAX_MS,
+    MAX_PART_TOKENS,
+    MAX_SLOWNESS,
+)
 
 REQUEST_ID = b"x-rosemarystream-attempt-id"
 DEADLINE = b"x-rosemarystream-deadline-ms"
@@ -59,6 +64,7 @@
 _OK = 200
 _REDIRECTION = 300
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_MAX_DIGITS = 18
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
 # Place of the slowness in a server's load, and its value at the usual speed.
@@ -214,9 +220,17 @@
 
 
 def _parse_ms(value: bytes | None) -> float | None:
-    if value is None or not value.isdigit():
+    number = None if value is None else _parse_whole(value, MAX_MS)
+    return None if number is None else number / _MS_PER_S
+
+
+def _parse_whole(value: bytes, most: int) -> int | None:
+    """Return a whole number; None if it is none, or above its range."""
+    # int() fails on some thousands of digits.
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
         return None
-    return int(value) / _MS_PER_S
+    number = int(value)
+    return number if number <= most else None
 
 
 def _parse_slowness(value: bytes) -> float | None:
@@ -224,10 +238,9 @@
     figures = value.split(b",")
     if len(figures) <= _SLOWNESS_FIGURE:
         return None
-    figure = figures[_SLOWNESS_FIGURE].strip()
-    if not figure.isdigit() or int(figure) == 0:
-        return None
-    return int(figure) / _USUAL_SLOWNESS
+    most = int(MAX_SLOWNESS * _USUAL_SLOWNESS)
+    figure = _parse_whole(figures[_SLOWNESS_FIGURE].strip(), most)
+    return figure / _USUAL_SLOWNESS if figure else None
 
 
 def _parse_rate(value: bytes | None) -> float | None:
@@ -241,14 +254,16 @@
     parts = []
     for entry in value.split(b","):
         name, _, tokens = entry.strip().partition(b":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(_decode(name), int(tokens)))
+        number = _parse_whole(tokens, MAX_PART_TOKENS)
+        if name and number is not None:
+            parts.append(PromptPart(_decode(name), number))
     return tuple(parts)
 
 
 def _parse_keep_alive(value: bytes | None) -> float | None:
     for word in (value or b"").split(b","):
         name, _, seconds = word.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return float(seconds)
+        if name.lower() == b"timeout":
+            number = _parse_whole(seconds, MAX_MS)
+            return None if number is None else float(number)
     return None
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -131,6 +131,8 @@
         What it tells of its load with each answer.
     limit_per_s : float or None
         Limit on its requests that it states with each answer; None if it states none.
+    odd_headers : list of tuple of bytes
+        Headers that it adds to each answer.
     faults_without_limit : set of Fault
         Faults with which an answer leaves the limit out.
     arrived_at : list of float
@@ -159,6 +161,7 @@
         self.pause_s = 1.3
         self.load = "1,0,8"
         self.limit_per_s: float | None = None
+        self.odd_headers: list[tuple[bytes, bytes]] = []
         self.faults_without_limit: set[Fault] = set()
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
@@ -258,7 +261,8 @@
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
-        identity.append((b"x-rosemarystream-server-load", self.load.encode()))
+        identity.append((b"x-rosemarystream-server-load", self.load.encode("latin-1")))
+        identity.extend(self.odd_headers)
         if fault in ERRORS:
             error = ERRORS[fault]
             headers = [*identity, *error.headers]
