--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,19 +10,17 @@
 
 import gevent
 
-from standins.backend_server import Fault
-from standins.link import Link, Mode
-from standins.object_store import StoreFault
+from standins.link import Link
 from tests.lib.entry_world import (
     SERVER_PORT,
     Caller,
     Reply,
     World,
-    make_configuration,
     wait_until,
 )
 from tests.lib.host_process import HostProcess
 from tests.soak.checks import Exchange, list_violations
+from tests.soak.faults import CRASHING_PART, FaultSource
 
 ROOT = Path(__file__).parents[2]
 LINK_PORT = 18_090
@@ -33,11 +31,7 @@
     ("X-Rosemarystream-Model", "m"),
     ("X-Rosemarystream-Prompt-Prefix", "a:900,b:100"),
 )
-# Prompt part on which engines crash, and the time until another one takes the address.
-CRASHING_PART = "crash"
-CRASHING_HEADERS = (
-    ("X-Rosemarystream-Prompt-Prefix", f"a:900,{CRASHING_PART}:50,c:10"),
-)
+# Time until another engine takes the address of one that has crashed.
 RESTART_S = 0.5
 # Crashes after which hosts have to know the part, in what time, and the requests that
 # may reach engines later.
@@ -52,8 +46,6 @@
 LIMIT_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
 MAX_LIMITED_REQUESTS = int(1.5 * LIMIT_WINDOW_S * LIMIT_PER_S) + 5
-# Limits of single servers while faults strike.
-FAULT_LIMITS_PER_S = (0.0, 1.0, 5.0, 40.0)
 
 
 class Report(NamedTuple):
@@ -78,7 +70,7 @@
         return "\n".join(lines)
 
 
-class Soak:
+class Soak(FaultSource):
     """Hosts, servers, links and callers of one soak."""
 
     def __init__(self, *, seed, folder):
@@ -171,106 +163,6 @@
         self.exchanges.append(Exchange(request_id, kind, reply))
         return reply.complete and reply.headers.get(b"connection") != b"close"
 
-    # Faults
-
-    def inject_fault(self):
-        """Inject one fault drawn from the seed; timed faults end before the return."""
-        kind = self.rng.choice(
-            ["kill", "freeze", "term", "hup", "link", "reset", "store", "refuse"]
-            + [
-                "answers",
-                "answers",
-                "configuration",
-                "drain",
-                "history",
-                "crash",
-                "limit",
-            ]
-        )
-        length_s = self.rng.uniform(0.3, 3.0)
-        host = self.rng.choice([*self.hosts.values()])
-        server = self.rng.choice([*self.links])
-        self.faults.append(f"{kind} {host.name} {server} {length_s:.1f} s")
-        getattr(self, f"_strike_{kind}")(host, server, length_s)
-
-    def _strike_kill(self, host, server, length_s):
-        host.restart(signal.SIGKILL)
-
-    def _strike_term(self, host, server, length_s):
-        host.restart(signal.SIGTERM)
-
-    def _strike_hup(self, host, server, length_s):
-        host.send(signal.SIGHUP)
-
-    def _strike_freeze(self, host, server, length_s):
-        host.send(signal.SIGSTOP)
-        gevent.sleep(length_s)
-        host.send(signal.SIGCONT)
-
-    def _strike_link(self, host, server, length_s):
-        link = self.rng.choice([self.links[server], self.store_links[host.name]])
-        link.mode = self.rng.choice([Mode.DELAY, Mode.STALL, Mode.STALL_ANSWERS])
-        gevent.sleep(length_s)
-        link.mode = Mode.PASS
-
-    def _strike_reset(self, host, server, length_s):
-        self.links[server].reset()
-        self.store_links[host.name].reset()
-
-    def _strike_store(self, host, server, length_s):
-        self.world.store.fault = StoreFault.BUSY
-        gevent.sleep(length_s)
-        self.world.store.fault = StoreFault.NONE
-
-    def _strike_refuse(self, host, server, length_s):
-        link = self.store_links[host.name]
-        link.mode = Mode.STALL
-        gevent.sleep(length_s)
-        link.mode = Mode.PASS
-
-    def _strike_answers(self, host, server, length_s):
-        faults = self.rng.choices([*Fault], k=self.rng.randint(2, 12))
-        self.world.servers[server].faults.extend(faults)
-
-    def _strike_configuration(self, host, server, length_s):
-        document = make_configuration(next(self._versions))
-        self.world.store.write("config", "main", document)
-
-    def _strike_drain(self, host, server, length_s):
-        entry = self.world.servers[server].describe("draining", seq=3)
-        entry["address"] = self.links[server].address
-        self.world.store.write("servers", server, entry)
-        gevent.sleep(length_s)
-        self.world.store.write("servers", server, {**entry, "state": "ready"})
-
-    def _strike_crash(self, host, server, length_s):
-        for _ in range(3):
-            self._send_crashing(host)
-
-    def _strike_limit(self, host, server, length_s):
-        limited = self.world.servers[server]
-        limited.limit_per_s = self.rng.choice(FAULT_LIMITS_PER_S)
-        gevent.sleep(length_s)
-        limited.limit_per_s = None
-
-    def _send_crashing(self, host):
-        try:
-            caller = Caller(host.ip)
-        except OSError:
-            return
-        self._call(caller, "brief", CRASHING_HEADERS)
-        caller.close()
-
-    def _count_crashing_requests(self):
-        return sum(
-            CRASHING_PART in run.list_shared_parts()
-            for server in self.world.servers.values()
-            for run in server.runs
-        )
-
-    def _strike_history(self, host, server, length_s):
-        self.world.store.drop_history()
-
     # Phases of a run
 
     def run(self, seconds):
