Give every decoder of the boundary arbitrary values, depths and numbers

tests/properties/test_boundary_decoders.py: the only error that comes out is the decoder's own, what is returned is in its ranges and can be encoded again. Its first run found that a name of over 256 characters was accepted by decode_endpoint, though no other host would take it; the length is checked with the other rules of a name now. The decoders of gossip and pulls turn RecursionError into msgspec.DecodeError in one place (utils/wire.py).

--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -42,6 +42,7 @@
 )
 from rosemarystream._internal.models.log_entries import GossipFailed, GossipUnreadable
 from rosemarystream._internal.utils.address import is_host_ip
+from rosemarystream._internal.utils.wire import decode_message
 
 log = Logger(__name__)
 
@@ -415,7 +416,7 @@
         """Apply a message of another host; an unreadable one is logged."""
         try:
             message = _decode(data)
-        except (msgspec.DecodeError, RecursionError) as error:
+        except msgspec.DecodeError as error:
             write_log_entry(log, GossipUnreadable(ip=ip, error=str(error)))
             return
         if message.sender.name != self._this_host.name:
@@ -514,10 +515,10 @@
 
     Raises
     ------
-    msgspec.DecodeError, RecursionError
+    msgspec.DecodeError
         If it is none, or a field is out of its range.
     """
-    message = _decoder.decode(data)
+    message = decode_message(_decoder, data)
     if not is_host_ip(message.sender.ip):
         raise msgspec.ValidationError("the sender's address is no IPv4 address")
     return message
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -35,6 +35,7 @@
 )
 from rosemarystream._internal.platform.documents import DocumentError, check_endpoint
 from rosemarystream._internal.platform.store import CONFIGURATION, CONFIGURATION_NAME
+from rosemarystream._internal.utils.wire import decode_message
 
 log = Logger(__name__)
 
@@ -147,8 +148,8 @@
                 socket.create_connection((ip, self._port)) as connection,
             ):
                 _send_frame(connection, _encode(request))
-                answer = _answer_decoder.decode(_receive_frame(connection))
-        except (OSError, gevent.Timeout, msgspec.DecodeError, RecursionError) as error:
+                answer = decode_message(_answer_decoder, _receive_frame(connection))
+        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
             write_log_entry(log, PullFailed(state=kind, ip=ip, error=str(error)))
             self._paused_until = self._clock() + FAILURE_PAUSE_S
             return
@@ -182,9 +183,9 @@
         endpoints = []
         for row in rows:
             try:
-                endpoint = _endpoint_decoder.decode(row)
+                endpoint = decode_message(_endpoint_decoder, row)
                 check_endpoint(endpoint)
-            except (msgspec.DecodeError, RecursionError, DocumentError) as error:
+            except (msgspec.DecodeError, DocumentError) as error:
                 # What identifies the entry may be unreadable.
                 if self._left_out.add(PASSED_ON, "", zlib.crc32(row), str(error)):
                     write_log_entry(log, ServerEntryInvalid(error=str(error)))
@@ -209,10 +210,12 @@
         try:
             with connection:
                 with gevent.Timeout(SERVERS_TIMEOUT_S):
-                    request = _request_decoder.decode(_receive_frame(connection))
+                    request = decode_message(
+                        _request_decoder, _receive_frame(connection)
+                    )
                 with gevent.Timeout(_get_timeout(request)):
                     _send_frame(connection, _encode(self._select_newer(request)))
-        except (OSError, gevent.Timeout, msgspec.DecodeError, RecursionError) as error:
+        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
             write_log_entry(log, PullUnanswered(error=str(error)))
 
     def _select_newer(self, request: PullRequest) -> PullAnswer:
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -7,6 +7,7 @@
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.ranges import (
+    MAX_NAME_CHARS,
     Attempts,
     Count,
     EpochMs,
@@ -37,7 +38,7 @@
     "streaming": RouteKind.STREAM,
 }
 # Names that a header can carry: visible characters of Latin-1.
-_HEADER_NAME = re.compile(r"[!-~\xa1-\xff]+")
+_HEADER_NAME = re.compile(rf"[!-~\xa1-\xff]{{1,{MAX_NAME_CHARS}}}")
 # No control characters, and no spaces at the ends.
 _HEADER_VALUE = re.compile(r"[^\x00-\x20\x7f]+([ \t]+[^\x00-\x20\x7f]+)*")
 _UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
