Check in the soak that hosts follow the store beside odd entries

At the end of a run all odd entries are written, then a server is registered, and every host has to list it within 3 s.

--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/host_records.py
@@ -0,0 +1,36 @@
+"""Hosts that have registered themselves in the store."""
+
+from logbook import Logger
+
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.models.log_entries import HostRecordInvalid
+from rosemarystream._internal.platform.documents import DocumentError
+from rosemarystream._internal.platform.records import decode_host_record
+from rosemarystream._internal.platform.store import HOSTS, Store
+
+log = Logger(__name__)
+
+
+def read_hosts(
+    store: Store, peer_table: PeerTable, left_out: LeftOutObjects, now: float
+) -> None:
+    """Add the hosts in the store to the table; a record that is invalid is logged.
+
+    Raises
+    ------
+    StoreError
+        If the store gives no usable answer.
+    """
+    objects = store.list(HOSTS).objects
+    left_out.keep_listed(HOSTS, [(item.name, item.revision) for item in objects])
+    for item in objects:
+        try:
+            host = decode_host_record(item)
+        except DocumentError as error:
+            if left_out.add(HOSTS, item.name, item.revision, str(error)):
+                entry = HostRecordInvalid(name=item.name, error=str(error))
+                write_log_entry(log, entry)
+            continue
+        peer_table.add_peer(host.name, host.data_centre, host.ip, now)
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -28,6 +28,7 @@
 from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.decisions.server_observations import ServerReport
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
+from rosemarystream._internal.gateway.gossip_decoder import decode_gossip
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
@@ -42,7 +43,6 @@
 )
 from rosemarystream._internal.models.log_entries import GossipFailed, GossipUnreadable
 from rosemarystream._internal.utils.address import is_host_ip
-from rosemarystream._internal.utils.wire import decode_message
 
 log = Logger(__name__)
 
@@ -69,7 +69,6 @@
 # Time for which another host's report that it has lost the store is valid.
 STORE_REPORT_LIFE_S = 1.5
 
-_decoder = msgspec.msgpack.Decoder(GossipMessage)
 _encode = msgspec.msgpack.encode
 
 
@@ -415,7 +414,7 @@
     def accept_datagram(self, data: bytes, ip: str) -> None:
         """Apply a message of another host; an unreadable one is logged."""
         try:
-            message = _decode(data)
+            message = decode_gossip(data)
         except msgspec.DecodeError as error:
             write_log_entry(log, GossipUnreadable(ip=ip, error=str(error)))
             return
@@ -510,20 +509,6 @@
         }
 
 
-def _decode(data: bytes) -> GossipMessage:
-    """Decode a message.
-
-    Raises
-    ------
-    msgspec.DecodeError
-        If it is none, or a field is out of its range.
-    """
-    message = decode_message(_decoder, data)
-    if not is_host_ip(message.sender.ip):
-        raise msgspec.ValidationError("the sender's address is no IPv4 address")
-    return message
-
-
 def _make_name(host: Peer, now: float) -> HostAddress:
     age_ms = UNHEARD_AGE_MS
     if host.last_seen_at:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -26,6 +26,7 @@
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.host_records import read_hosts
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Listener, Request
 from rosemarystream._internal.gateway.logs import (
@@ -54,7 +55,6 @@
     HostExchangeFailed,
     HostFound,
     HostLost,
-    HostRecordInvalid,
     Leaving,
     PromptPartBlocked,
     PromptPartReleased,
@@ -67,8 +67,6 @@
     Stopped,
 )
 from rosemarystream._internal.models.route import CallerLimits
-from rosemarystream._internal.platform.documents import DocumentError
-from rosemarystream._internal.platform.records import decode_host_record
 from rosemarystream._internal.platform.store import HOSTS, Store
 from rosemarystream._internal.platform.store_answers import StoreError
 from rosemarystream._internal.utils.address import split_address
@@ -356,19 +354,7 @@
             gevent.sleep(HOSTS_INTERVAL_S if registered else REGISTER_RETRY_S)
 
     def _read_hosts(self, store: Store) -> None:
-        now = self._clock()
-        objects = store.list(HOSTS).objects
-        listed = [(item.name, item.revision) for item in objects]
-        self._left_out.keep_listed(HOSTS, listed)
-        for item in objects:
-            try:
-                host = decode_host_record(item)
-            except DocumentError as error:
-                if self._left_out.add(HOSTS, item.name, item.revision, str(error)):
-                    entry = HostRecordInvalid(name=item.name, error=str(error))
-                    write_log_entry(log, entry)
-                continue
-            self._peer_table.add_peer(host.name, host.data_centre, host.ip, now)
+        read_hosts(store, self._peer_table, self._left_out, self._clock())
 
     def _probe_services(self) -> None:
         """Log which services are unreachable, and probe their servers."""
--- a/tests/properties/test_boundary_decoders.py
+++ b/tests/properties/test_boundary_decoders.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rosemarystream._internal.gateway import peering, state_pulls
+from rosemarystream._internal.gateway import state_pulls
+from rosemarystream._internal.gateway.gossip_decoder import decode_gossip
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.gossip import (
     GossipMessage,
@@ -244,7 +245,7 @@
 
 
 SOUND_MESSAGES = [
-    (peering._decode, MESSAGE),
+    (decode_gossip, MESSAGE),
     (make_decode(state_pulls._request_decoder), PullRequest(1, 2)),
     (make_decode(state_pulls._answer_decoder), PullAnswer(b"", [], {"s1": 3}, 5)),
     (make_decode(state_pulls._endpoint_decoder), ENDPOINT),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,13 +12,16 @@
 
 from standins.link import Link
 from tests.lib.entry_world import (
+    METRICS_PORT,
     SERVER_PORT,
     Caller,
     Reply,
     World,
+    get,
     wait_until,
 )
 from tests.lib.host_process import HostProcess
+from tests.lib.odd_objects import CONTENTS, OBJECTS, write_odd
 from tests.soak.checks import Exchange, list_violations
 from tests.soak.faults import CRASHING_PART, FaultSource
 
@@ -198,7 +201,19 @@
             return [
                 f"after the faults only {served} of {len(after)} requests were served"
             ]
-        return self._check_limit() + self._check_blocked()
+        return self._check_watches() + self._check_limit() + self._check_blocked()
+
+    def _check_watches(self):
+        """Check that all hosts learn of a server that is registered among odd ones."""
+        for odd in [*CONTENTS, *OBJECTS]:
+            write_odd(self.world.store, f"last-{odd}", odd)
+        self.world.add_server("late", "plain", work_s=0.01)
+        gevent.sleep(CONTACT_S)
+        return [
+            f"{host.name} did not learn of a server in {CONTACT_S} s"
+            for host in self.hosts.values()
+            if b'"late"' not in get(host.ip, METRICS_PORT, "/v1/state").body
+        ]
 
     def _check_limit(self):
         """Check that all hosts together keep to the limit of a server."""
