--- a/src/rosemarystream/_internal/gateway/gossip_reports.py
+++ b/src/rosemarystream/_internal/gateway/gossip_reports.py
@@ -9,6 +9,7 @@
     HostAddress,
     LoadScope,
 )
+from rosemarystream._internal.utils.address import is_host_ip
 
 # Time for which another host's report that it has lost the store is valid.
 STORE_REPORT_LIFE_S = 1.5
@@ -49,6 +50,8 @@
 
     def _accept_known_hosts(self, known_hosts: list[HostAddress], now: float) -> None:
         for host in known_hosts:
+            if not is_host_ip(host.ip):
+                continue
             if self._peer_table.find(host.name) is None or host.age_ms < 0:
                 self._peer_table.add_peer(host.name, host.data_centre, host.ip, now)
             if host.age_ms >= 0:
--- a/src/rosemarystream/_internal/gateway/host_registry.py
+++ b/src/rosemarystream/_internal/gateway/host_registry.py
@@ -5,11 +5,14 @@
 import gevent
 from logbook import Logger
 
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.gateway.host_records import read_hosts
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.models.gossip import HostAddress
 from rosemarystream._internal.models.log_entries import HostExchangeFailed
-from rosemarystream._internal.platform.store import HOSTS, Store, StoreError
+from rosemarystream._internal.platform.store import HOSTS, Store
+from rosemarystream._internal.platform.store_answers import StoreError
 
 log = Logger(__name__)
 
@@ -28,6 +31,8 @@
         This host.
     store : Store
         The platform's store; the connection is closed after each exchange.
+    left_out : LeftOutObjects
+        Records the hosts' objects that can't be used.
     """
 
     def __init__(
@@ -36,11 +41,13 @@
         this_host: HostAddress,
         store: Store,
         peer_table: PeerTable,
+        left_out: LeftOutObjects,
         clock: Callable[[], float],
     ) -> None:
         self._this_host = this_host
         self._store = store
         self._peer_table = peer_table
+        self._left_out = left_out
         self._clock = clock
         self._is_registered = False
 
@@ -58,7 +65,7 @@
             return
         try:
             self._register()
-            self._read_hosts()
+            read_hosts(self._store, self._peer_table, self._left_out, self._clock())
         except StoreError as error:
             write_log_entry(log, HostExchangeFailed(error=str(error)))
 
@@ -69,12 +76,3 @@
         spec = {"data_centre": host.data_centre, "ip": host.ip}
         self._store.put(HOSTS, host.name, spec)
         self._is_registered = True
-
-    def _read_hosts(self) -> None:
-        now = self._clock()
-        for item in self._store.list(HOSTS).objects:
-            host = item.read_text_fields()
-            if "ip" in host and "data_centre" in host:
-                self._peer_table.add_peer(
-                    item.name, host["data_centre"], host["ip"], now
-                )
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -26,6 +26,7 @@
 from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.decisions.server_observations import ServerReport
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
+from rosemarystream._internal.gateway.gossip_decoder import decode_gossip
 from rosemarystream._internal.gateway.gossip_names import list_names, take_turn
 from rosemarystream._internal.gateway.gossip_reports import GossipReports
 from rosemarystream._internal.gateway.limit_gate import LimitGate
@@ -63,7 +64,6 @@
 MAX_DATAGRAM_BYTES = 65_000
 RECEIVE_LOOP = "gossip_receive"
 
-_decoder = msgspec.msgpack.Decoder(GossipMessage)
 _encode = msgspec.msgpack.encode
 
 
@@ -392,7 +392,7 @@
     def accept_datagram(self, data: bytes, ip: str) -> None:
         """Apply a message of another host; an unreadable one is logged."""
         try:
-            message = _decoder.decode(data)
+            message = decode_gossip(data)
         except msgspec.DecodeError as error:
             write_log_entry(log, GossipUnreadable(ip=ip, error=str(error)))
             return
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -13,6 +13,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
@@ -115,6 +116,7 @@
         self._blocks = PromptBlocks()
         self._supervisor = supervisor or Supervisor(clock=self._clock)
         self._metrics = self._supervisor.metrics
+        self._left_out = LeftOutObjects(on_new=self._metrics.count_left_out)
         self._pool = ConnectionPool(clock=self._clock)
         self._router = Router(
             data_centre=host.data_centre,
@@ -137,6 +139,7 @@
             blocks=self._blocks,
             on_change=self._forget_departed,
             supervisor=self._supervisor,
+            left_out=self._left_out,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -174,6 +177,7 @@
                 is_watcher=self._is_watcher,
                 on_change=self._announce,
                 supervisor=self._supervisor,
+                left_out=self._left_out,
             )
             for watch in (
                 self._make_configuration_watch,
@@ -208,6 +212,7 @@
             list_failing_loops=self._supervisor.list_failing,
             count_busy=self._caller_listener.count_busy,
             count_dropped_entries=count_dropped_entries,
+            left_out=self._left_out,
         )
         self._answers = OperatorAnswers(
             state=self._state,
@@ -233,6 +238,7 @@
             this_host=self._this_host,
             store=self._make_store(),
             peer_table=self._peer_table,
+            left_out=self._left_out,
             clock=self._clock,
         )
         self._probes = ServiceProbes(
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TypedDict
 
+from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
@@ -67,6 +68,8 @@
         the time until the end of the block in seconds.
     failing_loops : dict of str to FailingLoop
         Loops of the host that have failed and don't count as sound yet.
+    left_out : dict of str to str
+        Why objects of the store or of other hosts are left out, by kind and name.
     """
 
     host: str
@@ -80,6 +83,7 @@
     out_of_reach: list[str]
     blocked_parts: dict[str, float]
     failing_loops: dict[str, FailingLoop]
+    left_out: dict[str, str]
     is_collector: bool
     collectors: list[str]
     servers: dict[str, ServerState]
@@ -118,6 +122,7 @@
         list_failing_loops: Callable[[], dict[str, FailingLoop]],
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
+        left_out: LeftOutObjects,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -129,6 +134,7 @@
         self._blocks = blocks
         self._list_failing_loops = list_failing_loops
         self._count_busy = count_busy
+        self._left_out = left_out
         self._count_dropped_entries = count_dropped_entries
         self._version = 0
         self._version_at = clock()
@@ -176,6 +182,7 @@
                 for block in self._blocks.list_blocks()
             },
             failing_loops=self._list_failing_loops(),
+            left_out=self._left_out.list_reasons(),
             is_collector=self._name in collectors,
             collectors=collectors,
             servers=self._list_servers(now),
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -1,9 +1,25 @@
 """Decoders of the platform's configuration documents and server entries."""
 
+import re
+
 import msgspec
 
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
+from rosemarystream._internal.models.ranges import (
+    MAX_NAME_CHARS,
+    Attempts,
+    Count,
+    EpochMs,
+    HeadSize,
+    Name,
+    ObjectiveMs,
+    Rank,
+    Size,
+    Slots,
+    Text,
+    TimeoutMs,
+)
 from rosemarystream._internal.models.route import (
     CallerLimits,
     FleetConfiguration,
@@ -13,6 +29,7 @@
     Target,
     Workspace,
 )
+from rosemarystream._internal.utils.address import is_server_address
 
 _MS_PER_S = 1000.0
 _KINDS = {
@@ -20,6 +37,11 @@
     "non_idempotent": RouteKind.AT_MOST_ONCE,
     "streaming": RouteKind.STREAM,
 }
+# Names that a header can carry: visible characters of Latin-1.
+_HEADER_NAME = re.compile(rf"[!-~\xa1-\xff]{{1,{MAX_NAME_CHARS}}}")
+# No control characters, and no spaces at the ends.
+_HEADER_VALUE = re.compile(r"[^\x00-\x20\x7f]+([ \t]+[^\x00-\x20\x7f]+)*")
+_UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
@@ -28,52 +50,52 @@
 
 
 class _Cluster(msgspec.Struct):
-    service: str
-    weight: int
+    service: Name
+    weight: Count
 
 
 class _Route(msgspec.Struct, rename="kebab"):
-    name: str
-    host: str
-    path_prefix: str
+    name: Text
+    host: Text
+    path_prefix: Text
     kind: str
-    timeout_ms: float
-    slo_ms: float = 1000.0
-    priority: int = 5
-    service: str | None = None
+    timeout_ms: TimeoutMs
+    slo_ms: ObjectiveMs = 1000.0
+    priority: Rank = 5
+    service: Name | None = None
     weighted_clusters: list[_Cluster] = []
-    max_attempts: int = 1
+    max_attempts: Attempts = 1
     allow_anonymous: bool = False
     sticky: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 1000.0
+    gap_aim_ms: ObjectiveMs = 1000.0
 
 
 class _Engine(msgspec.Struct, rename="kebab"):
-    kv_capacity: int = 0
+    kv_capacity: Count = 0
 
 
 class _Service(msgspec.Struct, rename="kebab"):
-    name: str
-    max_connections: int = 64
+    name: Text
+    max_connections: Slots = 64
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: HeadSize = 16_384
+    max_body_bytes: Size = 4_194_304
+    header_timeout_ms: TimeoutMs = 3_000.0
+    idle_timeout_ms: TimeoutMs = 15_000.0
 
 
 class _Tenant(msgspec.Struct, rename="kebab"):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
+    name: Text
+    api_keys: list[Text] = []
+    priority: Rank | None = None
 
 
 class _Configuration(msgspec.Struct, rename="kebab"):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -81,15 +103,15 @@
 
 
 class _Server(msgspec.Struct, rename="kebab"):
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Name
+    zone: Name
     state: str
-    slots: int
-    seq: int
+    slots: Slots
+    seq: Count
     version: str
     # Absent if the server has never restarted under this name.
-    born: int = 0
+    born: EpochMs = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -106,7 +128,7 @@
     """
     try:
         body = _configuration_decoder.decode(document)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _UNREADABLE as error:
         raise DocumentError(f"invalid configuration document: {error}") from error
     by_host: dict[str, list[Route]] = {}
     for row in body.routes:
@@ -128,7 +150,7 @@
             idle_timeout_s=body.limits.idle_timeout_ms / _MS_PER_S,
         ),
         workspaces={
-            key: Workspace(tenant.name, tenant.priority)
+            key: _convert_tenant(tenant)
             for tenant in body.tenants
             for key in tenant.api_keys
         },
@@ -144,6 +166,8 @@
     )
     if not targets and row.service is not None:
         targets = (Target(row.service, 1),)
+    if not targets:
+        raise DocumentError(f"route {row.name!r} has no target")
     return Route(
         name=row.name,
         host=row.host.lower(),
@@ -169,6 +193,12 @@
     )
 
 
+def _convert_tenant(row: _Tenant) -> Workspace:
+    if not _HEADER_VALUE.fullmatch(row.name):
+        raise DocumentError(f"tenant {row.name!r} has a name that no header can carry")
+    return Workspace(row.name, row.priority)
+
+
 def decode_endpoint(name: str, document: bytes, revision: int) -> Endpoint:
     """Decode the store entry of a registered backend server.
 
@@ -179,15 +209,12 @@
     """
     try:
         body = _server_decoder.decode(document)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _UNREADABLE as error:
         raise DocumentError(f"server entry {name!r} is malformed: {error}") from error
     state = _STATES.get(body.state)
-    address, _, port = body.address.rpartition(":")
-    if state is None or not port.isdigit() or address.count(".") != 3 or not name:
-        raise DocumentError(
-            f"server entry {name!r} has an unknown state or an invalid address"
-        )
-    return Endpoint(
+    if state is None:
+        raise DocumentError(f"server entry {name!r} has an unknown state")
+    endpoint = Endpoint(
         name=name,
         service=body.service,
         address=body.address,
@@ -197,3 +224,19 @@
         incarnation=body.born,
         revision=revision,
     )
+    check_endpoint(endpoint)
+    return endpoint
+
+
+def check_endpoint(endpoint: Endpoint) -> None:
+    """Check what a server is called and where it is, from whichever source.
+
+    Raises
+    ------
+    DocumentError
+        If its name can't be sent to it in a header, or its address is unusable.
+    """
+    if not _HEADER_NAME.fullmatch(endpoint.name):
+        raise DocumentError(f"server entry {endpoint.name!r} has an unusable name")
+    if not is_server_address(endpoint.address):
+        raise DocumentError(f"server entry {endpoint.name!r} has an unusable address")
