Send nothing more to a server that states that it leaves

Callers' requests went on to a server that states `Server-Leaving: 1` with its answers: the header was not read. It is now a field of the answer's head, believed only in an answer to the request that was sent, whatever its status. From then on the server is treated as one that drains by the store; what runs there ends.

A statement holds for the incarnation (name and `born`) for good: neither an answer without the header nor an entry that goes and returns unchanged ends it, since a request after it is wrong in either case. A new `born` begins anew. The header itself goes on to callers unchanged, as `Server-Limit` does.

Probes of services out of reach ask it too, and a wait for a permission is followed by another look. The deadlines of Retry-After have their place there; nothing records them yet.

--- a/src/rosemarystream/_internal/decisions/health.py
+++ b/src/rosemarystream/_internal/decisions/health.py
@@ -96,6 +96,10 @@
         """Return whether a server is ejected."""
         return now < self._states.get(server, _UNKNOWN).ejected_until
 
+    def find_ejected_until(self, server: str) -> float:
+        """Return the time at which the ejection of a server ends, or ended."""
+        return self._states.get(server, _UNKNOWN).ejected_until
+
     def list_ejected(self, now: float) -> list[str]:
         """Return the names of the ejected servers."""
         return [name for name, s in self._states.items() if now < s.ejected_until]
--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/retry_deadlines.py
@@ -0,0 +1,57 @@
+"""Until when backend servers want no requests, as they state with refusals.
+
+What a server states binds the host to which it states it. Other hosts learn of it as
+advice to place requests elsewhere.
+"""
+
+from rosemarystream._internal.decisions.server_observations import (
+    Observation,
+    ServerObservations,
+)
+from rosemarystream._internal.models.endpoint import Endpoint
+
+# Longest time for which a statement holds.
+MAX_RETRY_AFTER_S = 600.0
+# Age up to which an observation is passed on: a few rounds of messages at each of the
+# three steps from one host to all.
+REPORTED_AGE_S = 1.0
+
+
+class RetryDeadlines(ServerObservations):
+    """Times from which servers want requests again.
+
+    The observed value is the time in seconds for which a server wants none.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._deadlines: dict[tuple[int, int], float] = {}
+
+    def record(self, endpoint: Endpoint, delay_s: float, now: float) -> None:
+        """Record what a server has stated to this host; it replaces what it did before.
+
+        Parameters
+        ----------
+        delay_s : float
+            Time for which it wants no requests; at most `MAX_RETRY_AFTER_S` count.
+        """
+        delay_s = min(delay_s, MAX_RETRY_AFTER_S)
+        self._deadlines = {
+            key: deadline for key, deadline in self._deadlines.items() if now < deadline
+        }
+        self._deadlines[endpoint.number, endpoint.incarnation] = now + delay_s
+        self.observe(endpoint.number, delay_s, now)
+
+    def find(self, endpoint: Endpoint) -> float:
+        """Return the time from which a server wants requests of this host."""
+        return self._deadlines.get((endpoint.number, endpoint.incarnation), 0.0)
+
+    def is_advised(self, server: int, now: float) -> bool:
+        """Return whether a server wants no requests of a host, this or another."""
+        observation = self._all.get(server)
+        return observation is not None and now < (
+            observation.seen_at + min(observation.value, MAX_RETRY_AFTER_S)
+        )
+
+    def _is_reported(self, observation: Observation, now: float) -> bool:
+        return now - observation.seen_at <= REPORTED_AGE_S
--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -0,0 +1,177 @@
+"""Whether a backend server may get a request now, and if not, when.
+
+Combines what servers state (that they leave, when they want the next request, which
+limit they set) with what a host has observed (servers that can't be reached, data
+centres that are silent).
+"""
+
+from collections.abc import Collection, Sequence
+from enum import StrEnum
+from math import inf
+from typing import NamedTuple
+
+from rosemarystream._internal.decisions.health import ServerHealth
+from rosemarystream._internal.decisions.leaving_servers import LeavingServers
+from rosemarystream._internal.decisions.reachability import Reachability
+from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.retry_deadlines import RetryDeadlines
+from rosemarystream._internal.decisions.server_limits import ServerLimits
+from rosemarystream._internal.models.endpoint import Endpoint
+
+
+class Obstacle(StrEnum):
+    """Why a server may not get a request."""
+
+    NONE = "none"
+    LEAVING = "leaving"
+    RETRY_AFTER = "retry_after"
+    EJECTED = "ejected"
+    SILENT_DATA_CENTRE = "silent_data_centre"
+    LIMIT = "limit"
+
+
+# A service none of whose servers can be reached is probed with some of its requests,
+# but never against what a server has stated.
+_PROBED = (Obstacle.EJECTED, Obstacle.SILENT_DATA_CENTRE)
+
+
+class Availability(NamedTuple):
+    """Whether a server may get a request.
+
+    Attributes
+    ----------
+    until : float
+        Earliest time at which it may; infinite if that is not known.
+    """
+
+    obstacle: Obstacle
+    until: float
+
+
+class ServerAvailability:
+    """Answers for each registered server whether it may get a request now."""
+
+    def __init__(self, *, replica: Replica) -> None:
+        self._replica = replica
+        self._reachability = Reachability()
+        self.health = ServerHealth()
+        self.limits = ServerLimits()
+        self.leaving = LeavingServers()
+        self.retries = RetryDeadlines()
+
+    def check(self, endpoint: Endpoint, now: float) -> Availability:
+        """Return whether a server may get a request now, else why not and when."""
+        if self.leaving.is_leaving(endpoint):
+            return Availability(Obstacle.LEAVING, inf)
+        retry_at = self.retries.find(endpoint)
+        if now < retry_at:
+            return Availability(Obstacle.RETRY_AFTER, retry_at)
+        if self.health.is_ejected(endpoint.name, now):
+            until = self.health.find_ejected_until(endpoint.name)
+            return Availability(Obstacle.EJECTED, until)
+        if self.health.is_suspected(endpoint.data_centre, now):
+            return Availability(Obstacle.SILENT_DATA_CENTRE, inf)
+        opens_at = self.limits.find_opening(endpoint.number, now)
+        if now < opens_at:
+            return Availability(Obstacle.LIMIT, opens_at)
+        return Availability(Obstacle.NONE, now)
+
+    def is_wanted(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a server has stated nothing against requests at this time."""
+        obstacle = self.check(endpoint, now).obstacle
+        return obstacle not in (Obstacle.LEAVING, Obstacle.RETRY_AFTER)
+
+    def list_ready(self, service: str) -> list[Endpoint]:
+        """Return the servers of a service that don't drain or leave."""
+        ready = self._replica.list_ready(service)
+        return [e for e in ready if not self.leaving.is_leaving(e)]
+
+    def list_open(
+        self, service: str, *, exclude: Collection[str], now: float
+    ) -> list[Endpoint]:
+        """Return the servers of a service that may get a request now.
+
+        Those that want no requests of other hosts for a while are left out if there
+        are others. If no server seems to be reachable, some requests are let through
+        to all of them as probes.
+        """
+        states = [
+            (endpoint, self.check(endpoint, now).obstacle)
+            for endpoint in self.list_ready(service)
+            if endpoint.name not in exclude
+        ]
+        opened = [e for e, obstacle in states if obstacle is Obstacle.NONE]
+        limited = [e for e, obstacle in states if obstacle is Obstacle.LIMIT]
+        if opened or limited:
+            self._reachability.record_reachable(service)
+            return self._prefer_unadvised(opened, now)
+        unreachable = [e for e, obstacle in states if obstacle in _PROBED]
+        if not unreachable or not self._reachability.allow_probe(service, now):
+            return []
+        return [e for e in unreachable if self.limits.is_open(e.number, now)]
+
+    def _prefer_unadvised(
+        self, endpoints: list[Endpoint], now: float
+    ) -> list[Endpoint]:
+        preferred = [e for e in endpoints if not self.retries.is_advised(e.number, now)]
+        return preferred or endpoints
+
+    def is_unreachable(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a server is assumed to be unreachable."""
+        return self.health.is_ejected(endpoint.name, now) or self.health.is_suspected(
+            endpoint.data_centre, now
+        )
+
+    def list_unreachable_services(self, now: float) -> list[str]:
+        """Return the services none of whose servers can be reached."""
+        unreachable = []
+        for service in self._reachability.list_unreachable_services(now):
+            ready = self.list_ready(service)
+            if ready and all(self.is_unreachable(e, now) for e in ready):
+                unreachable.append(service)
+            else:
+                self._reachability.record_reachable(service)
+        return unreachable
+
+    def list_probed(self, service: str, now: float) -> list[Endpoint]:
+        """Return the servers of a service to which a connection may be tried."""
+        ready = self.list_ready(service)
+        return [e for e in ready if now >= self.retries.find(e)]
+
+    def list_limited(self, service: str) -> list[str]:
+        """Return the names of the servers of a service that limit their requests."""
+        ready = self.list_ready(service)
+        return [e.name for e in ready if self.limits.is_limited(e.number)]
+
+    def measure_limit_wait(
+        self, service: str, *, exclude: Collection[str], now: float
+    ) -> float | None:
+        """Return the time in seconds until a limited server may have room.
+
+        None if no server of the service is limited, those of `exclude` left out.
+        """
+        endpoints = [e for e in self.list_ready(service) if e.name not in exclude]
+        return self.limits.measure_wait([e.number for e in endpoints], now)
+
+    def find_retry_time(self, service: str, now: float) -> float | None:
+        """Return when the first server that wants no requests now wants them again.
+
+        None if none of the service's servers has asked this host to wait.
+        """
+        times = [self.retries.find(e) for e in self.list_ready(service)]
+        return min((at for at in times if now < at), default=None)
+
+    def list_waiting(self, service: str, now: float) -> list[str]:
+        """Return the names of the servers that want no requests of this host now."""
+        ready = self.list_ready(service)
+        return [e.name for e in ready if now < self.retries.find(e)]
+
+    def set_registered(self, endpoints: Sequence[Endpoint]) -> None:
+        """Set which servers the store names."""
+        self.leaving.set_registered(endpoints)
+
+    def forget(self, name: str, server: int) -> None:
+        """Drop what was observed of a server that has left or restarted."""
+        self.health.forget(name)
+        self.limits.forget_server(server)
+        self.retries.forget_server(server)
--- a/src/rosemarystream/_internal/decisions/server_limits.py
+++ b/src/rosemarystream/_internal/decisions/server_limits.py
@@ -78,7 +78,11 @@
 
     def is_open(self, server: int, now: float) -> bool:
         """Return whether a server may have room for a request."""
-        return now >= self._closed_until.get(server, now)
+        return now >= self.find_opening(server, now)
+
+    def find_opening(self, server: int, now: float) -> float:
+        """Return the time from which a server may have room for a request."""
+        return self._closed_until.get(server, now)
 
     def measure_wait(self, servers: Iterable[int], now: float) -> float | None:
         """Return the time in seconds until one of the limited servers may have room.
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -12,6 +12,7 @@
 from rosemarystream._internal.gateway.request_errors import RequestEndedError
 from rosemarystream._internal.gateway.request_record import RequestRecord
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.route import Route
 
 # Attempts per request at servers to which no connection could be made.
@@ -97,17 +98,27 @@
                 rank=self._record.rank,
                 exclude=[*self._record.tried, *limited],
             )
-            if placement is None or self._gate.admit(placement.endpoint):
-                return placement
+            if placement is None:
+                return None
+            if self._gate.admit(placement.endpoint):
+                if self._is_wanted(placement.endpoint):
+                    return placement
+                continue
             self._router.metrics.limit_refusals.inc()
             self._record.limited.append(placement.endpoint.name)
             limited.append(placement.endpoint.name)
             if len(limited) >= MAX_QUOTA_QUESTIONS:
-                limited = self._router.list_limited(self._service)
+                limited = self._router.availability.list_limited(self._service)
+
+    def _is_wanted(self, endpoint: Endpoint) -> bool:
+        """Return whether a server still wants requests after a wait for permission."""
+        return self._router.availability.is_wanted(endpoint, self._clock())
 
     def _make_unplaced_error(self) -> RequestEndedError:
         service = self._service
-        wait_s = self._router.measure_limit_wait(service, exclude=self._record.tried)
+        wait_s = self._router.availability.measure_limit_wait(
+            service, exclude=self._record.tried, now=self._clock()
+        )
         if wait_s is None:
             error = self.make_final_error(f"no server of {service} can be reached")
             # Another host may reach what this one can't.
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -367,7 +367,7 @@
                 self._probe_server(service)
 
     def _probe_server(self, service: str) -> None:
-        endpoints = self._replica.list_ready(service)
+        endpoints = self._router.availability.list_probed(service, self._clock())
         if not endpoints:
             return
         self._probes += 1
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -13,7 +13,6 @@
 
 from rosemarystream._internal.decisions.context_map import ContextMap, hash_part
 from rosemarystream._internal.decisions.hashing import hash_name_32
-from rosemarystream._internal.decisions.health import ServerHealth
 from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.placement import (
@@ -34,13 +33,12 @@
     PriorityTable,
     build_priority_table,
 )
-from rosemarystream._internal.decisions.reachability import Reachability
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
-from rosemarystream._internal.decisions.server_limits import (
-    UNLIMITED,
-    ServerLimits,
+from rosemarystream._internal.decisions.server_availability import (
+    ServerAvailability,
 )
+from rosemarystream._internal.decisions.server_limits import UNLIMITED
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
@@ -101,10 +99,10 @@
         self.replica = replica
         self.metrics = metrics
         self.contexts = contexts
-        self.health = ServerHealth()
-        self.reachability = Reachability()
+        self.availability = ServerAvailability(replica=replica)
+        self.health = self.availability.health
+        self.limits = self.availability.limits
         self.speeds = ServerSpeeds()
-        self.limits = ServerLimits()
         self._limited_sends: Counter[str] = Counter()
         self._data_centre = data_centre
         self._bounds = bounds
@@ -160,10 +158,8 @@
             The server with the inputs of the decision; None if no server is left.
         """
         now = self._clock()
-        ready = self.replica.list_ready(service)
-        untried = [endpoint for endpoint in ready if endpoint.name not in exclude]
-        reachable = self._select_reachable(service, untried, now)
-        candidates = [e for e in reachable if self.limits.is_open(e.number, now)]
+        ready = self.availability.list_ready(service)
+        candidates = self.availability.list_open(service, exclude=exclude, now=now)
         load = self._loads.sum_fleet(now)
         if route.keeps_context and call.parts:
             share = self.find_priority(rank, route).share
@@ -201,38 +197,9 @@
         rate = self._find_budget(service).measure_request_rate(now)
         return others * rate * (age_s + REPORT_DELAY_S)
 
-    def _select_reachable(
-        self, service: str, endpoints: Sequence[Endpoint], now: float
-    ) -> Sequence[Endpoint]:
-        """Return the servers that are assumed to be reachable.
-
-        If there are none, some requests are still let through to all of them as
-        probes.
-        """
-        reachable = [e for e in endpoints if not self._is_unresponsive(e, now)]
-        if reachable:
-            self.reachability.record_reachable(service)
-            return reachable
-        if not endpoints or not self.reachability.allow_probe(service, now):
-            return ()
-        return endpoints
-
-    def _is_unresponsive(self, endpoint: Endpoint, now: float) -> bool:
-        return self.health.is_ejected(endpoint.name, now) or self.health.is_suspected(
-            endpoint.data_centre, now
-        )
-
     def list_unreachable_services(self) -> list[str]:
         """Return the services none of whose servers this host can reach."""
-        now = self._clock()
-        unreachable = []
-        for service in self.reachability.list_unreachable_services(now):
-            ready = self.replica.list_ready(service)
-            if ready and all(self._is_unresponsive(e, now) for e in ready):
-                unreachable.append(service)
-            else:
-                self.reachability.record_reachable(service)
-        return unreachable
+        return self.availability.list_unreachable_services(self._clock())
 
     def record_reachable(self, endpoint: Endpoint) -> None:
         """Record that a server assumed unresponsive accepts connections again."""
@@ -323,7 +290,7 @@
             for other in self.replica.list_endpoints()
             if other.service == endpoint.service
             and other.name != endpoint.name
-            and not self._is_unresponsive(other, now)
+            and not self.availability.is_unreachable(other, now)
         }
         uncached_elsewhere = self.contexts.count_uncached_tokens(
             call.model, call.parts, others, now, min_held_s=PREFILL_S
@@ -401,12 +368,12 @@
         present = {endpoint.name: endpoint.incarnation for endpoint in endpoints}
         for name, incarnation in self._incarnations.items():
             if present.get(name) != incarnation:
-                self.health.forget(name)
                 number = hash_name_32(name)
                 self.contexts.forget_server(number)
                 self.speeds.forget_server(number)
-                self.limits.forget_server(number)
+                self.availability.forget(name, number)
         self._incarnations = present
+        self.availability.set_registered(endpoints)
 
     def list_ejected(self) -> list[int]:
         """Return the numbers of the servers that this host has ejected."""
@@ -433,30 +400,16 @@
         if slowness is not None:
             self.speeds.record(endpoint.number, slowness, self._clock())
 
-    def record_limit(self, endpoint: Endpoint, head: AnswerHead) -> None:
-        """Record the limit on requests that an answer of a server states.
-
-        Refusals and failures may leave it out; only a success shows that it has ended.
-        """
-        if head.limit_per_s is None and not head.is_success:
-            return
-        self.limits.record(endpoint.number, head.limit_per_s, self._clock())
-
-    def list_limited(self, service: str) -> list[str]:
-        """Return the servers of a service that limit their requests."""
-        ready = self.replica.list_ready(service)
-        return [e.name for e in ready if self.limits.is_limited(e.number)]
-
-    def measure_limit_wait(
-        self, service: str, *, exclude: Sequence[str]
-    ) -> float | None:
-        """Return the time in seconds until a limited server may have room.
+    def record_head(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Record what an answer of a server states about the requests that it takes.
 
-        None if no server of the service is limited, those of `exclude` left out.
+        Refusals and failures may leave a limit out; only a success shows that it has
+        ended.
         """
-        ready = self.replica.list_ready(service)
-        numbers = [e.number for e in ready if e.name not in exclude]
-        return self.limits.measure_wait(numbers, self._clock())
+        if head.is_leaving:
+            self.availability.leaving.record(endpoint.number, endpoint.incarnation)
+        if head.limit_per_s is not None or head.is_success:
+            self.limits.record(endpoint.number, head.limit_per_s, self._clock())
 
     def log_limit_changes(self) -> None:
         """Log the servers that have changed their limits."""
@@ -513,7 +466,7 @@
 
     def _measure_service(self, service: str) -> ServiceGauges:
         now = self._clock()
-        ready = self.replica.list_ready(service)
+        ready = self.availability.list_ready(service)
         counts = self._loads.sum_fleet(now).counts
         loads = [counts[endpoint.number] for endpoint in ready]
         bound = compute_load_bound(loads, self._bounds.load_multiple)
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -34,6 +34,8 @@
     limit_per_s : float or None
         Requests that it takes in a second from all hosts together; None if it has no
         limit.
+    leaving : bool
+        Whether it has stated that it leaves, to this host or to another.
     """
 
     service: str
@@ -46,6 +48,7 @@
     failure_rate: float
     set_aside: bool
     limit_per_s: float | None
+    leaving: bool
 
 
 class PeerState(TypedDict):
@@ -188,6 +191,7 @@
                 failure_rate=round(health.failure_rate(endpoint.name, now), 3),
                 set_aside=health.is_ejected(endpoint.name, now),
                 limit_per_s=self._find_limit(endpoint.number),
+                leaving=self._router.availability.leaving.is_leaving(endpoint),
             )
             for endpoint in self._replica.list_endpoints()
         }
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -14,6 +14,7 @@
 EXPECTED_SERVER = b"x-rosemarystream-expect-instance"
 SERVER_LOAD = b"x-rosemarystream-server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 NOT_RUN = b"x-rosemarystream-not-executed"
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-rosemarystream-model"
@@ -56,6 +57,9 @@
 )
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {SERVER_LOAD}
 
+# Value with which a server states that it leaves.
+_LEAVING = b"1"
+
 _OK = 200
 _REDIRECTION = 300
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -93,6 +97,8 @@
     limit_per_s : float or None
         Requests that the server takes in a second from all hosts together; None if it
         states no limit.
+    is_leaving : bool
+        Whether the server states that it leaves.
     """
 
     status: int
@@ -107,6 +113,7 @@
     is_delimited: bool
     slowness: float | None = None
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -155,6 +162,7 @@
         or b"transfer-encoding" in first_values,
         slowness=_parse_slowness(first_values.get(SERVER_LOAD, b"")),
         limit_per_s=_parse_rate(first_values.get(SERVER_LIMIT)),
+        is_leaving=first_values.get(SERVER_LEAVING) == _LEAVING,
     )
 
 
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -133,6 +133,14 @@
         Limit on its requests that it states with each answer; None if it states none.
     faults_without_limit : set of Fault
         Faults with which an answer leaves the limit out.
+    is_leaving : bool
+        Whether it states with each answer that it leaves.
+    states_leaving_in_earlier_answers : bool
+        Whether answers to other requests state that it leaves.
+    retry_after : str or None
+        If set, it turns each request away with this value of Retry-After.
+    born : int
+        Start time of its process, in milliseconds since the epoch.
     arrived_at : list of float
         Times at which requests arrived, by the monotonic clock, in seconds.
     crashing_parts : set of str
@@ -160,6 +168,10 @@
         self.load = "1,0,8"
         self.limit_per_s: float | None = None
         self.faults_without_limit: set[Fault] = set()
+        self.is_leaving = False
+        self.states_leaving_in_earlier_answers = False
+        self.retry_after: str | None = None
+        self.born = 1_000
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[BackendServer], object] = str
@@ -202,7 +214,7 @@
             "state": state,
             "warmup-left-ms": 0,
             "seq": seq,
-            "born": 1_000,
+            "born": self.born,
         }
 
     def _serve(self, connection: socket.socket, _: object) -> None:
@@ -231,8 +243,14 @@
         identity = [(b"x-rosemarystream-attempt-id", request_id)]
         if self.limit_per_s is not None and fault not in self.faults_without_limit:
             identity.append((b"server-limit", b"%.1f" % self.limit_per_s))
+        if self.is_leaving:
+            identity.append((b"server-leaving", b"1"))
         if expected != self.name:
             return _answer(connection, protocol, 421, identity, b"")
+        if self.retry_after is not None:
+            identity.append((b"x-rosemarystream-not-executed", b"1"))
+            identity.append((b"retry-after", self.retry_after.encode()))
+            return _answer(connection, protocol, 503, identity, b"")
         if fault is Fault.TURN_AWAY:
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             return _answer(connection, protocol, 503, identity, b"")
@@ -252,7 +270,7 @@
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
         if fault in EARLIER_ANSWERS:
-            connection.sendall(EARLIER_ANSWERS[fault])
+            connection.sendall(self._make_earlier_answer(fault))
         if fault is Fault.PAUSE and self._pause(connection, run):
             return False
         gevent.sleep(self.work_s)
@@ -271,6 +289,13 @@
             return self._stream(connection, protocol, run, fault, identity)
         return self._answer_plain(connection, protocol, run, fault, identity)
 
+    def _make_earlier_answer(self, fault: Fault) -> bytes:
+        answer = EARLIER_ANSWERS[fault]
+        if not self.states_leaving_in_earlier_answers:
+            return answer
+        status, _, rest = answer.partition(b"\r\n")
+        return b"%s\r\nServer-Leaving: 1\r\n%s" % (status, rest)
+
     def _pause(self, connection, run) -> bool:
         """Pause; return whether the host has closed the connection meanwhile."""
         return _wait_for_close(connection, run, self.pause_s)
