Tell other hosts which servers leave

A host that had no answer of a server yet went on to send it requests after others knew that it leaves. Gossip now carries the number and incarnation of each registered server that has stated it (the last but one field; hosts of an older build pass over it, and their messages are read without it). A statement is never taken back, so every message of load carries all of them, and whoever hears one passes it on: a host that restarts, or was cut off, hears them again. What the store no longer names isn't passed on.

--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -16,6 +16,11 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import CacheUpdate, ContextMap
+from rosemarystream._internal.decisions.fleet_observations import (
+    NO_REPORTS,
+    FleetObservations,
+    ObservationReports,
+)
 from rosemarystream._internal.decisions.load_table import Load, LoadReport, LoadTable
 from rosemarystream._internal.decisions.peer_table import (
     CANDIDATES,
@@ -25,9 +30,6 @@
 )
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.decisions.server_limits import ServerLimits
-from rosemarystream._internal.decisions.server_observations import ServerReport
-from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
@@ -88,15 +90,7 @@
 _NO_UPDATES = _Updates([], None)
 
 
-class _ServerReports(NamedTuple):
-    """What the hosts of a scope have lately seen of servers, by number."""
-
-    slowness: dict[int, ServerReport]
-    limits: dict[int, ServerReport]
-
-
 _NO_LOAD = Load(Counter(), Counter())
-_NO_REPORTS = _ServerReports({}, {})
 
 
 class Peering:
@@ -112,10 +106,8 @@
         ``ip:port`` of hosts that may be up; only the IP number is used.
     first_sequence : int
         Sequence number of the first message; higher than any of an earlier process.
-    speeds : ServerSpeeds
-        Observed speeds of the servers.
-    limits : ServerLimits
-        Limits of the servers on their requests.
+    observations : FleetObservations
+        What this host and others have observed of the servers.
     gate : LimitGate
         Asks and answers questions for permissions to send to limited servers.
     blocks : PromptBlocks
@@ -145,8 +137,7 @@
         peer_table: PeerTable,
         loads: LoadTable,
         contexts: ContextMap,
-        speeds: ServerSpeeds,
-        limits: ServerLimits,
+        observations: FleetObservations,
         gate: LimitGate,
         blocks: PromptBlocks,
         puller: StatePuller,
@@ -163,8 +154,7 @@
         self._peer_table = peer_table
         self._loads = loads
         self._contexts = contexts
-        self._speeds = speeds
-        self._limits = limits
+        self._observations = observations
         self._gate = gate
         self._blocks = blocks
         self._puller = puller
@@ -243,9 +233,7 @@
             LoadScope.HOST,
             own,
             updates=updates,
-            reports=_ServerReports(
-                self._speeds.list_own(now), self._limits.list_own(now)
-            ),
+            reports=self._observations.report_own(now),
         )
         for name in collectors:
             self._send_to(name, message)
@@ -255,7 +243,7 @@
             self._list_names(now) if self._rounds % NAMES_EVERY_ROUNDS == 0 else []
         )
         live_hosts = self._peer_table.count_live(now)
-        reports = _ServerReports(self._speeds.list_all(now), self._limits.list_all(now))
+        reports = self._observations.report_all(now)
         nearby = {
             host.name: host.ip
             for host in self._peer_table.list_live(now)
@@ -279,9 +267,7 @@
             load,
             updates=updates,
             live_hosts=self._peer_table.count_data_centre(now),
-            reports=_ServerReports(
-                self._speeds.list_nearby(now), self._limits.list_nearby(now)
-            ),
+            reports=self._observations.report_nearby(now),
         )
         for data_centre in self._peer_table.list_data_centres():
             for name in self._peer_table.list_collectors(data_centre, now):
@@ -325,7 +311,7 @@
         known_hosts: list[HostAddress] | None = None,
         wants_answer: bool = False,
         live_hosts: int = 0,
-        reports: _ServerReports = _NO_REPORTS,
+        reports: ObservationReports = NO_REPORTS,
         question: QuotaQuestion | None = None,
         answer: QuotaAnswer | None = None,
     ) -> GossipMessage:
@@ -349,15 +335,16 @@
             limits=reports.limits,
             quota_question=question,
             quota_answer=answer,
+            leaving=reports.leaving,
+            retry_after=reports.retry_after,
         )
 
     def send_question(self, host: Peer, question: QuotaQuestion) -> None:
         """Ask a host for a permission, with what is known of the server's limit."""
-        limits = self._limits.make_reports(question.server, self._clock())
         message = self._make_message(
             LoadScope.NONE,
             _NO_LOAD,
-            reports=_ServerReports({}, limits),
+            reports=self._observations.report_limit(question.server, self._clock()),
             question=question,
         )
         self._send(host.ip, message)
@@ -427,11 +414,12 @@
         self._accept_known_hosts(message.known_hosts, now)
         self._accept_load(message, now)
         self._accept_count(message, now)
-        self._speeds.accept_reports(
-            message.slowness, now, nearby=message.scope is LoadScope.HOST
-        )
-        self._limits.accept_reports(
-            message.limits, now, nearby=message.scope is LoadScope.HOST
+        self._observations.accept(
+            ObservationReports(
+                message.slowness, message.limits, message.retry_after, message.leaving
+            ),
+            now,
+            nearby=message.scope is LoadScope.HOST,
         )
         self._accept_quota_messages(message)
         self._contexts.accept_cache_updates(message.cache_updates, now)
@@ -464,7 +452,10 @@
     def _answer_first_contact(self, sender: HostAddress, now: float) -> None:
         known_hosts = self._list_names(now, first_data_centre=sender.data_centre)
         message = self._make_message(
-            LoadScope.NONE, self._loads.sum_own(), known_hosts=known_hosts
+            LoadScope.NONE,
+            self._loads.sum_own(),
+            known_hosts=known_hosts,
+            reports=self._observations.report_leaving(),
         )
         self._send(sender.ip, message)
 
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -12,6 +12,9 @@
 from xxhash import xxh3_64_intdigest
 
 from rosemarystream._internal.decisions.context_map import ContextMap, hash_part
+from rosemarystream._internal.decisions.fleet_observations import (
+    FleetObservations,
+)
 from rosemarystream._internal.decisions.hashing import hash_name_32
 from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
@@ -103,6 +106,12 @@
         self.health = self.availability.health
         self.limits = self.availability.limits
         self.speeds = ServerSpeeds()
+        self.observations = FleetObservations(
+            speeds=self.speeds,
+            limits=self.limits,
+            retries=self.availability.retries,
+            leaving=self.availability.leaving,
+        )
         self._limited_sends: Counter[str] = Counter()
         self._data_centre = data_centre
         self._bounds = bounds
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -131,6 +131,12 @@
         in milliseconds, by server number.
     quota_question, quota_answer : QuotaQuestion or None, QuotaAnswer or None
         Question for a permission, and the answer to one.
+    leaving : list of tuple of int
+        Numbers and incarnations of the registered servers that have stated that they
+        leave, to whichever host.
+    retry_after : dict of int to tuple
+        Time in seconds for which servers want no requests, as seen lately by the hosts
+        of the scope, and the age of that in milliseconds, by server number.
     """
 
     sender: HostAddress
@@ -151,6 +157,8 @@
     limits: dict[int, tuple[float, int]] = {}
     quota_question: QuotaQuestion | None = None
     quota_answer: QuotaAnswer | None = None
+    leaving: list[tuple[int, int]] = []
+    retry_after: dict[int, tuple[float, int]] = {}
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/functional/test_leaving_servers.py
+++ b/tests/functional/test_leaving_servers.py
@@ -157,3 +157,38 @@
     fleet.world.store.write("servers", server.name, server.describe(seq=2))
     wait_until(lambda: server.name in fleet.hosts[0].list_servers())
     assert_gets_nothing(fleet, server)
+
+
+def is_known(host, server):
+    return host.read_state()["servers"][server.name]["leaving"]
+
+
+def test_a_host_that_never_asked_the_server_knows_that_it_leaves(make_fleet):
+    fleet = make_fleet("look", hosts=2)
+    wait_until(lambda: len(fleet.hosts[1].list_hosts()) == 1)
+    server = fleet.learn_that_one_leaves()
+    server.is_leaving = False
+    wait_until(lambda: is_known(fleet.hosts[1], server), 1.0)
+    assert_gets_nothing(fleet, server, host=1)
+
+
+def test_a_restarted_host_knows_from_others_that_a_server_leaves(make_fleet):
+    fleet = make_fleet("look", hosts=2)
+    server = fleet.learn_that_one_leaves()
+    server.is_leaving = False
+    wait_until(lambda: is_known(fleet.hosts[1], server), 1.0)
+    gevent.sleep(2.0)
+    host = fleet.add_host("h2", seeds=["h1"])
+    wait_until(lambda: is_known(host, server), 1.0)
+    assert_gets_nothing(fleet, server, host=2)
+
+
+def test_a_lost_store_does_not_end_what_a_server_has_stated(make_fleet):
+    fleet = make_fleet("look", hosts=2)
+    server = fleet.learn_that_one_leaves()
+    server.is_leaving = False
+    fleet.world.store.stop()
+    wait_until(lambda: is_known(fleet.hosts[1], server), 1.0)
+    gevent.sleep(2.5)
+    for host in range(2):
+        assert_gets_nothing(fleet, server, host=host)
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -3,10 +3,15 @@
 from types import SimpleNamespace
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.fleet_observations import (
+    FleetObservations,
+)
+from rosemarystream._internal.decisions.leaving_servers import LeavingServers
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.retry_deadlines import RetryDeadlines
 from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.limit_gate import LimitGate
@@ -42,6 +47,8 @@
             speeds=ServerSpeeds(),
             blocks=PromptBlocks(),
             limits=ServerLimits(),
+            retries=RetryDeadlines(),
+            leaving=LeavingServers(),
         )
         host.gate = LimitGate(
             this_host=HostAddress(name, data_centre, ip),
@@ -63,8 +70,12 @@
             peer_table=peer_table,
             loads=host.loads,
             contexts=host.contexts,
-            speeds=host.speeds,
-            limits=host.limits,
+            observations=FleetObservations(
+                speeds=host.speeds,
+                limits=host.limits,
+                retries=host.retries,
+                leaving=host.leaving,
+            ),
             gate=host.gate,
             blocks=host.blocks,
             puller=SimpleNamespace(pull_contexts=lambda ip: None),
