Keep to the Retry-After that a server states with a refusal

A server that refuses requests with 503 and Retry-After got more of them from the same host within that time: the header was not read, and only the failure rate kept some away. It is now decoded with the head: seconds with a fraction or the date of HTTP; anything else is ignored and counted (retry_after_unreadable).

If no other server may get a request, it waits for the first whose time comes within its deadline, also if that is the one that has just refused it (within the attempts and the retry budget). One that can't wait is rejected at once, 429 `overloaded`, with the time that is left; one whose attempts are used up gets that time too.

A 503 counts whether or not the server guarantees that it hasn't run the request.

--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -154,12 +154,17 @@
         return self.limits.measure_wait([e.number for e in endpoints], now)
 
     def find_retry_time(self, service: str, now: float) -> float | None:
-        """Return when the first server that wants no requests now wants them again.
+        """Return when the first server that wants no requests now may get one again.
 
-        None if none of the service's servers has asked this host to wait.
+        That is not before the end of its ejection, if it is ejected as well. None if
+        none of the service's servers has asked this host to wait.
         """
-        times = [self.retries.find(e) for e in self.list_ready(service)]
-        return min((at for at in times if now < at), default=None)
+        times = [
+            max(self.retries.find(e), self.health.find_ejected_until(e.name))
+            for e in self.list_ready(service)
+            if now < self.retries.find(e)
+        ]
+        return min(times, default=None)
 
     def list_waiting(self, service: str, now: float) -> list[str]:
         """Return the names of the servers that want no requests of this host now."""
@@ -170,6 +175,10 @@
         """Set which servers the store names."""
         self.leaving.set_registered(endpoints)
 
+    def has_wanting(self, service: str, now: float) -> bool:
+        """Return whether a server of a service hasn't asked this host to wait."""
+        return any(now >= self.retries.find(e) for e in self.list_ready(service))
+
     def forget(self, name: str, server: int) -> None:
         """Drop what was observed of a server that has left or restarted."""
         self.health.forget(name)
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -4,6 +4,9 @@
 """
 
 from collections.abc import Callable
+from math import inf
+
+import gevent
 
 from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
@@ -19,6 +22,10 @@
 MAX_UNSENT_ATTEMPTS = 4
 # Limited servers that are asked for a permission before all of them are passed over.
 MAX_QUOTA_QUESTIONS = 4
+# Time that an answer takes at least; a request isn't kept waiting if less is left.
+LEAST_ANSWER_TIME_S = 0.05
+# Longest wait before another look, as a server may want requests earlier than it said.
+MAX_WAIT_STEP_S = 0.25
 
 
 class AttemptSequence:
@@ -61,6 +68,7 @@
         self._gate = gate
         self._blocks = blocks
         self._clock = clock
+        self._excluded: set[str] = set()
         self._unsent_attempts = 0
         self.may_have_run = False
 
@@ -77,16 +85,38 @@
         RequestEndedError
             If there is none.
         """
-        if self._clock() >= self._deadline:
-            raise self.make_final_error("the time is over")
-        self._check_prompt()
-        placement = self._place()
-        if placement is None:
-            raise self._make_unplaced_error()
+        while True:
+            if self._clock() >= self._deadline:
+                raise self.make_final_error("the time is over")
+            self._check_prompt()
+            placement = self._place()
+            if placement is not None:
+                break
+            self._wait_for_server()
         self._record.placement = placement
         self._record.tried.append(placement.endpoint.name)
+        self._excluded.add(placement.endpoint.name)
         return placement
 
+    def _wait_for_server(self) -> None:
+        """Wait for the first server that wants no requests for a while.
+
+        It may be one that has refused this request already.
+
+        Raises
+        ------
+        RequestEndedError
+            If there is none, or the request would end before.
+        """
+        now = self._clock()
+        availability = self._router.availability
+        retry_at = availability.find_retry_time(self._service, now)
+        if retry_at is None or retry_at + LEAST_ANSWER_TIME_S > self._deadline:
+            raise self._make_unplaced_error()
+        waiting = availability.list_waiting(self._service, now)
+        gevent.sleep(min(retry_at - now, MAX_WAIT_STEP_S))
+        self._excluded.difference_update(waiting)
+
     def _place(self) -> Placement | None:
         """Return a server that may be sent the request now, if there is one."""
         limited: list[str] = []
@@ -96,7 +126,7 @@
                 self._service,
                 self._record.call,
                 rank=self._record.rank,
-                exclude=[*self._record.tried, *limited],
+                exclude=[*self._excluded, *limited],
             )
             if placement is None:
                 return None
@@ -116,9 +146,7 @@
 
     def _make_unplaced_error(self) -> RequestEndedError:
         service = self._service
-        wait_s = self._router.availability.measure_limit_wait(
-            service, exclude=self._record.tried, now=self._clock()
-        )
+        wait_s = self._measure_wait()
         if wait_s is None:
             error = self.make_final_error(f"no server of {service} can be reached")
             # Another host may reach what this one can't.
@@ -132,6 +160,21 @@
             retry_after_s=max(wait_s, self._router.suggest_retry_after()),
         )
 
+    def _measure_wait(self) -> float | None:
+        """Return the time in seconds until a server may want a request again.
+
+        None if no server has stated a limit or a time.
+        """
+        now = self._clock()
+        availability = self._router.availability
+        limit_wait_s = availability.measure_limit_wait(
+            self._service, exclude=self._excluded, now=now
+        )
+        retry_at = availability.find_retry_time(self._service, now)
+        if retry_at is None:
+            return limit_wait_s
+        return min(retry_at - now, inf if limit_wait_s is None else limit_wait_s)
+
     def _check_prompt(self) -> None:
         """Check that servers don't crash on a part of the prompt.
 
@@ -194,5 +237,15 @@
         return RequestEndedError(
             ErrorKind.NO_BACKEND,
             reason,
-            retry_after_s=self._router.suggest_retry_after(),
+            retry_after_s=self._suggest_retry_after(),
         )
+
+    def _suggest_retry_after(self) -> float:
+        """Return the delay in seconds to advise, no less than all servers want."""
+        now = self._clock()
+        availability = self._router.availability
+        retry_at = availability.find_retry_time(self._service, now)
+        advised_s = self._router.suggest_retry_after()
+        if retry_at is None or availability.has_wanting(self._service, now):
+            return advised_s
+        return max(advised_s, retry_at - now)
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -21,9 +21,11 @@
 
     Attributes
     ----------
-    ready, set_aside, limited : int
-        Servers that take requests, and how many of them are ejected, or limit the
-        requests that they get.
+    ready, set_aside, limited, waiting : int
+        Servers that take requests, and how many of them are ejected, limit the
+        requests that they get, or want none of this host for a while.
+    leaving : int
+        Servers that have stated that they leave, while the store calls them ready.
     load_share : float
         Highest load of a server relative to its bound; over 1 if it is exceeded.
     retries_left : float
@@ -33,6 +35,8 @@
     ready: int
     set_aside: int
     limited: int
+    waiting: int
+    leaving: int
     load_share: float
     retries_left: float
 
@@ -82,6 +86,10 @@
         self.limit_refusals = counter(
             "limit_refusals", "Choices of a server that its limit did not permit"
         )
+        self.retry_after_unreadable = counter(
+            "retry_after_unreadable",
+            "Refusals of servers with a Retry-After that can't be read",
+        )
         self.unexpected_errors = counter(
             "unexpected_errors",
             "Errors that no code expects, raised while requests were served",
@@ -127,6 +135,12 @@
         self._limited = gauge(
             "servers_limited", "Servers that limit their requests", "service"
         )
+        self._waiting = gauge(
+            "servers_waiting", "Servers that want no requests for a while", "service"
+        )
+        self._leaving = gauge(
+            "servers_leaving", "Servers that state that they leave", "service"
+        )
         self._load_share = gauge(
             "load_share", "Highest load of a server against its bound", "service"
         )
@@ -180,6 +194,8 @@
             self._ready.labels(name).set(service["ready"])
             self._set_aside.labels(name).set(service["set_aside"])
             self._limited.labels(name).set(service["limited"])
+            self._waiting.labels(name).set(service["waiting"])
+            self._leaving.labels(name).set(service["leaving"])
             self._load_share.labels(name).set(service["load_share"])
             self._retries_left.labels(name).set(service["retries_left"])
 
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -55,7 +55,7 @@
     ServerReinstated,
 )
 from rosemarystream._internal.models.route import Route
-from rosemarystream._internal.platform.headers import AnswerHead
+from rosemarystream._internal.platform.headers import AnswerHead, measure_delay
 
 log = Logger(__name__)
 
@@ -417,9 +417,18 @@
         """
         if head.is_leaving:
             self.availability.leaving.record(endpoint.number, endpoint.incarnation)
+        if head.asks_to_wait:
+            self._record_retry_after(endpoint, head)
         if head.limit_per_s is not None or head.is_success:
             self.limits.record(endpoint.number, head.limit_per_s, self._clock())
 
+    def _record_retry_after(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        delay_s = measure_delay(head.retry_after, self._read_epoch_s())
+        if delay_s is None:
+            self.metrics.retry_after_unreadable.inc()
+        else:
+            self.availability.retries.record(endpoint, delay_s, self._clock())
+
     def log_limit_changes(self) -> None:
         """Log the servers that have changed their limits."""
         changes = {change.server: change.per_s for change in self.limits.take_changes()}
@@ -482,7 +491,9 @@
         return ServiceGauges(
             ready=len(ready),
             set_aside=sum(self.health.is_ejected(e.name, now) for e in ready),
-            limited=sum(self.limits.is_limited(e.number) for e in ready),
+            limited=len(self.availability.list_limited(service)),
+            waiting=len(self.availability.list_waiting(service, now)),
+            leaving=len(self.replica.list_ready(service)) - len(ready),
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
             retries_left=round(self._count_retries(service, now), 1),
         )
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -12,6 +12,7 @@
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.metrics import HostGauges
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.models.endpoint import Endpoint
 
 # Value of `heard_ms` for a host that has never given a sign of life.
 NEVER_HEARD_MS = -1.0
@@ -36,6 +37,9 @@
         limit.
     leaving : bool
         Whether it has stated that it leaves, to this host or to another.
+    retry_after_s : float or None
+        Time in seconds for which it wants no requests of this host; None if it wants
+        them.
     """
 
     service: str
@@ -49,6 +53,7 @@
     set_aside: bool
     limit_per_s: float | None
     leaving: bool
+    retry_after_s: float | None
 
 
 class PeerState(TypedDict):
@@ -192,6 +197,7 @@
                 set_aside=health.is_ejected(endpoint.name, now),
                 limit_per_s=self._find_limit(endpoint.number),
                 leaving=self._router.availability.leaving.is_leaving(endpoint),
+                retry_after_s=self._measure_retry_wait(endpoint, now),
             )
             for endpoint in self._replica.list_endpoints()
         }
@@ -200,6 +206,10 @@
         limits = self._router.limits
         return limits.find(server) if limits.is_limited(server) else None
 
+    def _measure_retry_wait(self, endpoint: Endpoint, now: float) -> float | None:
+        left_s = self._router.availability.retries.find(endpoint) - now
+        return round(left_s, 3) if left_s > 0 else None
+
     def _list_peers(self, now: float) -> dict[str, PeerState]:
         return {
             host.name: PeerState(
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -139,6 +139,8 @@
         Whether answers to other requests state that it leaves.
     retry_after : str or None
         If set, it turns each request away with this value of Retry-After.
+    refusal_delays_s : list of float
+        Times until the next of these refusals, one each, in seconds.
     born : int
         Start time of its process, in milliseconds since the epoch.
     arrived_at : list of float
@@ -171,6 +173,7 @@
         self.is_leaving = False
         self.states_leaving_in_earlier_answers = False
         self.retry_after: str | None = None
+        self.refusal_delays_s: list[float] = []
         self.born = 1_000
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
@@ -248,6 +251,8 @@
         if expected != self.name:
             return _answer(connection, protocol, 421, identity, b"")
         if self.retry_after is not None:
+            if self.refusal_delays_s:
+                gevent.sleep(self.refusal_delays_s.pop(0))
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             identity.append((b"retry-after", self.retry_after.encode()))
             return _answer(connection, protocol, 503, identity, b"")
