Test that other hosts take a Retry-After as advice, read dates exactly

Gossip passes on for how long servers want no requests; a host that was not told itself prefers other servers, and uses the server if there is no other.

A date of the year 0000 was taken for one of 2000 (epoch_s=973500577.0 in test_seconds_and_dates_are_read_and_nonsense_is_not): the library that reads dates of mail fills in centuries. It is now read in the one form of HTTP.

--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -1,7 +1,7 @@
 """HTTP headers of the platform: names, decoding of requests and answers, encoding."""
 
 import re
-from email.utils import parsedate_to_datetime
+from datetime import UTC, datetime
 from typing import NamedTuple
 
 from rosemarystream._internal.models.call import Call, Headers, PromptPart
@@ -67,6 +67,7 @@
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 # The one form of date that senders may use (RFC 9110, section 5.6.7).
 _DATE = re.compile(rb"[A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT")
+_DATE_FORMAT = "%a, %d %b %Y %H:%M:%S GMT"
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
 # Place of the slowness in a server's load, and its value at the usual speed.
@@ -296,9 +297,10 @@
     if not _DATE.fullmatch(value):
         return RetryAfter()
     try:
-        return RetryAfter(epoch_s=parsedate_to_datetime(_decode(value)).timestamp())
-    except (ValueError, OverflowError):
+        date = datetime.strptime(_decode(value), _DATE_FORMAT).replace(tzinfo=UTC)
+    except ValueError:
         return RetryAfter()
+    return RetryAfter(epoch_s=date.timestamp())
 
 
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
--- a/tests/functional/test_server_retry_after.py
+++ b/tests/functional/test_server_retry_after.py
@@ -179,3 +179,20 @@
     reply = fleet.call()
     assert reply.status in (429, 503)
     assert 1 < float(reply.headers[b"retry-after"]) <= 1.5
+
+
+def test_a_host_places_elsewhere_what_another_was_told_not_to_send(make_fleet):
+    fleet = make_fleet(servers=2)
+    other = fleet.world.add_host("h1", seeds=["h0"])
+    wait_until(lambda: len(other.list_servers()) == 2)
+    wait_until(lambda: other.list_hosts() == ["h0"])
+    fleet.refuse_once("5")
+    gevent.sleep(0.5)
+    server = fleet.servers[0]
+    before = server.arrivals
+    assert {other.call("/look/1").status for _ in range(10)} == {200}
+    assert server.arrivals == before
+    # It is the other host's own to use the server if there is nothing else.
+    fleet.servers[1].crash()
+    wait_until(lambda: other.call("/look/1").status == 200)
+    assert server.arrivals > before
