Log which servers leave or want no requests; move statements out of the router

Operators saw neither in the logs.

The tests of the log can't run on the code before, which has neither entry.

--- a/src/rosemarystream/_internal/decisions/fleet_observations.py
+++ b/src/rosemarystream/_internal/decisions/fleet_observations.py
@@ -92,5 +92,4 @@
         self._speeds.accept_reports(reports.slowness, now, nearby=nearby)
         self._limits.accept_reports(reports.limits, now, nearby=nearby)
         self._retries.accept_reports(reports.retry_after, now, nearby=nearby)
-        for server, incarnation in reports.leaving:
-            self._leaving.record(server, incarnation)
+        self._leaving.accept_reports(reports.leaving)
--- a/src/rosemarystream/_internal/decisions/leaving_servers.py
+++ b/src/rosemarystream/_internal/decisions/leaving_servers.py
@@ -36,11 +36,14 @@
         if key in self._known:
             return False
         self._known.put(key, None)
-        self._news.append(key)
         if key in self._registered:
             self._reported.append(key)
         return True
 
+    def accept_reports(self, reports: Iterable[Incarnation]) -> None:
+        """Record which servers leave by the words of another host."""
+        self._news += [key for key in reports if self.record(*key)]
+
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether a server has stated that it leaves."""
         return (endpoint.number, endpoint.incarnation) in self._known
@@ -50,6 +53,6 @@
         return self._reported
 
     def take_news(self) -> list[Incarnation]:
-        """Return what has been recorded since the last call."""
+        """Return what other hosts have told since the last call."""
         news, self._news = self._news, []
         return news
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -188,7 +188,7 @@
             endpoint=endpoint,
             pool=self._pool,
             clock=self._clock,
-            on_head=partial(self._router.record_head, endpoint),
+            on_head=partial(self._router.statements.record, endpoint),
         )
         self._router.begin(endpoint)
         self._router.begin_prefill(placement, self._call)
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -391,7 +391,7 @@
             self._log_host_changes(now)
             self._blocks.expire(now)
             self._log_block_changes()
-            self._router.log_limit_changes()
+            self._router.statements.log_changes()
             self._state.record_version()
             lost = [watch.lost_at for watch in self._watches if watch.lost_at]
             self._state.store_lost_s = now - min(lost) if lost else 0.0
@@ -400,7 +400,7 @@
     def _log_limited_sends(self) -> None:
         while True:
             gevent.sleep(LIMITED_SENDS_INTERVAL_S)
-            self._router.log_limited_sends()
+            self._router.statements.log_limited_sends()
 
     def _log_block_changes(self) -> None:
         for change in self._blocks.take_changes():
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -5,7 +5,6 @@
 other than logging.
 """
 
-from collections import Counter
 from collections.abc import Callable, Sequence
 
 from logbook import Logger
@@ -41,21 +40,18 @@
 from rosemarystream._internal.decisions.server_availability import (
     ServerAvailability,
 )
-from rosemarystream._internal.decisions.server_limits import UNLIMITED
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
+from rosemarystream._internal.gateway.server_statements import ServerStatements
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.log_entries import (
-    LimitedSends,
     ServerEjected,
-    ServerLimitChanged,
     ServerReinstated,
 )
 from rosemarystream._internal.models.route import Route
-from rosemarystream._internal.platform.headers import AnswerHead, measure_delay
 
 log = Logger(__name__)
 
@@ -106,13 +102,19 @@
         self.health = self.availability.health
         self.limits = self.availability.limits
         self.speeds = ServerSpeeds()
+        self.statements = ServerStatements(
+            replica=replica,
+            availability=self.availability,
+            metrics=metrics,
+            clock=clock,
+            read_epoch_s=read_epoch_s,
+        )
         self.observations = FleetObservations(
             speeds=self.speeds,
             limits=self.limits,
             retries=self.availability.retries,
             leaving=self.availability.leaving,
         )
-        self._limited_sends: Counter[str] = Counter()
         self._data_centre = data_centre
         self._bounds = bounds
         self._peer_table = peer_table
@@ -340,8 +342,7 @@
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
         self._loads.begin(endpoint.number)
-        if self.limits.is_limited(endpoint.number):
-            self._limited_sends[endpoint.name] += 1
+        self.statements.record_send(endpoint)
         self._on_load()
 
     def end(self, endpoint: Endpoint) -> None:
@@ -409,42 +410,6 @@
         if slowness is not None:
             self.speeds.record(endpoint.number, slowness, self._clock())
 
-    def record_head(self, endpoint: Endpoint, head: AnswerHead) -> None:
-        """Record what an answer of a server states about the requests that it takes.
-
-        Refusals and failures may leave a limit out; only a success shows that it has
-        ended.
-        """
-        if head.is_leaving:
-            self.availability.leaving.record(endpoint.number, endpoint.incarnation)
-        if head.asks_to_wait:
-            self._record_retry_after(endpoint, head)
-        if head.limit_per_s is not None or head.is_success:
-            self.limits.record(endpoint.number, head.limit_per_s, self._clock())
-
-    def _record_retry_after(self, endpoint: Endpoint, head: AnswerHead) -> None:
-        delay_s = measure_delay(head.retry_after, self._read_epoch_s())
-        if delay_s is None:
-            self.metrics.retry_after_unreadable.inc()
-        else:
-            self.availability.retries.record(endpoint, delay_s, self._clock())
-
-    def log_limit_changes(self) -> None:
-        """Log the servers that have changed their limits."""
-        changes = {change.server: change.per_s for change in self.limits.take_changes()}
-        for endpoint in self.replica.list_endpoints() if changes else ():
-            limit = changes.get(endpoint.number)
-            if limit is not None:
-                per_s = None if limit == UNLIMITED else limit
-                entry = ServerLimitChanged(server=endpoint.name, per_s=per_s)
-                write_log_entry(log, entry)
-
-    def log_limited_sends(self) -> None:
-        """Log the requests sent to limited servers since the last call."""
-        sends, self._limited_sends = self._limited_sends, Counter()
-        if sends:
-            write_log_entry(log, LimitedSends(sends=dict(sends)))
-
     def record_rejected(self, endpoint: Endpoint) -> None:
         """Record that a server received a request and refused to run it."""
         self.metrics.attempts.labels("turned_away").inc()
--- a/src/rosemarystream/_internal/models/log_entries.py
+++ b/src/rosemarystream/_internal/models/log_entries.py
@@ -443,6 +443,29 @@
     server: str
 
 
+class ServerLeaving(LogEntry, frozen=True, kw_only=True):
+    """A server states that it leaves; it gets no more requests.
+
+    Attributes
+    ----------
+    told_by_host : bool
+        Whether another host has told this one, rather than the server itself.
+    """
+
+    message = "server leaving"
+    level = NOTICE
+    server: str
+    told_by_host: bool
+
+
+class ServerAskedToWait(LogEntry, frozen=True, kw_only=True):
+    """A server wants no requests of this host for a while."""
+
+    message = "server wants no requests"
+    server: str
+    for_ms: float
+
+
 class ServerLimitChanged(LogEntry, frozen=True, kw_only=True):
     """A server limits the requests that it gets, changes the limit, or ends it.
 
--- a/tests/functional/test_leaving_servers.py
+++ b/tests/functional/test_leaving_servers.py
@@ -3,6 +3,8 @@
 import gevent
 import pytest
 
+from rosemarystream._internal.gateway import server_statements
+from rosemarystream._internal.models.log_entries import ServerLeaving
 from standins.backend_server import Fault
 from tests.lib.entry_world import World, wait_until
 
@@ -192,3 +194,28 @@
     gevent.sleep(2.5)
     for host in range(2):
         assert_gets_nothing(fleet, server, host=host)
+
+
+def test_the_log_names_servers_that_leave_once_with_who_told_it(
+    make_fleet, monkeypatch
+):
+    entries = []
+    monkeypatch.setattr(
+        server_statements, "write_log_entry", lambda log, entry: entries.append(entry)
+    )
+    fleet = make_fleet("look", hosts=2)
+    server = fleet.learn_that_one_leaves()
+    wait_until(lambda: len(entries) == 2)
+    gevent.sleep(1.0)
+    fleet.call_at_once()
+    assert entries == [
+        ServerLeaving(server=server.name, told_by_host=False),
+        ServerLeaving(server=server.name, told_by_host=True),
+    ]
+
+
+def test_the_metrics_count_servers_that_leave(make_fleet):
+    fleet = make_fleet("look")
+    fleet.learn_that_one_leaves()
+    gauges = fleet.hosts[0].read_state()["figures"]["services"]["plain"]
+    assert (gauges["ready"], gauges["leaving"]) == (SERVERS - 1, 1)
--- a/tests/functional/test_server_retry_after.py
+++ b/tests/functional/test_server_retry_after.py
@@ -6,6 +6,8 @@
 import gevent
 import pytest
 
+from rosemarystream._internal.gateway import server_statements
+from rosemarystream._internal.models.log_entries import ServerAskedToWait
 from tests.lib.entry_world import (
     METRICS_PORT,
     World,
@@ -196,3 +198,16 @@
     fleet.servers[1].crash()
     wait_until(lambda: other.call("/look/1").status == 200)
     assert server.arrivals > before
+
+
+def test_the_log_and_the_metrics_name_a_server_that_wants_no_requests(
+    make_fleet, monkeypatch
+):
+    entries = []
+    monkeypatch.setattr(
+        server_statements, "write_log_entry", lambda log, entry: entries.append(entry)
+    )
+    fleet = make_fleet()
+    fleet.refuse_once("20")
+    assert entries == [ServerAskedToWait(server="s0", for_ms=20_000.0)]
+    assert fleet.host.read_state()["figures"]["services"]["plain"]["waiting"] == 1
