--- a/src/rosemarystream/_internal/decisions/hashing.py
+++ b/src/rosemarystream/_internal/decisions/hashing.py
@@ -1,12 +1,15 @@
 """Rendezvous hashing (a stable order of candidates for each key) and name hashes."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 from xxhash import xxh3_64_intdigest
 
 _SEPARATOR = "\x00"
 _SHORT_BITS = 16
 _NUMBER_BITS = 32
+# Names whose numbers are kept: those of the servers are needed for each request.
+_MAX_KEPT_NUMBERS = 16_384
 
 
 def hash_name_16(name: str) -> int:
@@ -14,6 +17,7 @@
     return xxh3_64_intdigest(name.encode()) & ((1 << _SHORT_BITS) - 1)
 
 
+@lru_cache(maxsize=_MAX_KEPT_NUMBERS)
 def hash_name_32(name: str) -> int:
     """Return a 32-bit hash of a name, to be sent and stored instead of the name."""
     return xxh3_64_intdigest(name.encode()) & ((1 << _NUMBER_BITS) - 1)
--- a/src/rosemarystream/_internal/decisions/leaving_servers.py
+++ b/src/rosemarystream/_internal/decisions/leaving_servers.py
@@ -25,6 +25,11 @@
         self._reported: list[Incarnation] = []
         self._news: list[Incarnation] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server has ever stated that it leaves."""
+        return not self._known
+
     def set_registered(self, endpoints: Iterable[Endpoint]) -> None:
         """Set which servers the store names; only these are passed on."""
         self._registered = frozenset((e.number, e.incarnation) for e in endpoints)
@@ -46,7 +51,9 @@
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether a server has stated that it leaves."""
-        return (endpoint.number, endpoint.incarnation) in self._known
+        return bool(self._known) and (
+            (endpoint.number, endpoint.incarnation) in self._known
+        )
 
     def list_reported(self) -> list[Incarnation]:
         """Return the registered servers that leave, to be passed on."""
--- a/src/rosemarystream/_internal/decisions/retry_deadlines.py
+++ b/src/rosemarystream/_internal/decisions/retry_deadlines.py
@@ -27,6 +27,11 @@
         super().__init__()
         self._deadlines: dict[tuple[int, int], float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server is known to have wanted no requests."""
+        return not self._all
+
     def record(self, endpoint: Endpoint, delay_s: float, now: float) -> None:
         """Record what a server has stated to this host; it replaces what it did before.
 
@@ -44,6 +49,8 @@
 
     def find(self, endpoint: Endpoint) -> float:
         """Return the time from which a server wants requests of this host."""
+        if not self._deadlines:
+            return 0.0
         return self._deadlines.get((endpoint.number, endpoint.incarnation), 0.0)
 
     def is_advised(self, server: int, now: float) -> bool:
--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -5,7 +5,7 @@
 centres that are silent).
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from enum import StrEnum
 from math import inf
 from typing import NamedTuple
@@ -61,43 +61,61 @@
 
     def check(self, endpoint: Endpoint, now: float) -> Availability:
         """Return whether a server may get a request now, else why not and when."""
+        obstacle = self._find_obstacle(endpoint, now)
+        until = now
+        if obstacle is Obstacle.RETRY_AFTER:
+            until = self.retries.find(endpoint)
+        elif obstacle is Obstacle.EJECTED:
+            until = self.health.find_ejected_until(endpoint.name)
+        elif obstacle is Obstacle.LIMIT:
+            until = self.limits.find_opening(endpoint.number, now)
+        elif obstacle is not Obstacle.NONE:
+            until = inf
+        return Availability(obstacle, until)
+
+    def _find_obstacle(self, endpoint: Endpoint, now: float) -> Obstacle:
+        """Return why a server may not get a request; its own statements come first."""
         if self.leaving.is_leaving(endpoint):
-            return Availability(Obstacle.LEAVING, inf)
-        retry_at = self.retries.find(endpoint)
-        if now < retry_at:
-            return Availability(Obstacle.RETRY_AFTER, retry_at)
+            return Obstacle.LEAVING
+        if now < self.retries.find(endpoint):
+            return Obstacle.RETRY_AFTER
         if self.health.is_ejected(endpoint.name, now):
-            until = self.health.find_ejected_until(endpoint.name)
-            return Availability(Obstacle.EJECTED, until)
+            return Obstacle.EJECTED
         if self.health.is_suspected(endpoint.data_centre, now):
-            return Availability(Obstacle.SILENT_DATA_CENTRE, inf)
-        opens_at = self.limits.find_opening(endpoint.number, now)
-        if now < opens_at:
-            return Availability(Obstacle.LIMIT, opens_at)
-        return Availability(Obstacle.NONE, now)
+            return Obstacle.SILENT_DATA_CENTRE
+        if not self.limits.is_open(endpoint.number, now):
+            return Obstacle.LIMIT
+        return Obstacle.NONE
 
     def is_wanted(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether a server has stated nothing against requests at this time."""
-        obstacle = self.check(endpoint, now).obstacle
+        obstacle = self._find_obstacle(endpoint, now)
         return obstacle not in (Obstacle.LEAVING, Obstacle.RETRY_AFTER)
 
     def list_ready(self, service: str) -> list[Endpoint]:
         """Return the servers of a service that don't drain or leave."""
         ready = self._replica.list_ready(service)
+        if self.leaving.is_empty:
+            return ready
         return [e for e in ready if not self.leaving.is_leaving(e)]
 
-    def list_open(
-        self, service: str, *, exclude: Collection[str], now: float
+    def select_open(
+        self,
+        service: str,
+        ready: Iterable[Endpoint],
+        *,
+        exclude: Collection[str],
+        now: float,
     ) -> list[Endpoint]:
-        """Return the servers of a service that may get a request now.
+        """Return those of the ready servers of a service that may get a request now.
 
         Those that want no requests of other hosts for a while are left out if there
         are others. If no server seems to be reachable, some requests are let through
         to all of them as probes.
         """
         states = [
-            (endpoint, self.check(endpoint, now).obstacle)
-            for endpoint in self.list_ready(service)
+            (endpoint, self._find_obstacle(endpoint, now))
+            for endpoint in ready
             if endpoint.name not in exclude
         ]
         opened = [e for e, obstacle in states if obstacle is Obstacle.NONE]
@@ -113,6 +131,8 @@
     def _prefer_unadvised(
         self, endpoints: list[Endpoint], now: float
     ) -> list[Endpoint]:
+        if self.retries.is_empty:
+            return endpoints
         preferred = [e for e in endpoints if not self.retries.is_advised(e.number, now)]
         return preferred or endpoints
 
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -170,7 +170,9 @@
         """
         now = self._clock()
         ready = self.availability.list_ready(service)
-        candidates = self.availability.list_open(service, exclude=exclude, now=now)
+        candidates = self.availability.select_open(
+            service, ready, exclude=exclude, now=now
+        )
         load = self._loads.sum_fleet(now)
         if route.keeps_context and call.parts:
             share = self.find_priority(rank, route).share
--- a/tests/unit/test_retry_deadlines.py
+++ b/tests/unit/test_retry_deadlines.py
@@ -99,7 +99,8 @@
 
 
 def list_open(availability, now=10.0):
-    endpoints = availability.list_open("plain", exclude=(), now=now)
+    ready = availability.list_ready("plain")
+    endpoints = availability.select_open("plain", ready, exclude=(), now=now)
     return [endpoint.name for endpoint in endpoints]
 
 
