--- a/tests/functional/test_leaving_servers.py
+++ b/tests/functional/test_leaving_servers.py
@@ -151,6 +151,34 @@
     wait_until(lambda: fleet.call_at_once() and server.arrivals > before)
 
 
+def test_a_server_that_crashes_and_returns_gets_requests_as_a_new_one(make_fleet):
+    fleet = make_fleet("look")
+    server = fleet.learn_that_one_leaves()
+    server.crash()
+    server.is_leaving = False
+    server.born += 1
+    server.start()
+    # Until the store names the new process, it is taken for the one that left.
+    assert_gets_nothing(fleet, server)
+    fleet.world.store.write("servers", server.name, server.describe(seq=2))
+    before = server.arrivals
+    wait_until(lambda: fleet.call_at_once() and server.arrivals > before)
+
+
+def test_answers_of_what_still_runs_do_not_take_a_statement_back(make_fleet):
+    fleet = make_fleet("look")
+    server = fleet.servers[0]
+    server.work_s = 0.5
+    running = [gevent.spawn(fleet.call) for _ in range(CALLS)]
+    wait_until(lambda: server.runs)
+    server.is_leaving, server.work_s = True, 0.005
+    wait_until(lambda: fleet.call_at_once() and is_known(fleet.hosts[0], server))
+    server.is_leaving = False
+    gevent.joinall(running, timeout=3)
+    assert {call.value.status for call in running} == {200}
+    assert_gets_nothing(fleet, server)
+
+
 def test_an_entry_that_returns_unchanged_is_not_taken_for_a_new_server(make_fleet):
     fleet = make_fleet("look")
     server = fleet.learn_that_one_leaves()
