--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -156,7 +156,7 @@
             return self.make_final_error(f"the servers of {service} take no more")
         return RequestEndedError(
             ErrorKind.OVERLOADED,
-            f"the servers of {service} limit their requests",
+            f"the servers of {service} limit their requests, or want none now",
             retry_after_s=max(wait_s, self._router.suggest_retry_after()),
         )
 
--- a/src/rosemarystream/_internal/gateway/server_statements.py
+++ b/src/rosemarystream/_internal/gateway/server_statements.py
@@ -22,7 +22,8 @@
     ServerLeaving,
     ServerLimitChanged,
 )
-from rosemarystream._internal.platform.headers import AnswerHead, measure_delay
+from rosemarystream._internal.platform.headers import AnswerHead
+from rosemarystream._internal.platform.retry_after import measure_delay
 
 log = Logger(__name__)
 
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -1,10 +1,13 @@
 """HTTP headers of the platform: names, decoding of requests and answers, encoding."""
 
 import re
-from datetime import UTC, datetime
 from typing import NamedTuple
 
 from rosemarystream._internal.models.call import Call, Headers, PromptPart
+from rosemarystream._internal.platform.retry_after import (
+    RetryAfter,
+    parse_retry_after,
+)
 
 REQUEST_ID = b"x-rosemarystream-attempt-id"
 DEADLINE = b"x-rosemarystream-deadline-ms"
@@ -65,9 +68,6 @@
 _REDIRECTION = 300
 _UNAVAILABLE = 503
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
-# The one form of date that senders may use (RFC 9110, section 5.6.7).
-_DATE = re.compile(rb"[A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT")
-_DATE_FORMAT = "%a, %d %b %Y %H:%M:%S GMT"
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
 # Place of the slowness in a server's load, and its value at the usual speed.
@@ -75,21 +75,6 @@
 _USUAL_SLOWNESS = 100.0
 
 
-class RetryAfter(NamedTuple):
-    """Decoded Retry-After of an answer; both are None if it is unreadable.
-
-    Attributes
-    ----------
-    delay_s : float or None
-        Time to wait, in seconds.
-    epoch_s : float or None
-        Time of day to wait for, in seconds since the epoch.
-    """
-
-    delay_s: float | None = None
-    epoch_s: float | None = None
-
-
 class AnswerHead(NamedTuple):
     """Decoded status and headers of a backend server's answer.
 
@@ -191,7 +176,7 @@
         slowness=_parse_slowness(first_values.get(SERVER_LOAD, b"")),
         limit_per_s=_parse_rate(first_values.get(SERVER_LIMIT)),
         is_leaving=first_values.get(SERVER_LEAVING) == _LEAVING,
-        retry_after=_parse_retry_after(first_values.get(RETRY_AFTER)),
+        retry_after=parse_retry_after(first_values.get(RETRY_AFTER)),
     )
 
 
@@ -232,21 +217,6 @@
     return (RETRY_AFTER, b"%.3f" % seconds)
 
 
-def measure_delay(retry_after: RetryAfter | None, epoch_s: float) -> float | None:
-    """Return the time in seconds to wait; None if a Retry-After is unreadable.
-
-    Parameters
-    ----------
-    epoch_s : float
-        Time of day, in seconds since the epoch.
-    """
-    if retry_after is None:
-        return None
-    if retry_after.epoch_s is not None:
-        return max(0.0, retry_after.epoch_s - epoch_s)
-    return retry_after.delay_s
-
-
 def _decode(value: bytes) -> str:
     return value.decode("latin-1")
 
@@ -289,20 +259,6 @@
     return float(value)
 
 
-def _parse_retry_after(value: bytes | None) -> RetryAfter | None:
-    if value is None:
-        return None
-    if _DECIMAL.fullmatch(value):
-        return RetryAfter(delay_s=float(value))
-    if not _DATE.fullmatch(value):
-        return RetryAfter()
-    try:
-        date = datetime.strptime(_decode(value), _DATE_FORMAT).replace(tzinfo=UTC)
-    except ValueError:
-        return RetryAfter()
-    return RetryAfter(epoch_s=date.timestamp())
-
-
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b","):
--- a/tests/unit/test_retry_deadlines.py
+++ b/tests/unit/test_retry_deadlines.py
@@ -14,7 +14,8 @@
     ServerAvailability,
 )
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
-from rosemarystream._internal.platform.headers import decode_answer, measure_delay
+from rosemarystream._internal.platform.headers import decode_answer
+from rosemarystream._internal.platform.retry_after import measure_delay
 from tests.lib.gossip_world import GossipWorld
 
 EPOCH_S = 1_800_000_000.0
