--- a/tests/functional/test_unexpected_errors.py
+++ b/tests/functional/test_unexpected_errors.py
@@ -21,6 +21,7 @@
 from rosemarystream._internal.gateway.process import Gateway
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.server_statements import ServerStatements
 from rosemarystream._internal.models.log_entries import UnexpectedError
 from rosemarystream._internal.utils.http_connection import ClientConnection
 from tests.lib.entry_world import (
@@ -62,7 +63,7 @@
     (Attempt, "read_head", PATHS),
     (ClientConnection, "read_head", PATHS),
     (attempt, "decode_answer", PATHS),
-    (Router, "record_limit", PATHS),
+    (ServerStatements, "record", PATHS),
     (Router, "record_answer", PATHS),
     (Attempt, "read_piece", PATHS),
     (ClientConnection, "read_piece", PATHS),
