--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -220,7 +220,7 @@
             endpoint=placement.endpoint,
             pool=self._pool,
             clock=self._clock,
-            on_head=partial(self._router.record_limit, placement.endpoint),
+            on_head=partial(self._router.statements.record, placement.endpoint),
         )
         counted = CountedAttempt(
             attempt=attempt, placement=placement, router=self._router
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -72,7 +72,7 @@
             self._log_host_changes,
             self._expire_blocks,
             self._log_block_changes,
-            self._log_limit_changes,
+            self._log_server_statements,
             self._record_version,
             self._record_store_loss,
         ]
@@ -94,7 +94,7 @@
         """Log, at intervals, what was sent to limited servers; runs until killed."""
         while True:
             gevent.sleep(LIMITED_SENDS_INTERVAL_S)
-            self._router.log_limited_sends()
+            self._router.statements.log_limited_sends()
 
     def _remove_stale_hosts(self, now: float) -> None:
         self._peer_table.remove_stale(now)
@@ -102,8 +102,8 @@
     def _expire_blocks(self, now: float) -> None:
         self._blocks.expire(now)
 
-    def _log_limit_changes(self, now: float) -> None:
-        self._router.log_limit_changes()
+    def _log_server_statements(self, now: float) -> None:
+        self._router.statements.log_changes()
 
     def _record_version(self, now: float) -> None:
         self._state.record_version()
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -159,8 +159,7 @@
             peer_table=self._peer_table,
             loads=self._loads,
             contexts=self._contexts,
-            speeds=self._router.speeds,
-            limits=self._router.limits,
+            observations=self._router.observations,
             gate=self._gate,
             blocks=self._blocks,
             puller=self._puller,
@@ -242,7 +241,7 @@
             clock=self._clock,
         )
         self._probes = ServiceProbes(
-            router=self._router, replica=self._replica, pool=self._pool
+            router=self._router, pool=self._pool, clock=self._clock
         )
         self._housekeeping = Housekeeping(
             clock=self._clock,
--- a/src/rosemarystream/_internal/gateway/service_probes.py
+++ b/src/rosemarystream/_internal/gateway/service_probes.py
@@ -1,9 +1,10 @@
 """Probes of the services of which this host can reach no server."""
 
+from collections.abc import Callable
+
 import gevent
 from logbook import Logger
 
-from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.exceptions import ConnectError
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.logs import write_log_entry
@@ -29,10 +30,10 @@
     """
 
     def __init__(
-        self, *, router: Router, replica: Replica, pool: ConnectionPool
+        self, *, router: Router, pool: ConnectionPool, clock: Callable[[], float]
     ) -> None:
         self._router = router
-        self._replica = replica
+        self._clock = clock
         self._pool = pool
         self._probes = 0
         self.unreachable: list[str] = []
@@ -49,7 +50,7 @@
                 self._probe_server(service)
 
     def _probe_server(self, service: str) -> None:
-        endpoints = self._replica.list_ready(service)
+        endpoints = self._router.availability.list_probed(service, self._clock())
         if not endpoints:
             return
         self._probes += 1
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -9,6 +9,10 @@
     MAX_PART_TOKENS,
     MAX_SLOWNESS,
 )
+from rosemarystream._internal.platform.retry_after import (
+    RetryAfter,
+    parse_retry_after,
+)
 
 REQUEST_ID = b"x-rosemarystream-attempt-id"
 DEADLINE = b"x-rosemarystream-deadline-ms"
@@ -19,6 +23,7 @@
 EXPECTED_SERVER = b"x-rosemarystream-expect-instance"
 SERVER_LOAD = b"x-rosemarystream-server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 NOT_RUN = b"x-rosemarystream-not-executed"
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-rosemarystream-model"
@@ -61,8 +66,12 @@
 )
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {SERVER_LOAD}
 
+# Value with which a server states that it leaves.
+_LEAVING = b"1"
+
 _OK = 200
 _REDIRECTION = 300
+_UNAVAILABLE = 503
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _MAX_DIGITS = 18
 _MS_PER_S = 1000.0
@@ -99,6 +108,10 @@
     limit_per_s : float or None
         Requests that the server takes in a second from all hosts together; None if it
         states no limit.
+    is_leaving : bool
+        Whether the server states that it leaves.
+    retry_after : RetryAfter or None
+        When the server wants requests again; None if it doesn't tell.
     """
 
     status: int
@@ -113,12 +126,19 @@
     is_delimited: bool
     slowness: float | None = None
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    retry_after: RetryAfter | None = None
 
     @property
     def is_success(self) -> bool:
         """Whether the status is one of success (2xx)."""
         return _OK <= self.status < _REDIRECTION
 
+    @property
+    def asks_to_wait(self) -> bool:
+        """Whether the server states when it wants requests again."""
+        return self.status == _UNAVAILABLE and self.retry_after is not None
+
 
 def decode_call(method: bytes, target: bytes, headers: Headers) -> Call:
     """Decode a caller's request; header names have to be in lower case."""
@@ -161,6 +181,8 @@
         or b"transfer-encoding" in first_values,
         slowness=_parse_slowness(first_values.get(SERVER_LOAD, b"")),
         limit_per_s=_parse_rate(first_values.get(SERVER_LIMIT)),
+        is_leaving=first_values.get(SERVER_LEAVING) == _LEAVING,
+        retry_after=parse_retry_after(first_values.get(RETRY_AFTER)),
     )
 
 
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -142,11 +142,11 @@
             (gateway._peer_table, "take_changes"),
             (gateway._blocks, "expire"),
             (gateway._blocks, "take_changes"),
-            (gateway._router, "log_limit_changes"),
+            (gateway._router.statements, "log_changes"),
             (gateway._state, "record_version"),
         ],
         "service_probes": [(gateway._router, "list_unreachable_services")],
-        "limited_sends": [(gateway._router, "log_limited_sends")],
+        "limited_sends": [(gateway._router.statements, "log_limited_sends")],
     }[loop]
 
 
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -12,6 +12,7 @@
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway import state_pulls
 from rosemarystream._internal.gateway.state_pulls import StatePuller
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.gossip import (
     GossipMessage,
@@ -165,6 +166,7 @@
             blocks=PromptBlocks(),
             on_change=lambda: None,
             left_out=self.left_out,
+            supervisor=Supervisor(clock=lambda: 50.0),
         )
         monkeypatch.setattr(
             state_pulls.socket, "create_connection", lambda address: _Opened()
