Pass on a server's failure that is too long to be kept

A failure of over 262,144 bytes was given up with 502, although no other attempt could follow: it was read only to be kept beside the next attempt. It is relayed now.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -101,7 +101,7 @@
             pieces.append(piece)
             size += len(piece)
             if size > BUFFERED_BODY_BYTES:
-                self._relay_long_body(attempt, head, b"".join(pieces))
+                self.relay_long(attempt, head, b"".join(pieces))
                 return
         if not pieces and self._lacks_end(head):
             # A server that crashes after the head ends its answer in the same way.
@@ -114,15 +114,14 @@
         has_body = self._call.method != b"HEAD" and head.status not in NO_BODY_STATUSES
         return has_body and not head.is_delimited
 
-    def _relay_long_body(
-        self, attempt: Attempt, head: AnswerHead, received: bytes
-    ) -> None:
+    def relay_long(self, attempt: Attempt, head: AnswerHead, received: bytes) -> None:
+        """Relay an answer without a stream, of which a part has been received."""
         self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(received)
         while (piece := attempt.read_piece(self._deadline)) is not None:
             self._answer.send_piece(piece)
         self._answer.end()
-        self._record_answered(attempt, head)
+        self._record_answered(attempt, head, failed=head.status >= SERVER_ERROR)
 
     def _record_answered(
         self, attempt: Attempt, head: AnswerHead, *, failed: bool = False
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -282,6 +282,22 @@
         except AnswerTooLongError as error:
             raise _convert(error) from error
 
+    def read_start(self, deadline: float, *, max_bytes: int) -> tuple[bytes, bool]:
+        """Return the body, or more than `max_bytes` of it, and whether it is whole.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            As `read_piece` does.
+        """
+        body = bytearray()
+        while len(body) <= max_bytes:
+            piece = self.read_piece(deadline)
+            if piece is None:
+                return bytes(body), True
+            body += piece
+        return bytes(body), False
+
     def close(self) -> None:
         """Close the connection if it is still open; the server cancels its work."""
         if self._connection is not None:
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -259,9 +259,9 @@
             head = self._read_head(attempt)
         self._router.record_answer(attempt.endpoint, slowness=head.slowness)
         if head.status >= SERVER_ERROR and self._attempts.may_repeat:
-            self._keep_failure(attempt, head)
-            raise OutcomeUnknownError(f"failed with {head.status}")
-        self._relay.relay(attempt, head)
+            self._relay_or_keep_failure(attempt, head)
+        else:
+            self._relay.relay(attempt, head)
 
     def _send(self, current: CountedAttempt) -> None:
         source = current.placement.source
@@ -274,10 +274,20 @@
             source=source.address if source else None,
         )
 
-    def _keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
-        """Keep an answer that is relayed to the caller if no better one follows."""
-        body = attempt.read_body(self._deadline, max_bytes=BUFFERED_BODY_BYTES)
-        self._failed_answer = (head, body)
+    def _relay_or_keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Keep a failure, for the caller if no better answer follows.
+
+        One that is too long to be kept is relayed at once.
+        """
+        body, is_whole = attempt.read_start(
+            self._deadline, max_bytes=BUFFERED_BODY_BYTES
+        )
+        if not is_whole and not self._answer.has_begun:
+            self._relay.relay_long(attempt, head, body)
+            return
+        if is_whole:
+            self._failed_answer = (head, body)
+        raise OutcomeUnknownError(f"failed with {head.status}")
 
     def _read_head(self, attempt: Attempt) -> AnswerHead:
         """Return the head of the answer; a silent server is left if that is of use."""
@@ -340,8 +350,6 @@
                 raise _NotNeededError("the server before has gone on")
         if head.is_success:
             return head
-        if head.status >= SERVER_ERROR:
-            self._keep_failure(attempt, head)
         raise OutcomeUnknownError(f"failed with {head.status}")
 
     def _record_first_event(self) -> None:
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -11,6 +11,8 @@
     AgeMs,
     AgeOrNeverMs,
     Count,
+    DelayS,
+    EpochMs,
     LimitPerS,
     Name,
     Number,
@@ -170,8 +172,8 @@
     limits: dict[Number, tuple[LimitPerS, AgeMs]] = {}
     quota_question: QuotaQuestion | None = None
     quota_answer: QuotaAnswer | None = None
-    leaving: list[tuple[int, int]] = []
-    retry_after: dict[int, tuple[float, int]] = {}
+    leaving: list[tuple[Number, EpochMs]] = []
+    retry_after: dict[Number, tuple[DelayS, AgeMs]] = {}
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/rosemarystream/_internal/models/ranges.py
+++ b/src/rosemarystream/_internal/models/ranges.py
@@ -24,6 +24,7 @@
 MAX_SLOWNESS = 1e6
 # Longest time that a document may state, and longest age of what hosts report.
 MAX_MS = 10**13
+MAX_DELAY_S = 10**10
 
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 # Revisions, versions and other numbers that only grow.
@@ -51,4 +52,5 @@
 # Requests a second; infinite without a limit.
 LimitPerS = Annotated[float, Meta(ge=0)]
 WaitMs = Annotated[float, Meta(ge=0, le=MAX_MS)]
+DelayS = Annotated[float, Meta(ge=0, le=MAX_DELAY_S)]
 EpochMs = Annotated[int, Meta(ge=0, le=MAX_MS)]
--- a/tests/functional/test_block_records.py
+++ b/tests/functional/test_block_records.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rosemarystream._internal.decisions.prompt_blocks import BLOCK_S, Block
+from rosemarystream._internal.gateway.host_records import read_hosts
 from rosemarystream._internal.platform.store import BLOCKED_PARTS, HOSTS, Store
 from tests.lib.entry_world import World, wait_until
 
@@ -107,7 +108,7 @@
     world.store.write(HOSTS, "sound", {"ip": "127.8.8.9", "data_centre": "a"})
     gateway = world.hosts["h1"].gateway
     store = gateway._make_store()
-    gateway._read_hosts(store)
+    read_hosts(store, gateway._peer_table, gateway._left_out, gateway._clock())
     store.close()
     known = [host.name for host in gateway._peer_table.list_known()]
     assert sorted(known) == ["h2", "sound"]
--- a/tests/functional/test_unexpected_errors.py
+++ b/tests/functional/test_unexpected_errors.py
@@ -18,10 +18,11 @@
 from rosemarystream._internal.gateway.event_stream import EventStream
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
-from rosemarystream._internal.gateway.process import Gateway
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.gateway.server_statements import ServerStatements
+from rosemarystream._internal.gateway.state import StateReport
+from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.log_entries import UnexpectedError
 from rosemarystream._internal.utils.http_connection import ClientConnection
 from tests.lib.entry_world import (
@@ -232,13 +233,16 @@
 
 
 @pytest.mark.parametrize(
-    ("port", "path"),
-    [(READY_PORT, "/v1/readyz"), (METRICS_PORT, "/v1/state"), (METRICS_PORT, "/x")],
+    ("port", "path", "owner", "name"),
+    [
+        pytest.param(READY_PORT, "/v1/readyz", Supervisor, "is_sound", id="readiness"),
+        pytest.param(METRICS_PORT, "/v1/state", StateReport, "make_dump", id="state"),
+        pytest.param(METRICS_PORT, "/", GatewayMetrics, "set_gauges", id="metrics"),
+    ],
 )
-def test_an_error_in_an_operators_answer_is_answered(host, monkeypatch, port, path):
-    owner, name = (Gateway, "_is_ready")
-    if path == "/x":
-        owner, name = (GatewayMetrics, "set_gauges")
+def test_an_error_in_an_operators_answer_is_answered(
+    host, monkeypatch, port, path, owner, name
+):
     raise_once(monkeypatch, owner, name)
     assert get(host.ip, port, path).status == 500
     assert get(host.ip, port, path).status == 200
