--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -4,7 +4,6 @@
 disconnect ends the request that is being served.
 """
 
-import socket as plain_socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -14,7 +13,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
-from rosemarystream._internal.exceptions import ErrorKind, Execution, RequestError
+from rosemarystream._internal.exceptions import ErrorKind, Execution
 from rosemarystream._internal.gateway.answer_writer import (
     AnswerWriter,
     CallerDisconnectedError,
@@ -22,70 +21,34 @@
 from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.request_errors import HostStoppedError
+from rosemarystream._internal.gateway.request_reader import (
+    READ_BYTES,
+    HeldBytes,
+    RefusedRequestError,
+    Request,
+    RequestReader,
+)
 from rosemarystream._internal.models.log_entries import (
     CallerConnectionBroken,
     RequestRefusedEarly,
 )
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.utils.address import split_address
-from rosemarystream._internal.utils.http_heads import (
-    HttpHeadError,
-    check_http_head,
-    find_head_end,
-)
 from rosemarystream._internal.utils.loop_share import LoopShare
 
 log = Logger(__name__)
 
-READ_BYTES = 65_536
 BACKLOG = 1024
 # Time in which a caller has to take in each piece of an answer.
 WRITE_TIMEOUT_S = 15.0
 # Time in which the rest of a refused request is read and discarded.
 LINGER_TIMEOUT_S = 0.5
 LINGER_BYTES = 1_000_000
-# Line ends that are skipped before a request.
-MAX_LEADING_BYTES = 64
-# Bytes on the wire allowed for each byte of a body, as chunks add some to each, and
-# bytes allowed besides.
-MAX_WIRE_FACTOR = 16
-EXTRA_WIRE_BYTES = 65_536
-# Bytes of request bodies that a host holds at the same time.
-MAX_HELD_BYTES = 64_000_000
-# Delay advised to a caller whose body found no room, in seconds.
-NO_ROOM_RETRY_S = 0.5
-
-
-class Request(NamedTuple):
-    """A request as received from a caller.
-
-    Attributes
-    ----------
-    headers : list of tuple of bytes
-        Header names are in lower case.
-    received_at : float
-        When its first byte was read, by the host's clock.
-    """
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    received_at: float
 
 
 Handler = Callable[[Request, AnswerWriter], None]
 
 
-class _RefusedRequestError(RequestError):
-    """A request is refused before it was read completely."""
-
-    def __init__(
-        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(message, kind=kind, retry_after=retry_after_s)
-
-
 class _Refusal(NamedTuple):
     """Error answer to a request that was not read completely."""
 
@@ -118,7 +81,7 @@
     leaving : bool
         Whether the host is shutting down, so that each connection is closed after
         its answer.
-    held_bytes : int
+    held : HeldBytes
         Bytes of request bodies that are held now, for all connections.
     """
 
@@ -136,7 +99,7 @@
         self.record_error = record_error
         self.clock = clock
         self.leaving = False
-        self.held_bytes = 0
+        self.held = HeldBytes()
         self._connections: set[_CallerConnection] = set()
         self._server = StreamServer(
             split_address(address), self._serve, backlog=BACKLOG
@@ -191,14 +154,13 @@
     def __init__(self, *, listener: Listener, opened: socket.socket) -> None:
         self._listener = listener
         self._socket = opened
-        self._buffer = b""
-        self._received_at = 0.0
+        self._held = HeldBytes(whole=listener.held)
+        self._reader = RequestReader(
+            opened=opened, held=self._held, clock=listener.clock
+        )
         self.busy = False
-        # Whether nothing of a request has been read since the last answer.
-        self.is_idle = True
         self._closed = False
         self._greenlet = gevent.getcurrent()
-        self._held_bytes = 0
         self._refusal: _Refusal | None = None
         self._loop_share = LoopShare()
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -207,7 +169,7 @@
         """Serve requests until either side closes."""
         try:
             while not self._closed and self._serve_next():
-                self.is_idle = True
+                self._reader.has_begun = False
             if self._refusal is not None:
                 self._refuse(self._refusal)
         except (CallerDisconnectedError, HostStoppedError):
@@ -217,37 +179,37 @@
         finally:
             self._socket.close()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of a request has been read since the last answer."""
+        return not self._reader.has_begun
+
     def close_if_idle(self) -> None:
         """Close the connection unless a part of a request has arrived."""
-        if self.is_idle and not self._buffer and not self._has_unread_bytes():
+        if self.is_idle and not self._reader.has_data():
             self._closed = True
             self._socket.close()
 
-    def _has_unread_bytes(self) -> bool:
-        try:
-            return bool(self._socket._sock.recv(1, plain_socket.MSG_PEEK))
-        except OSError:
-            return False
-
     def end_request(self) -> None:
         """End the request that is being read or served."""
         gevent.kill(self._greenlet, HostStoppedError("this host stops"))
 
     def _serve_next(self) -> bool:
         try:
-            if not self._await_request():
+            idle_timeout_s = self._listener.get_limits().idle_timeout_s
+            if not self._reader.await_first_byte(idle_timeout_s):
                 return False
             # Those in force now: the connection may have been idle for long.
             limits = self._listener.get_limits()
             protocol = h11.Connection(
                 h11.SERVER, max_incomplete_event_size=limits.head_bytes + 1024
             )
-            request = self._read_request(protocol, limits)
+            request = self._reader.read(protocol, limits)
             if request is None:
                 return False
             self.busy = True
             return self._answer(protocol, request)
-        except _RefusedRequestError as error:
+        except RefusedRequestError as error:
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
@@ -262,14 +224,12 @@
             if not self.busy:
                 self._refusal = _NOT_RUN_FAILURE
             return False
-            return False
         finally:
             self.busy = False
-            self._listener.held_bytes -= self._held_bytes
-            self._held_bytes = 0
+            self._held.release()
 
     def _answer(self, protocol: h11.Connection, request: Request) -> bool:
-        self._buffer = protocol.trailing_data[0]
+        self._reader.buffer = protocol.trailing_data[0]
         is_closing = protocol.their_state is h11.MUST_CLOSE
         answer = AnswerWriter(
             connection=self._socket,
@@ -284,7 +244,7 @@
             self._handle(request, answer)
         finally:
             watch.stop()
-        self._buffer += watch.data
+        self._reader.buffer += watch.data
         return answer.is_finished and not answer.is_closing
 
     def _handle(self, request: Request, answer: AnswerWriter) -> None:
@@ -333,135 +293,3 @@
         except OSError:
             # The caller has closed, or sends nothing more.
             return
-
-    def _read_request(
-        self, protocol: h11.Connection, limits: CallerLimits
-    ) -> Request | None:
-        head = self._read_head(limits)
-        if head is None:
-            return None
-        try:
-            check_http_head(head)
-            protocol.receive_data(head)
-            event = protocol.next_event()
-        except (HttpHeadError, h11.ProtocolError) as error:
-            raise _RefusedRequestError(ErrorKind.BAD_REQUEST, str(error)) from error
-        if not isinstance(event, h11.Request):
-            raise _RefusedRequestError(ErrorKind.BAD_REQUEST, "not a request")
-        body = self._read_body(protocol, limits)
-        return Request(
-            event.method, event.target, list(event.headers), body, self._received_at
-        )
-
-    def _await_request(self) -> bool:
-        """Wait for the first byte of a request; False if there is none.
-
-        Raises
-        ------
-        _RefusedRequestError
-            If only line ends come.
-        """
-        self._socket.settimeout(self._listener.get_limits().idle_timeout_s)
-        skipped = 0
-        while True:
-            self._loop_share.take_step()
-            received = len(self._buffer)
-            self._buffer = self._buffer.lstrip(b"\r\n")
-            skipped += received - len(self._buffer)
-            if skipped > MAX_LEADING_BYTES:
-                raise _RefusedRequestError(
-                    ErrorKind.BAD_REQUEST, "too many line ends before the request"
-                )
-            if self._buffer:
-                self.is_idle = False
-                self._received_at = self._listener.clock()
-                return True
-            try:
-                data = self._socket.recv(READ_BYTES)
-            except TimeoutError:
-                return False
-            if not data:
-                return False
-            self._buffer = data
-
-    def _read_head(self, limits: CallerLimits) -> bytes | None:
-        deadline = self._received_at + limits.head_timeout_s
-        while True:
-            self._loop_share.take_step()
-            end = find_head_end(self._buffer)
-            if end > limits.head_bytes or (
-                not end and len(self._buffer) > limits.head_bytes
-            ):
-                raise _RefusedRequestError(
-                    ErrorKind.HEAD_TOO_LARGE, f"over {limits.head_bytes} bytes of head"
-                )
-            if end:
-                head, self._buffer = self._buffer[:end], self._buffer[end:]
-                return head
-            remaining_s = deadline - self._listener.clock()
-            self._socket.settimeout(max(0.001, remaining_s))
-            try:
-                data = self._socket.recv(READ_BYTES)
-            except TimeoutError:
-                raise _RefusedRequestError(
-                    ErrorKind.SLOW_SENDER, f"no whole head in {limits.head_timeout_s} s"
-                ) from None
-            if not data:
-                return None
-            self._buffer += data
-
-    def _read_body(self, protocol: h11.Connection, limits: CallerLimits) -> bytes:
-        body = bytearray()
-        received = len(self._buffer)
-        max_received = MAX_WIRE_FACTOR * limits.body_bytes + EXTRA_WIRE_BYTES
-        self._socket.settimeout(limits.idle_timeout_s)
-        if self._buffer:
-            protocol.receive_data(self._buffer)
-            self._buffer = b""
-        while True:
-            self._loop_share.take_step()
-            try:
-                event = protocol.next_event()
-                if isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
-                if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > limits.body_bytes or received > max_received:
-                        raise _RefusedRequestError(
-                            ErrorKind.TOO_LARGE, f"over {limits.body_bytes} bytes"
-                        )
-                    self._hold(len(event.data))
-                    continue
-                if protocol.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(
-                        status_code=100, headers=[]
-                    )
-                    self._socket.sendall(protocol.send(continue_response))
-                data = self._socket.recv(READ_BYTES)
-            except h11.ProtocolError as error:
-                raise _RefusedRequestError(ErrorKind.BAD_REQUEST, str(error)) from error
-            except TimeoutError:
-                raise _RefusedRequestError(
-                    ErrorKind.SLOW_SENDER, f"no byte in {limits.idle_timeout_s} s"
-                ) from None
-            if not data:
-                raise CallerDisconnectedError("closed before its request was whole")
-            received += len(data)
-            protocol.receive_data(data)
-
-    def _hold(self, size: int) -> None:
-        """Count bytes of a body that this host holds until it has answered.
-
-        Raises
-        ------
-        _RefusedRequestError
-            If all requests together hold too many.
-        """
-        self._held_bytes += size
-        self._listener.held_bytes += size
-        if self._listener.held_bytes > MAX_HELD_BYTES:
-            raise _RefusedRequestError(
-                ErrorKind.OVERLOADED,
-                "too many large requests at once",
-                retry_after_s=NO_ROOM_RETRY_S,
-            )
--- a/src/rosemarystream/_internal/gateway/operator_answers.py
+++ b/src/rosemarystream/_internal/gateway/operator_answers.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
-from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
+from rosemarystream._internal.gateway.request_reader import Request
 from rosemarystream._internal.gateway.state import StateReport
 
 METRICS_TYPE = b"text/plain; version=0.0.4"
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -11,9 +11,9 @@
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.exchange import Exchange
 from rosemarystream._internal.gateway.limit_gate import LimitGate
-from rosemarystream._internal.gateway.listener import Request
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.request_reader import Request
 from rosemarystream._internal.gateway.request_record import RequestRecord
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
--- a/tests/properties/test_parsers.py
+++ b/tests/properties/test_parsers.py
@@ -162,7 +162,7 @@
     with socket.create_connection(address, timeout=DEADLINE_S) as caller:
         caller.sendall(whole)
         assert caller.recv(100).startswith(b"HTTP/1.1 200")
-    assert listener.held_bytes == 0
+    assert listener.held.count == 0
 
 
 def send_and_read_to_end(far, pieces):
