--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -26,7 +26,8 @@
 NETWORKS = (10, 200)
 KEY = "key-of-w1"
 HOST = "chats.example"
-_numbers = itertools.count(1)
+# Third octets of the networks, used again in turn: most worlds are gone long before.
+_numbers = itertools.cycle(range(1, 251))
 _request_ids = itertools.count(1)
 
 
