Answer callers that close their sending side

Cause: a FIN was taken for the caller's end. Change: from the FIN on, the nine bytes with which each status line begins are sent ahead one by one, ever less often. A caller that has closed both sides resets the connection on the first of them, and only then is its request cancelled.

--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -10,6 +10,9 @@
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.platform.headers import encode_retry_after
 
+# Start of each answer's status line.
+STATUS_LINE_START = b"HTTP/1.1 "
+
 
 class CallerDisconnectedError(BaseException):
     """The caller has closed its connection, or doesn't read.
@@ -39,6 +42,8 @@
         Whether a part may have been sent, so that no other answer can follow.
     is_finished : bool
         Whether the answer has been sent completely.
+    is_half_closed : bool
+        Whether the caller has closed its sending side.
     """
 
     def __init__(
@@ -58,6 +63,29 @@
         self.status = 0
         self.has_begun = False
         self.is_finished = False
+        self.is_half_closed = False
+        # Bytes of the status line that were sent ahead of the answer.
+        self._sent_ahead = 0
+
+    def send_ahead(self) -> None:
+        """Send the next byte of the status line, unless the answer has begun.
+
+        Doesn't wait; nothing is sent if all of `STATUS_LINE_START` has been.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the connection was reset.
+        """
+        if self.has_begun:
+            return
+        rest = STATUS_LINE_START[self._sent_ahead :]
+        try:
+            self._sent_ahead += self._connection._sock.send(rest[:1])
+        except BlockingIOError:
+            return
+        except OSError as error:
+            raise CallerDisconnectedError(str(error)) from error
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
@@ -79,7 +107,7 @@
             headers.append((b"connection", b"close"))
         data = self._protocol.send(h11.Response(status_code=status, headers=headers))
         self.status = status
-        return data
+        return data[self._sent_ahead :]
 
     def send_piece(self, data: bytes) -> None:
         """Send a piece of the body."""
--- a/src/rosemarystream/_internal/gateway/disconnect_watch.py
+++ b/src/rosemarystream/_internal/gateway/disconnect_watch.py
@@ -1,18 +1,35 @@
-"""Detection of a caller's disconnect while its request is served."""
+"""Detection of a caller's disconnect while its request is served.
+
+A caller that closes its sending side may have left, or may still wait for its answer
+(half-close). Only the second one takes in what is sent: the connection of the first is
+reset by any byte. ``docs/design/half-closed-callers.md`` weighs the ways.
+"""
 
 import gevent
 from gevent import socket
 
-from rosemarystream._internal.gateway.answer_writer import CallerDisconnectedError
+from rosemarystream._internal.gateway.answer_writer import (
+    AnswerWriter,
+    CallerDisconnectedError,
+)
 
 READ_BYTES = 65_536
 # Bytes of pipelined requests that are buffered while one is being served.
 MAX_PIPELINED_BYTES = 262_144
+# Interval at which a connection whose caller has closed its sending side is checked.
+CHECK_INTERVAL_S = 0.02
 
 
 class DisconnectWatch:
     """Detects a caller's disconnect while its request is served.
 
+    Parameters
+    ----------
+    greenlet : gevent.Greenlet
+        Serves the request; `CallerDisconnectedError` is raised in it.
+    answer : AnswerWriter
+        The answer, of which single bytes are sent ahead.
+
     Attributes
     ----------
     data : bytes
@@ -20,13 +37,23 @@
     """
 
     def __init__(
-        self, *, opened: socket.socket, greenlet: gevent.greenlet.Greenlet
+        self,
+        *,
+        opened: socket.socket,
+        greenlet: gevent.greenlet.Greenlet,
+        answer: AnswerWriter,
     ) -> None:
         self.data = b""
         self._socket = opened
         self._greenlet = greenlet
+        self._answer = answer
+        self._checks = 0
+        # Number of the check at which the next byte is sent.
+        self._next_byte = 1
+        loop = gevent.get_hub().loop
+        self._timer = loop.timer(0.0, CHECK_INTERVAL_S)
         # Event mask 1 (readable), and a callback, as in gevent's own socket waits.
-        self._watcher = gevent.get_hub().loop.io(opened.fileno(), 1)
+        self._watcher = loop.io(opened.fileno(), 1)
         self._watcher.start(self._on_readable)
 
     def _on_readable(self) -> None:
@@ -34,17 +61,42 @@
             data = self._socket._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            data = b""
+        except OSError as error:
+            self._end_request(str(error))
+            return
         if not data:
-            self.stop()
-            gevent.kill(self._greenlet, CallerDisconnectedError("closed"))
+            self._answer.is_half_closed = True
+            self._watcher.stop()
+            self._timer.start(self._check)
             return
         self.data += data
         if len(self.data) > MAX_PIPELINED_BYTES:
             self.stop()
 
+    def _check(self) -> None:
+        """End the request if its caller has closed both sides."""
+        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._end_request(f"reset ({code})")
+            return
+        self._checks += 1
+        # Few bytes can be sent ahead, so the time between two of them doubles.
+        if self._checks == self._next_byte:
+            self._next_byte *= 2
+            self._send_ahead()
+
+    def _send_ahead(self) -> None:
+        try:
+            self._answer.send_ahead()
+        except CallerDisconnectedError as error:
+            self._end_request(str(error))
+
+    def _end_request(self, reason: str) -> None:
+        self.stop()
+        gevent.kill(self._greenlet, CallerDisconnectedError(reason))
+
     def stop(self) -> None:
         """Stop the detection."""
-        self._watcher.stop()
-        self._watcher.close()
+        for watcher in (self._watcher, self._timer):
+            watcher.stop()
+            watcher.close()
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -239,7 +239,9 @@
             is_leaving=lambda: self._listener.leaving,
         )
         self._socket.settimeout(WRITE_TIMEOUT_S)
-        watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
+        watch = DisconnectWatch(
+            opened=self._socket, greenlet=gevent.getcurrent(), answer=answer
+        )
         try:
             self._handle(request, answer)
         finally:
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -71,6 +71,10 @@
         self.requests = counter(
             "requests", "Requests that are over, by outcome", "outcome"
         )
+        self.callers_half_closed = counter(
+            "callers_half_closed",
+            "Requests whose callers closed their sending side before the answer's end",
+        )
         self.attempts = counter(
             "attempts",
             "Attempts at servers: answered, failed, turned_away or unreachable",
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -118,6 +118,8 @@
     ) -> None:
         duration_s = self._clock() - record.received_at
         self._router.metrics.count_request(outcome, duration_s, record.first_event_s)
+        if answer.is_half_closed:
+            self._router.metrics.callers_half_closed.inc()
         entry = record.make_entry(
             outcome=outcome, duration_s=duration_s, answer=answer, router=self._router
         )
--- a/src/rosemarystream/_internal/gateway/request_record.py
+++ b/src/rosemarystream/_internal/gateway/request_record.py
@@ -69,6 +69,7 @@
             workspace=self.workspace,
             outcome=outcome,
             status=answer.status,
+            half_closed=answer.is_half_closed,
             ms=_round_ms(duration_s),
             first_ms=None if first_s is None else _round_ms(first_s),
             wait_ms=None if call.wait_s is None else _round_ms(call.wait_s),
--- a/src/rosemarystream/_internal/models/log_entries/requests.py
+++ b/src/rosemarystream/_internal/models/log_entries/requests.py
@@ -26,6 +26,8 @@
         ``gone`` (the caller disconnected) or an error kind.
     status : int
         HTTP status sent to the caller; 0 if none.
+    half_closed : bool
+        Whether the caller closed its sending side before the end of the answer.
     ms, first_ms : float or None
         Time to the end of the request, and to the first event of a stream.
     wait_ms : float or None
@@ -70,6 +72,7 @@
     workspace: str | None = None
     outcome: str
     status: int
+    half_closed: bool = False
     ms: float
     first_ms: float | None = None
     wait_ms: float | None = None
