Divide the router: placement by cached context, and the retry budgets

Moved without a change of behaviour; the budgets are asked by service, and what a request would meet at each engine is a function of its own. Unit tests of placement, spreading, budgets and priorities, the tests of fleets and of silent servers: 61 passed.

--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -15,19 +15,12 @@
     FleetObservations,
 )
 from rosemarystream._internal.decisions.hashing import hash_name_32
-from rosemarystream._internal.decisions.load_table import Load, LoadTable
+from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.placement import (
-    MIN_COPY_TOKENS,
-    PREFILL_S,
-    ContextLoad,
     Placement,
-    assume_cached_at_home,
-    choose_copy_source,
-    choose_home,
     choose_shared_parts,
     compute_load_bound,
-    place_by_context,
     place_by_load,
 )
 from rosemarystream._internal.decisions.priorities import (
@@ -36,13 +29,14 @@
     build_priority_table,
 )
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.decisions.retry_budget import RetryBudget
 from rosemarystream._internal.decisions.server_availability import (
     ServerAvailability,
 )
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
+from rosemarystream._internal.gateway.context_placer import ContextPlacer
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
+from rosemarystream._internal.gateway.retry_budgets import RetryBudgets
 from rosemarystream._internal.gateway.server_statements import ServerStatements
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
@@ -120,17 +114,24 @@
         self._peer_table = peer_table
         self._loads = loads
         self._clock = clock
-        self._read_epoch_s = read_epoch_s
         self._on_load = on_load
         self._priorities = PriorityTable(pairs=())
         self._priorities_version = 0
         self._incarnations: dict[str, int] = {}
-        self._budgets: dict[str, RetryBudget] = {}
+        self._retries = RetryBudgets(bounds=bounds, peer_table=peer_table, clock=clock)
+        self._placer = ContextPlacer(
+            replica=replica,
+            availability=self.availability,
+            contexts=contexts,
+            loads=loads,
+            speeds=self.speeds,
+            read_epoch_s=read_epoch_s,
+        )
 
     def set_bounds(self, bounds: BoundsSection) -> None:
         """Apply new bounds; the retry budgets are reset."""
         self._bounds = bounds
-        self._budgets.clear()
+        self._retries.set_bounds(bounds)
 
     def choose_service(self, route: Route, call: Call) -> str:
         """Return the service for a request, drawn by the weights of its route.
@@ -179,7 +180,7 @@
         load = self._loads.sum_fleet(now)
         if route.keeps_context and call.parts:
             share = self.find_priority(rank, route).share
-            return self._place_by_context(
+            return self._placer.place(
                 call,
                 ready,
                 candidates,
@@ -187,6 +188,7 @@
                 now,
                 objective_s=route.objective_s,
                 share=share,
+                load_multiple=self._bounds.load_multiple,
             )
         counts_age_s = self._loads.measure_report_age(now)
         endpoint = place_by_load(
@@ -210,7 +212,7 @@
     def _estimate_unseen(self, service: str, age_s: float, now: float) -> float:
         """Return the requests that others have probably sent since their reports."""
         others = self._peer_table.count_live(now) - 1
-        rate = self._find_budget(service).measure_request_rate(now)
+        rate = self._retries.measure_request_rate(service)
         return others * rate * (age_s + REPORT_DELAY_S)
 
     def list_unreachable_services(self) -> list[str]:
@@ -232,88 +234,6 @@
     ) -> dict[str, float]:
         return {e.name: self.speeds.estimate(e.number, now) for e in endpoints}
 
-    def _place_by_context(
-        self,
-        call: Call,
-        ready: Sequence[Endpoint],
-        candidates: Sequence[Endpoint],
-        load: Load,
-        now: float,
-        *,
-        objective_s: float,
-        share: float,
-    ) -> Placement | None:
-        rates = self._list_failure_rates(candidates, now)
-        slowness = self._list_slowness(candidates, now)
-        numbers = {e.name: e.number for e in candidates}
-        uncached_tokens = self.contexts.count_uncached_tokens(
-            call.model, call.parts, numbers.values(), now
-        )
-        loads = {
-            name: ContextLoad(
-                requests=load.counts[number],
-                prefill=int(share * load.prefill[number]),
-                uncached_tokens=uncached_tokens[number],
-                failure_rate=rates[name],
-                slowness=slowness[name],
-            )
-            for name, number in numbers.items()
-        }
-        shared = choose_shared_parts(call.parts)
-        key = f"{call.model}/{shared[-1].name}"
-        home = choose_home(key, ready, self._read_epoch_s() * _MS_PER_S)
-        bound = compute_load_bound(
-            [load.counts[e.number] for e in ready], self._bounds.load_multiple
-        )
-        presumed_loads = loads
-        if not self.contexts.is_held(hash_part(call.model, shared[-1]), now):
-            own_tokens = sum(part.tokens for part in call.parts[len(shared) :])
-            presumed_loads = assume_cached_at_home(loads, home, own_tokens)
-        name = place_by_context(
-            key, presumed_loads, objective_ms=objective_s * _MS_PER_S, bound=bound
-        )
-        endpoint = self.replica.find_endpoint(name) if name else None
-        if endpoint is None:
-            return None
-        chosen_load = loads[endpoint.name]
-        home_load = loads.get(home or "", chosen_load)
-        return Placement(
-            endpoint=endpoint,
-            requests=chosen_load.requests,
-            prefill=chosen_load.prefill,
-            uncached_tokens=chosen_load.uncached_tokens,
-            bound=round(bound, 1),
-            home=home,
-            home_requests=home_load.requests,
-            home_prefill=home_load.prefill,
-            counts_age_s=self._loads.measure_report_age(now),
-            source=self._find_source(call, endpoint, chosen_load.uncached_tokens, now),
-            slowness=chosen_load.slowness,
-        )
-
-    def _find_source(
-        self, call: Call, endpoint: Endpoint, uncached_tokens: int, now: float
-    ) -> Endpoint | None:
-        """Return a server to copy cached context from, if a copy pays off.
-
-        That is a server that has more of the prompt cached than the chosen one. A
-        draining server qualifies too: it keeps its cache until it is gone.
-        """
-        if uncached_tokens - call.parts[-1].tokens < MIN_COPY_TOKENS:
-            return None
-        others = {
-            other.number: other
-            for other in self.replica.list_endpoints()
-            if other.service == endpoint.service
-            and other.name != endpoint.name
-            and not self.availability.is_unreachable(other, now)
-        }
-        uncached_elsewhere = self.contexts.count_uncached_tokens(
-            call.model, call.parts, others, now, min_held_s=PREFILL_S
-        )
-        source = choose_copy_source(uncached_elsewhere, uncached_tokens)
-        return None if source is None else others[source]
-
     def begin_prefill(self, placement: Placement, call: Call) -> None:
         """Count the prompt tokens that a server has to prefill for a request."""
         if not call.parts:
@@ -357,31 +277,18 @@
 
     def record_request(self, service: str) -> None:
         """Record a caller's request; the retry budget grows with these."""
-        self._find_budget(service).record_request(self._clock())
+        self._retries.record_request(service)
 
     def has_retry(self, service: str) -> bool:
         """Return whether a service's budget allows another retry now."""
-        return self._count_retries(service, self._clock()) >= 1.0
+        return self._retries.count_left(service) >= 1.0
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; False if it is used up."""
-        now = self._clock()
-        hosts = self._peer_table.count_recent_peak(now)
-        taken = self._find_budget(service).take(now, hosts=hosts)
+        taken = self._retries.take(service)
         (self.metrics.retries if taken else self.metrics.retries_refused).inc()
         return taken
 
-    def _find_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(
-                ratio=self._bounds.retry_ratio,
-                window_s=self._bounds.retry_window_ms / _MS_PER_S,
-                slack=self._bounds.retry_slack,
-            )
-            self._budgets[service] = budget
-        return budget
-
     def forget_departed(self, endpoints: Sequence[Endpoint]) -> None:
         """Drop the state of servers that have left or restarted."""
         present = {endpoint.name: endpoint.incarnation for endpoint in endpoints}
@@ -469,13 +376,9 @@
             waiting=len(self.availability.list_waiting(service, now)),
             leaving=len(self.replica.list_ready(service)) - len(ready),
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
-            retries_left=round(self._count_retries(service, now), 1),
+            retries_left=round(self._retries.count_left(service), 1),
         )
 
-    def _count_retries(self, service: str, now: float) -> float:
-        hosts = self._peer_table.count_recent_peak(now)
-        return self._find_budget(service).count_left(now, hosts=hosts)
-
     def suggest_retry_after(self) -> float:
         """Return the delay in seconds to advise to a refused caller."""
         return RETRY_AFTER_S
