--- a/src/rosemarystream/_internal/decisions/bounded_dict.py
+++ b/src/rosemarystream/_internal/decisions/bounded_dict.py
@@ -1,4 +1,4 @@
-"""A dict of limited size, for what a host remembers of others."""
+"""A dict of limited size, for what a host stores about others."""
 
 from collections import OrderedDict
 from typing import TypeVar
--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -30,7 +30,7 @@
 MAX_ANSWERED = 20_000
 MAX_CRASHES_OF_PART = 16
 MAX_CRASHES = 256
-# Most crashes of single requests that are remembered to tell copies from news.
+# Most crashes of single requests that are kept to recognize repeated reports.
 MAX_KNOWN = 4_096
 # Shared parts of a prompt that are looked at; prompts of real callers have a few.
 MAX_PARTS_OF_PROMPT = 8
@@ -67,8 +67,8 @@
     def record_crash(self, crash: Crash) -> bool:
         """Record a crash; return whether it is new.
 
-        Copies arrive late and by several ways. They are told from news also after an
-        answer has cleared the crash, else hosts would forward it without end.
+        Copies arrive late and by several ways. They are recognized also after an answer
+        has cleared the crash, else hosts would forward it without end.
         """
         request = crash.server, crash.parts
         if request in self._known:
@@ -152,9 +152,9 @@
         """Return whether one other part may be to blame for all crashes of a part.
 
         A part without crashes that count is not known to be sound: other hosts may
-        have blocked it for crashes that this one hasn't heard of. Different companions
-        in different crashes don't excuse it either, as each would have to crash
-        servers by itself.
+        have blocked it for crashes of which this one has no report. Different
+        companions in different crashes don't excuse it either, as each would have to
+        crash servers by itself.
         """
         prompts = [{*crash.parts} for crash in self._list_crashes(part, now)]
         if not prompts:
--- a/src/rosemarystream/_internal/decisions/fleet_observations.py
+++ b/src/rosemarystream/_internal/decisions/fleet_observations.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of backend servers, as bundled in their messages."""
+"""What hosts report to each other of backend servers, bundled in their messages."""
 
 from typing import NamedTuple
 
@@ -82,7 +82,7 @@
         return NO_REPORTS._replace(limits=self._limits.make_reports(server, now))
 
     def accept(self, reports: ObservationReports, now: float, *, nearby: bool) -> None:
-        """Record what another host has told.
+        """Record what another host has reported.
 
         Parameters
         ----------
--- a/src/rosemarystream/_internal/decisions/left_out_objects.py
+++ b/src/rosemarystream/_internal/decisions/ignored_objects.py
@@ -1,33 +1,33 @@
-"""Objects from other processes that can't be used, and were left out."""
+"""Objects from other processes that are invalid, and were ignored."""
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.bounded_dict import BoundedDict
 
-# Objects that are remembered, so that each revision is reported once.
+# Objects that are kept, so that each revision is reported once.
 MAX_OBJECTS = 1_000
 
 
-class _LeftOut(NamedTuple):
-    """The revision of an object that was left out, and why."""
+class _IgnoredObject(NamedTuple):
+    """The revision of an object that was ignored, and why."""
 
     revision: int
     reason: str
 
 
-class LeftOutObjects:
-    """Remembers which objects were left out, each revision once.
+class IgnoredObjects:
+    """Records which objects were ignored, each revision once.
 
     Parameters
     ----------
     on_new : callable
-        Called with the kind of an object that is left out for the first time.
+        Called with the kind of an object that is ignored for the first time.
     """
 
     def __init__(self, *, on_new: Callable[[str], None] = lambda kind: None) -> None:
         self._on_new = on_new
-        self._objects: BoundedDict[tuple[str, str], _LeftOut] = BoundedDict(
+        self._objects: BoundedDict[tuple[str, str], _IgnoredObject] = BoundedDict(
             most=MAX_OBJECTS
         )
 
@@ -37,16 +37,16 @@
         known = self._objects.get(key)
         if known is not None and known.revision == revision:
             return False
-        self._objects.put(key, _LeftOut(revision, reason))
+        self._objects.put(key, _IgnoredObject(revision, reason))
         self._on_new(kind)
         return True
 
     def remove(self, kind: str, name: str) -> None:
-        """Forget an object that is sound now, or gone."""
+        """Remove an object that is valid now, or deleted."""
         self._objects.pop((kind, name), None)
 
     def keep_listed(self, kind: str, listed: Iterable[tuple[str, int]]) -> None:
-        """Forget the objects of a kind that are not among the listed ones.
+        """Remove the objects of a kind that are not among the listed ones.
 
         Parameters
         ----------
@@ -61,7 +61,7 @@
                 del self._objects[key]
 
     def list_reasons(self) -> dict[str, str]:
-        """Return why objects are left out, by kind and name."""
+        """Return why objects are ignored, by kind and name."""
         return {f"{kind}/{name}": x.reason for (kind, name), x in self._objects.items()}
 
 
--- a/src/rosemarystream/_internal/decisions/leaving_servers.py
+++ b/src/rosemarystream/_internal/decisions/leaving_servers.py
@@ -1,7 +1,7 @@
 """Backend servers that have stated that they leave.
 
 A statement holds for the incarnation of a server for good, so no order of statements
-matters: hosts pass on all that they know, and keep what they hear.
+matters: hosts pass on all that they know, and keep what they receive.
 """
 
 from collections.abc import Iterable
@@ -9,7 +9,7 @@
 from rosemarystream._internal.decisions.bounded_dict import BoundedDict
 from rosemarystream._internal.models.endpoint import Endpoint
 
-# Incarnations that are remembered, also while the store doesn't name them.
+# Incarnations that are kept, also while the store doesn't name them.
 MAX_INCARNATIONS = 10_000
 
 # Number of a server and its incarnation.
@@ -23,7 +23,7 @@
         self._known: BoundedDict[Incarnation, None] = BoundedDict(most=MAX_INCARNATIONS)
         self._registered: frozenset[Incarnation] = frozenset()
         self._reported: list[Incarnation] = []
-        self._news: list[Incarnation] = []
+        self._updates: list[Incarnation] = []
 
     @property
     def is_empty(self) -> bool:
@@ -46,8 +46,8 @@
         return True
 
     def accept_reports(self, reports: Iterable[Incarnation]) -> None:
-        """Record which servers leave by the words of another host."""
-        self._news += [key for key in reports if self.record(*key)]
+        """Record which servers leave, as another host reports."""
+        self._updates += [key for key in reports if self.record(*key)]
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether a server has stated that it leaves."""
@@ -59,7 +59,7 @@
         """Return the registered servers that leave, to be passed on."""
         return self._reported
 
-    def take_news(self) -> list[Incarnation]:
-        """Return what other hosts have told since the last call."""
-        news, self._news = self._news, []
-        return news
+    def take_updates(self) -> list[Incarnation]:
+        """Return what other hosts have reported since the last call."""
+        updates, self._updates = self._updates, []
+        return updates
--- a/src/rosemarystream/_internal/decisions/membership.py
+++ b/src/rosemarystream/_internal/decisions/membership.py
@@ -140,7 +140,7 @@
         self._checked_at = 0.0
         self._states_due = 0.0
         self._has_announcement = False
-        self._heard: tuple[int, ...] | None = None
+        self._live_hashes: tuple[int, ...] | None = None
         self._last_size = 0
         self.started_at: float | None = None
 
@@ -179,10 +179,10 @@
 
     def _change_owners(self, data_centre: str) -> OwnersChanged:
         if data_centre == self.me.data_centre:
-            # Send a heartbeat at once: the sooner peers learn of the change, the
+            # Send a heartbeat at once: the sooner peers receive the change, the
             # shorter two hosts disagree on the owner.
             self._local_due = 0.0
-            self._heard = None
+            self._live_hashes = None
         return OwnersChanged(data_centre=data_centre)
 
     def set_leaving(self) -> OwnersChanged:
@@ -232,7 +232,7 @@
             record
             for record in self.list_local_peers()
             if now >= record.redial_deadline
-            and not (record.alive and own_hash in record.heartbeat.heard)
+            and not (record.alive and own_hash in record.heartbeat.received_from)
         ]
         for record in unresponsive:
             record.redial_deadline = now + self.times.suspect
@@ -315,7 +315,7 @@
             sequence=self._sequence,
             valid_ms=int(span * 1000),
             leaving=self.leaving,
-            heard=self.heard(),
+            received_from=self.hash_live_hosts(),
             generation=0,
             recalls_digest=0,
             hosts_version=0,
@@ -332,16 +332,16 @@
         """Replace the seed addresses."""
         self._seeds = seeds
 
-    def heard(self) -> tuple[int, ...]:
+    def hash_live_hosts(self) -> tuple[int, ...]:
         """Return sorted short hashes of the live hosts of this data centre.
 
         This host is included.
         """
-        if self._heard is None:
+        if self._live_hashes is None:
             names = [r.host.name for r in self.list_local_peers() if r.alive]
             hashes = [hash_name_16(name) for name in [*names, self.me.name]]
-            self._heard = tuple(sorted(hashes))
-        return self._heard
+            self._live_hashes = tuple(sorted(hashes))
+        return self._live_hashes
 
     def list_local_peers(self) -> list[PeerRecord]:
         """Return the records of the other hosts of this data centre."""
--- a/src/rosemarystream/_internal/decisions/offer_plan.py
+++ b/src/rosemarystream/_internal/decisions/offer_plan.py
@@ -111,9 +111,9 @@
     def _pick_idle_group(self, groups: list[GroupName]) -> GroupName | None:
         if len(groups) == 1:
             return None
-        passed_over = self._busy | self._failed
+        excluded = self._busy | self._failed
         for position, group in enumerate(groups[:MAX_SPILL_GROUPS]):
-            if group in passed_over:
+            if group in excluded:
                 continue
             # A report of a queue may be outdated, so the first group, which
             # caches the context, is tried even if requests waited there.
--- a/src/rosemarystream/_internal/decisions/ownership.py
+++ b/src/rosemarystream/_internal/decisions/ownership.py
@@ -122,8 +122,11 @@
         if membership.started_at is None:
             return False
         peers = [record for record in membership.list_local_peers() if record.alive]
-        known = set(membership.heard())
-        if any(set(peer.heartbeat.heard) - known - self._suspects() for peer in peers):
+        known = set(membership.hash_live_hosts())
+        if any(
+            set(peer.heartbeat.received_from) - known - self._suspects()
+            for peer in peers
+        ):
             return now >= self._convergence_deadline() + membership.times.remove
         return bool(peers) or now >= self._convergence_deadline()
 
@@ -152,7 +155,7 @@
         # in its place.
         own_hash = hash_name_16(self._membership.me.name)
         return any(
-            record is not None and own_hash not in record.heartbeat.heard
+            record is not None and own_hash not in record.heartbeat.received_from
             for record in map(self._find_peer, names)
         )
 
@@ -161,7 +164,8 @@
         record = self._find_peer(name)
         if record is None:
             return False
-        return not record.alive or record.heartbeat.heard != self._membership.heard()
+        received_from = record.heartbeat.received_from
+        return not record.alive or received_from != self._membership.hash_live_hosts()
 
     def dump(self) -> dict[str, Any]:
         """Return the cached candidate orders."""
--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -74,7 +74,7 @@
     """The other hosts that one host knows.
 
     Collectors know all hosts of their data centre. The others know the collectors
-    and the next in order, and learn from the collectors how many hosts there are.
+    and the next in order; the collectors report to them how many hosts there are.
     """
 
     def __init__(self, *, name: str, data_centre: str) -> None:
@@ -130,7 +130,7 @@
     def take_changes(self, now: float) -> PeerChanges:
         """Return the hosts that were found or lost since the last call.
 
-        Hosts that have never given a sign of life are left out.
+        Hosts that have never given a sign of life are ignored.
         """
         live = {host.name: host for host in self.list_live(now) if host.last_seen_at}
         before, self._previous_live = self._previous_live, live
@@ -171,7 +171,7 @@
     def count_recent_peak(self, now: float) -> int:
         """Return the largest recent number of live hosts.
 
-        A quota of the fleet is divided by it. Hosts that can't be heard may still use
+        A quota of the fleet is divided by it. Hosts that can't be reached may still use
         their shares, so the number does not fall as soon as they are lost.
         """
         if now - self._peak_since > PEAK_PERIOD_S:
@@ -199,7 +199,7 @@
         names = self._order_hosts(data_centre, now)[:most]
         return [self._hosts[name] for name in names if name != self._name]
 
-    def list_unheard(self, now: float) -> list[Peer]:
+    def list_unreachable(self, now: float) -> list[Peer]:
         """Return the known hosts of the data centres in which none is live."""
         live = {host.data_centre for host in self.list_live(now)}
         return [host for host in self._hosts.values() if host.data_centre not in live]
@@ -232,9 +232,9 @@
     def keeps_waits_short(self, now: float) -> bool:
         """Return whether this host, as a watcher, waits briefly at the store.
 
-        A short wait shows soon that the store has gone silent, but costs calls. It is
+        A short wait shows soon that the store is unresponsive, but costs calls. It is
         enough in a few data centres: the others miss no change unless all watchers of
-        the fleet are cut off, and then these tell them.
+        the fleet are cut off, and then these report it to them.
         """
         names = {host.data_centre for host in self.list_live(now)}
         names.add(self._data_centre)
@@ -246,7 +246,7 @@
             {host.data_centre for host in self._hosts.values()} - {self._data_centre}
         )
 
-    def list_heard_data_centres(self, now: float) -> list[str]:
+    def list_live_data_centres(self, now: float) -> list[str]:
         """Return the names of the other data centres of which a host is live."""
         live = {host.data_centre for host in self.list_live(now)}
         return sorted(live - {self._data_centre})
--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -1,4 +1,4 @@
-"""Prompt parts that are kept from servers, and what hosts tell each other of them.
+"""Prompt parts that are kept from servers, and what hosts report to each other of them.
 
 Requests with a blocked part are rejected at once on every host. Each host sends what it
 has seen of crashes and answers to the others, and so does a block spread; collectors
@@ -122,7 +122,7 @@
         """Return the part for which a request has to be rejected, or None.
 
         Where the crashes may be due to another part of the same prompts, a request
-        without that one is let through now and then, and its end tells.
+        without that one is let through now and then; its end shows which part it is.
         """
         blocked = [part for part in parts if self._judge(part, now)]
         if len(blocked) == 1 and self._may_try(blocked[0], now):
@@ -179,7 +179,7 @@
         Parameters
         ----------
         is_forwarded : bool
-            Whether other hosts are told if it is new.
+            Whether it is sent to other hosts if it is new.
         """
         known = self._blocks.get(block.part)
         until = min(block.until, now + BLOCK_S)
@@ -189,7 +189,7 @@
             return
         answered_at = self._find_answer(block.part, now)
         if answered_at is not None and answered_at > block.began_at:
-            # Its sender doesn't know of that answer yet.
+            # Its sender has not received that answer yet.
             self._pending_answers.add(block.part)
             return
         self._begin_block(block._replace(until=until), now)
@@ -201,7 +201,7 @@
         return self._evidence.find_answer(part, now, max_age_s=BLOCK_S)
 
     def lift_block(self, part: int, now: float) -> None:
-        """Lift a block that an operator has removed; other hosts are told."""
+        """Lift a block that an operator has removed; other hosts are notified."""
         if part in self._blocks:
             self._accept_answer(part, now, is_forwarded=True)
 
@@ -225,7 +225,7 @@
         Parameters
         ----------
         is_forwarded : bool
-            Whether news are sent on, as collectors do.
+            Whether new updates are forwarded, as collectors do.
         """
         for server, age_ms, parts in updates.crashes:
             at = now - age_ms / _MS_PER_S
--- a/src/rosemarystream/_internal/decisions/recalls.py
+++ b/src/rosemarystream/_internal/decisions/recalls.py
@@ -38,8 +38,8 @@
 class Recalls(Service):
     """Tracks the recalls in force and the servers that they withdraw.
 
-    A recall is in force from the moment that this host learns of it until it
-    learns that its id was lifted. Late or repeated messages have no effect.
+    A recall is in force from the moment that this host receives it until it
+    receives that its id was lifted. Late or repeated messages have no effect.
     """
 
     name = "recalls"
@@ -122,7 +122,7 @@
         return f"{model}@{version}" in self._active.get(RecallKind.MODEL, {})
 
     def is_leaving(self, server: BackendServer) -> bool:
-        """Return whether the platform or the server itself says that it leaves."""
+        """Return whether the platform or the server itself states that it leaves."""
         report = self._reports.get(server.name)
         return server.leaving or (report is not None and report.leaving)
 
--- a/src/rosemarystream/_internal/decisions/retry_deadlines.py
+++ b/src/rosemarystream/_internal/decisions/retry_deadlines.py
@@ -1,6 +1,6 @@
-"""Until when backend servers want no requests, as they state with refusals.
+"""Until when backend servers accept no requests, as they state with refusals.
 
-What a server states binds the host to which it states it. Other hosts learn of it as
+What a server states binds the host to which it states it. Other hosts receive it as
 advice to place requests elsewhere.
 """
 
@@ -18,9 +18,9 @@
 
 
 class RetryDeadlines(ServerObservations):
-    """Times from which servers want requests again.
+    """Times from which servers accept requests again.
 
-    The observed value is the time in seconds for which a server wants none.
+    The observed value is the time in seconds for which a server accepts none.
     """
 
     def __init__(self) -> None:
@@ -29,7 +29,7 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no server is known to have wanted no requests."""
+        """Whether no server is known to have asked hosts to wait."""
         return not self._all
 
     def record(self, endpoint: Endpoint, delay_s: float, now: float) -> None:
@@ -38,7 +38,7 @@
         Parameters
         ----------
         delay_s : float
-            Time for which it wants no requests; at most `MAX_RETRY_AFTER_S` count.
+            Time for which it accepts no requests; at most `MAX_RETRY_AFTER_S` count.
         """
         delay_s = min(delay_s, MAX_RETRY_AFTER_S)
         self._deadlines = {
@@ -48,13 +48,13 @@
         self.observe(endpoint.number, delay_s, now)
 
     def find(self, endpoint: Endpoint) -> float:
-        """Return the time from which a server wants requests of this host."""
+        """Return the time from which a server accepts requests of this host."""
         if not self._deadlines:
             return 0.0
         return self._deadlines.get((endpoint.number, endpoint.incarnation), 0.0)
 
     def is_advised(self, server: int, now: float) -> bool:
-        """Return whether a server wants no requests of a host, this or another."""
+        """Return whether a server has asked a host to wait, this or another."""
         observation = self._all.get(server)
         return observation is not None and now < (
             observation.seen_at + min(observation.value, MAX_RETRY_AFTER_S)
--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -1,8 +1,8 @@
 """Whether a backend server may get a request now, and if not, when.
 
 Combines what servers state (that they leave, when they want the next request, which
-limit they set) with what a host has observed (servers that can't be reached, data
-centres that are silent).
+limit they set) with what a host has observed (unreachable servers and unresponsive
+data centres).
 """
 
 from collections.abc import Collection, Iterable, Sequence
@@ -26,13 +26,13 @@
     LEAVING = "leaving"
     RETRY_AFTER = "retry_after"
     EJECTED = "ejected"
-    SILENT_DATA_CENTRE = "silent_data_centre"
+    UNRESPONSIVE_DATA_CENTRE = "unresponsive_data_centre"
     LIMIT = "limit"
 
 
 # A service none of whose servers can be reached is probed with some of its requests,
 # but never against what a server has stated.
-_PROBED = (Obstacle.EJECTED, Obstacle.SILENT_DATA_CENTRE)
+_PROBED = (Obstacle.EJECTED, Obstacle.UNRESPONSIVE_DATA_CENTRE)
 
 
 class Availability(NamedTuple):
@@ -82,7 +82,7 @@
         if self.health.is_ejected(endpoint.name, now):
             return Obstacle.EJECTED
         if self.health.is_suspected(endpoint.data_centre, now):
-            return Obstacle.SILENT_DATA_CENTRE
+            return Obstacle.UNRESPONSIVE_DATA_CENTRE
         if not self.limits.is_open(endpoint.number, now):
             return Obstacle.LIMIT
         return Obstacle.NONE
@@ -110,7 +110,7 @@
     ) -> list[Endpoint]:
         """Return those of the ready servers of a service that may get a request now.
 
-        Those that want no requests of other hosts for a while are left out if there
+        Those that accept no requests of other hosts for a while are excluded if there
         are others. If no server seems to be reachable, some requests are let through
         to all of them as probes.
 
@@ -176,13 +176,13 @@
     ) -> float | None:
         """Return the time in seconds until a limited server may have room.
 
-        None if no server of the service is limited, those of `exclude` left out.
+        None if no server of the service is limited, those of `exclude` not counted.
         """
         endpoints = [e for e in self.list_ready(service) if e.name not in exclude]
         return self.limits.measure_wait([e.number for e in endpoints], now)
 
     def find_retry_time(self, service: str, now: float) -> float | None:
-        """Return when the first server that wants no requests now may get one again.
+        """Return when the first server that accepts no requests now may get one.
 
         That is not before the end of its ejection, if it is ejected as well. None if
         none of the service's servers has asked this host to wait.
@@ -195,7 +195,7 @@
         return min(times, default=None)
 
     def list_waiting(self, service: str, now: float) -> list[str]:
-        """Return the names of the servers that want no requests of this host now."""
+        """Return the names of the servers that accept no requests of this host now."""
         ready = self.list_ready(service)
         return [e.name for e in ready if now < self.retries.find(e)]
 
@@ -203,7 +203,7 @@
         """Set which servers the store names."""
         self.leaving.set_registered(endpoints)
 
-    def has_wanting(self, service: str, now: float) -> bool:
+    def has_accepting(self, service: str, now: float) -> bool:
         """Return whether a server of a service hasn't asked this host to wait."""
         return any(now >= self.retries.find(e) for e in self.list_ready(service))
 
--- a/src/rosemarystream/_internal/decisions/server_limits.py
+++ b/src/rosemarystream/_internal/decisions/server_limits.py
@@ -1,8 +1,8 @@
 """Limits that backend servers set on the requests that they get in a second.
 
-Handles servers in need, which take only so many requests from all hosts together for
-as long as they say so. Each request to such a server needs a permission of its data
-centre's quota (see `limit_quotas`).
+Handles servers that accept only so many requests from all hosts together for as long
+as they state it. Each request to such a server needs a permission of its data centre's
+quota (see `limit_quotas`).
 """
 
 from collections.abc import Iterable, Mapping
--- a/src/rosemarystream/_internal/decisions/server_speeds.py
+++ b/src/rosemarystream/_internal/decisions/server_speeds.py
@@ -26,7 +26,7 @@
     """
 
     def record(self, server: int, slowness: float, now: float) -> None:
-        """Record what an answer to this host told."""
+        """Record what an answer to this host reported."""
         self.observe(server, slowness, now)
 
     def estimate(self, server: int, now: float) -> float:
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -285,6 +285,6 @@
         availability = self._router.availability
         retry_at = availability.find_retry_time(self._service, now)
         advised_s = self._router.suggest_retry_after()
-        if retry_at is None or availability.has_wanting(self._service, now):
+        if retry_at is None or availability.has_accepting(self._service, now):
             return advised_s
         return max(advised_s, retry_at - now)
--- a/src/rosemarystream/_internal/gateway/host_records.py
+++ b/src/rosemarystream/_internal/gateway/host_records.py
@@ -2,7 +2,7 @@
 
 from logbook import Logger
 
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.models.log_entries.store import HostRecordInvalid
@@ -14,7 +14,7 @@
 
 
 def read_hosts(
-    store: Store, peer_table: PeerTable, left_out: LeftOutObjects, now: float
+    store: Store, peer_table: PeerTable, left_out: IgnoredObjects, now: float
 ) -> None:
     """Add the hosts in the store to the table; a record that is invalid is logged.
 
--- a/src/rosemarystream/_internal/gateway/host_registry.py
+++ b/src/rosemarystream/_internal/gateway/host_registry.py
@@ -5,7 +5,7 @@
 import gevent
 from logbook import Logger
 
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.gateway.host_records import read_hosts
 from rosemarystream._internal.gateway.logs import write_log_entry
@@ -31,7 +31,7 @@
         This host.
     store : Store
         The platform's store; the connection is closed after each exchange.
-    left_out : LeftOutObjects
+    left_out : IgnoredObjects
         Records the hosts' objects that can't be used.
     """
 
@@ -41,7 +41,7 @@
         this_host: HostAddress,
         store: Store,
         peer_table: PeerTable,
-        left_out: LeftOutObjects,
+        left_out: IgnoredObjects,
         clock: Callable[[], float],
     ) -> None:
         self._this_host = this_host
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -108,7 +108,7 @@
         others = self._peer_table.list_data_centres()
         if is_nearby:
             # One that isn't heard is cut off, and doesn't reach the server either.
-            others = self._peer_table.list_heard_data_centres(now)
+            others = self._peer_table.list_live_data_centres(now)
         share = compute_share(server, own, {own, *others})
         return self._quotas.take(
             server, self._limits.find(server), share=share, now=now
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -295,7 +295,7 @@
             LoadScope.NONE, self._loads.sum_own(), wants_answer=True
         )
         unheard: dict[str, list[Peer]] = {}
-        for host in self._peer_table.list_unheard(now):
+        for host in self._peer_table.list_unreachable(now):
             unheard.setdefault(host.data_centre, []).append(host)
         turn = self._rounds // RECONTACT_EVERY_ROUNDS
         for hosts in unheard.values():
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -13,7 +13,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
@@ -116,7 +116,7 @@
         self._blocks = PromptBlocks()
         self._supervisor = supervisor or Supervisor(clock=self._clock)
         self._metrics = self._supervisor.metrics
-        self._left_out = LeftOutObjects(on_new=self._metrics.count_left_out)
+        self._left_out = IgnoredObjects(on_new=self._metrics.count_left_out)
         self._pool = ConnectionPool(clock=self._clock)
         self._router = Router(
             data_centre=host.data_centre,
--- a/src/rosemarystream/_internal/gateway/server_statements.py
+++ b/src/rosemarystream/_internal/gateway/server_statements.py
@@ -95,7 +95,7 @@
     def log_changes(self) -> None:
         """Log the servers that have changed their limits, or leave as others tell."""
         limits = {change.server: change.per_s for change in self._limits.take_changes()}
-        leaving = set(self._leaving.take_news())
+        leaving = set(self._leaving.take_updates())
         for endpoint in self._replica.list_endpoints() if limits or leaving else ():
             if (endpoint.number, endpoint.incarnation) in leaving:
                 entry = ServerLeaving(server=endpoint.name, told_by_host=True)
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TypedDict
 
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
@@ -130,7 +130,7 @@
         list_failing_loops: Callable[[], dict[str, FailingLoop]],
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
-        left_out: LeftOutObjects,
+        left_out: IgnoredObjects,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -16,7 +16,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
@@ -80,7 +80,7 @@
         Called after the replica has changed.
     supervisor : Supervisor
         Runs the pulls.
-    left_out : LeftOutObjects
+    left_out : IgnoredObjects
         Records the objects of other hosts that can't be used.
     """
 
@@ -94,9 +94,9 @@
         blocks: PromptBlocks,
         on_change: Callable[[], None],
         supervisor: Supervisor,
-        left_out: LeftOutObjects | None = None,
+        left_out: IgnoredObjects | None = None,
     ) -> None:
-        self._left_out = left_out or LeftOutObjects()
+        self._left_out = left_out or IgnoredObjects()
         self._port = address[1]
         self._clock = clock
         self._replica = replica
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -10,7 +10,7 @@
 import gevent
 from logbook import Logger
 
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.supervisor import Supervisor
@@ -60,7 +60,7 @@
 
 
 def accept_document(
-    replica: Replica, left_out: LeftOutObjects, revision: int, document: bytes
+    replica: Replica, left_out: IgnoredObjects, revision: int, document: bytes
 ) -> bool:
     """Apply a configuration document of the store; return whether it is newer."""
     try:
@@ -84,7 +84,7 @@
         Returns whether this host is a watcher now.
     on_change : callable
         Called after the replica has changed.
-    left_out : LeftOutObjects
+    left_out : IgnoredObjects
         Records the objects that can't be used.
 
     Attributes
@@ -105,9 +105,9 @@
         is_watcher: Callable[[], bool],
         on_change: Callable[[], None],
         supervisor: Supervisor,
-        left_out: LeftOutObjects | None = None,
+        left_out: IgnoredObjects | None = None,
     ) -> None:
-        self._left_out = left_out or LeftOutObjects()
+        self._left_out = left_out or IgnoredObjects()
         self._store = store
         self._clock = clock
         self._replica = replica
--- a/src/rosemarystream/_internal/models/messages.py
+++ b/src/rosemarystream/_internal/models/messages.py
@@ -48,7 +48,7 @@
         Validity of the heartbeat at the receiver, in milliseconds.
     leaving : bool
         Whether the sender is shutting down and hands over its groups.
-    heard : tuple of int
+    received_from : tuple of int
         Short hashes of the hosts of its data centre whose heartbeats the sender
         receives, itself included.
     generation : int
@@ -65,7 +65,7 @@
     sequence: int
     valid_ms: int
     leaving: bool
-    heard: tuple[int, ...]
+    received_from: tuple[int, ...]
     generation: int
     recalls_digest: int
     hosts_version: int
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -130,7 +130,7 @@
             (gateway._puller, "pull_contexts"),
         ],
         "gossip_rounds": [
-            (gateway._peer_table, "list_unheard"),
+            (gateway._peer_table, "list_unreachable"),
             (gateway._blocks, "take_updates"),
             (gateway._loads, "sum_others_by_host"),
             (gateway._router.speeds, "list_all"),
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rosemarystream._internal.decisions.context_map import ContextMap
-from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway import state_pulls
@@ -157,7 +157,7 @@
 
     def __init__(self, monkeypatch, answer):
         self.replica = Replica()
-        self.left_out = LeftOutObjects()
+        self.left_out = IgnoredObjects()
         self.puller = StatePuller(
             address=("127.0.0.1", 1),
             clock=lambda: 50.0,
