Plain terms in utils/: a server that doesn't respond

The text of AnswerTimeoutError, which logs give as a reason, is 'ADDRESS did not respond in time' (was 'ADDRESS was silent'). Nothing matches on it. peers/, callers/ and backends/ were read too; nothing to change there.

--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -280,7 +280,7 @@
         if error.errno in _UNREACHABLE:
             return ServerUnreachableError(f"{self.address} can't be reached: {error}")
         if isinstance(error, TimeoutError):
-            return AnswerTimeoutError(f"{self.address} was silent")
+            return AnswerTimeoutError(f"{self.address} did not respond in time")
         if isinstance(error, ConnectionResetError):
             return ServerClosedError(f"{self.address}: {error}")
         return ConnectionBrokenError(f"{self.address}: {error}")
--- a/src/rosemarystream/_internal/utils/socket_options.py
+++ b/src/rosemarystream/_internal/utils/socket_options.py
@@ -14,7 +14,7 @@
 
 
 def set_socket_options(tcp_socket: socket.socket) -> None:
-    """Send without delay, and probe a peer that is silent."""
+    """Send without delay, and probe a peer from which nothing arrives."""
     tcp = socket.IPPROTO_TCP
     tcp_socket.setsockopt(tcp, socket.TCP_NODELAY, 1)
     tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
