Log entries in the field's words: updates, gossip, ejected, ignored, unreachable

The logged data, levels and limits are the same; metrics, settings, headers, state dump and wire names too.

--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -136,6 +136,6 @@
             entry = HostLost(
                 peer=host.name,
                 data_centre=host.data_centre,
-                silent_ms=round((now - host.last_seen_at) * _MS_PER_S, 1),
+                last_seen_ms=round((now - host.last_seen_at) * _MS_PER_S, 1),
             )
             write_log_entry(log, entry)
--- a/src/rosemarystream/_internal/gateway/server_statements.py
+++ b/src/rosemarystream/_internal/gateway/server_statements.py
@@ -72,7 +72,7 @@
 
     def _record_leaving(self, endpoint: Endpoint) -> None:
         if self._leaving.record(endpoint.number, endpoint.incarnation):
-            entry = ServerLeaving(server=endpoint.name, told_by_host=False)
+            entry = ServerLeaving(server=endpoint.name, reported_by_host=False)
             write_log_entry(log, entry)
 
     def _record_retry_after(self, endpoint: Endpoint, head: AnswerHead) -> None:
@@ -98,7 +98,7 @@
         leaving = set(self._leaving.take_updates())
         for endpoint in self._replica.list_endpoints() if limits or leaving else ():
             if (endpoint.number, endpoint.incarnation) in leaving:
-                entry = ServerLeaving(server=endpoint.name, told_by_host=True)
+                entry = ServerLeaving(server=endpoint.name, reported_by_host=True)
                 write_log_entry(log, entry)
             if endpoint.number in limits:
                 limit = limits[endpoint.number]
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -190,7 +190,9 @@
             self._blocks.accept_updates(updates, self._clock(), is_forwarded=False)
             changed.append(f"{len(answer.blocks)} blocked parts")
         if changed:
-            write_log_entry(log, UpdatesPulled(news=changed, revision=answer.revision))
+            write_log_entry(
+                log, UpdatesPulled(updates=changed, revision=answer.revision)
+            )
             self._on_change()
 
     def _decode_endpoints(self, rows: list[msgspec.Raw]) -> list[Endpoint]:
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -285,7 +285,7 @@
         endpoints = [endpoint for endpoint in decoded if endpoint is not None]
         changed = self._replica.accept_listing(endpoints, revision, self._clock())
         if changed:
-            write_log_entry(log, ServersListed(news=changed, revision=revision))
+            write_log_entry(log, ServersListed(updates=changed, revision=revision))
             self._on_change()
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -139,7 +139,7 @@
         How much longer work takes at servers that are not as usual, as seen lately by
         the hosts of the scope, and the age of that in milliseconds, by server number.
     crash_updates : CrashUpdates or None
-        News of servers that crash under requests.
+        Updates on servers that crash under requests.
     limits : dict of int to tuple
         Requests per second that servers take from all hosts together, infinite at the
         end of a limit, as seen lately by the hosts of the scope, and the age of that
@@ -150,8 +150,8 @@
         Numbers and incarnations of the registered servers that have stated that they
         leave, to whichever host.
     retry_after : dict of int to tuple
-        Time in seconds for which servers want no requests, as seen lately by the hosts
-        of the scope, and the age of that in milliseconds, by server number.
+        Time in seconds for which servers accept no requests, as seen lately by the
+        hosts of the scope, and the age of that in milliseconds, by server number.
     """
 
     sender: HostAddress
--- a/src/rosemarystream/_internal/models/log_entries/hosts.py
+++ b/src/rosemarystream/_internal/models/log_entries/hosts.py
@@ -11,8 +11,8 @@
 class UpdatesPulled(LogEntry, frozen=True, kw_only=True):
     """Newer servers or a newer configuration were pulled from another host."""
 
-    message = "learnt from a host"
-    news: list[str]
+    message = "updates pulled"
+    updates: list[str]
     revision: int
 
 
@@ -41,7 +41,7 @@
 class GossipUnreadable(LogEntry, frozen=True, kw_only=True):
     """A gossip message of another host could not be decoded."""
 
-    message = "a beat can't be read"
+    message = "gossip message unreadable"
     level = WARNING
     ip: str
     error: str
@@ -50,19 +50,25 @@
 class GossipFailed(LogEntry, frozen=True, kw_only=True):
     """Sending or receiving a gossip message failed."""
 
-    message = "beats failed"
+    message = "gossip failed"
     level = DEBUG
     ip: str = ""
     error: str
 
 
 class HostLost(LogEntry, frozen=True, kw_only=True):
-    """Another host stopped sending gossip messages; its load no longer counts."""
+    """Another host stopped sending gossip messages; its load no longer counts.
+
+    Attributes
+    ----------
+    last_seen_ms : float
+        Time since the last message of the host, or the last report that it is live.
+    """
 
     message = "host lost"
     peer: str
     data_centre: str
-    silent_ms: float
+    last_seen_ms: float
 
 
 class HostFound(LogEntry, frozen=True, kw_only=True):
--- a/src/rosemarystream/_internal/models/log_entries/process.py
+++ b/src/rosemarystream/_internal/models/log_entries/process.py
@@ -81,7 +81,7 @@
 
 
 class Leaving(LogEntry, frozen=True, kw_only=True):
-    """The process was told to stop and finishes the requests in progress.
+    """The process was asked to stop and finishes the requests in progress.
 
     Attributes
     ----------
@@ -145,7 +145,7 @@
         Number of dropped entries by kind.
     """
 
-    message = "lines left out"
+    message = "log entries dropped"
     level = WARNING
     why: str
     counts: dict[str, int]
--- a/src/rosemarystream/_internal/models/log_entries/servers.py
+++ b/src/rosemarystream/_internal/models/log_entries/servers.py
@@ -30,19 +30,19 @@
 
     Attributes
     ----------
-    news : list of str
+    updates : list of str
         Servers that were added, changed or removed.
     """
 
     message = "servers listed"
-    news: list[str]
+    updates: list[str]
     revision: int
 
 
 class ServerEntryInvalid(LogEntry, frozen=True, kw_only=True):
     """The entry of a server in the store is invalid and is ignored."""
 
-    message = "server entry passed over"
+    message = "server entry ignored"
     error: str
 
 
@@ -56,7 +56,7 @@
 class ServerEjected(LogEntry, frozen=True, kw_only=True):
     """A server was ejected for a while: it is unreachable or does not respond."""
 
-    message = "server set aside"
+    message = "server ejected"
     server: str
     for_ms: float
 
@@ -64,7 +64,7 @@
 class ServerReinstated(LogEntry, frozen=True, kw_only=True):
     """An ejected server answered and receives requests again."""
 
-    message = "server in use again"
+    message = "server reinstated"
     server: str
 
 
@@ -73,20 +73,20 @@
 
     Attributes
     ----------
-    told_by_host : bool
-        Whether another host has told this one, rather than the server itself.
+    reported_by_host : bool
+        Whether another host has reported it to this one, rather than the server.
     """
 
     message = "server leaving"
     level = NOTICE
     server: str
-    told_by_host: bool
+    reported_by_host: bool
 
 
 class ServerAskedToWait(LogEntry, frozen=True, kw_only=True):
-    """A server wants no requests of this host for a while."""
+    """A server states that it accepts no requests of this host for a while."""
 
-    message = "server wants no requests"
+    message = "server accepts no requests"
     server: str
     for_ms: float
 
@@ -118,7 +118,7 @@
         All such services; empty once each is reachable again.
     """
 
-    message = "services out of reach"
+    message = "services unreachable"
     level = WARNING
     services: list[str]
 
@@ -126,7 +126,7 @@
 class ServerStillUnreachable(LogEntry, frozen=True, kw_only=True):
     """Another attempt to reach an unreachable server failed."""
 
-    message = "server still out of reach"
+    message = "server still unreachable"
     level = DEBUG
     server: str
     reason: str
--- a/src/rosemarystream/_internal/models/log_entries/store.py
+++ b/src/rosemarystream/_internal/models/log_entries/store.py
@@ -19,7 +19,7 @@
 class BlockRecordInvalid(LogEntry, frozen=True, kw_only=True):
     """The record of a blocked prompt part in the store is invalid and is ignored."""
 
-    message = "record of a blocked part passed over"
+    message = "record of a blocked part ignored"
     level = WARNING
     name: str
     error: str
@@ -28,7 +28,7 @@
 class HostRecordInvalid(LogEntry, frozen=True, kw_only=True):
     """The record of a host in the store is invalid and is ignored."""
 
-    message = "record of a host passed over"
+    message = "record of a host ignored"
     level = WARNING
     name: str
     error: str
--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -44,9 +44,9 @@
         "configuration in force",
         "store lost",
         "store regained",
-        "services out of reach",
+        "services unreachable",
         "servers did not come back",
-        "lines left out",
+        "log entries dropped",
     }
 )
 
@@ -211,12 +211,12 @@
     if entries:
         return (
             f"Request {request} had attempts and no end in these logs: its host "
-            "stopped meanwhile, or its lines were left out; look for 'stop' and "
-            "'lines left out' there."
+            "stopped meanwhile, or its entries were dropped; look for 'stop' and "
+            "'log entries dropped' there."
         )
     return (
         f"No line of request {request}: name the logs of all hosts; if they are "
-        "complete, look for 'request refused unread' and 'lines left out'."
+        "complete, look for 'request refused unread' and 'log entries dropped'."
     )
 
 
@@ -246,7 +246,7 @@
         return "an outcome this version does not know"
     text = EXECUTION_TEXT[execution]
     if execution is Execution.UNKNOWN and entry.server:
-        text += f"; the records of {entry.server} tell"
+        text += f"; the records of {entry.server} show whether it did"
     return text
 
 
@@ -275,7 +275,7 @@
             names = ", ".join(entry.servers)
             findings.append(f"{names} had not come back after an outage of the store")
         elif isinstance(entry, LogEntriesDropped):
-            findings.append(f"{logged.host} left out log lines ({entry.why})")
+            findings.append(f"{logged.host} dropped log entries ({entry.why})")
         elif logged.message == "leaving":
-            findings.append(f"{logged.host} was told to stop at {logged.time}")
+            findings.append(f"{logged.host} was asked to stop at {logged.time}")
     return list(dict.fromkeys(findings))
--- a/tests/functional/test_entry_operations.py
+++ b/tests/functional/test_entry_operations.py
@@ -175,7 +175,7 @@
     trace = trace_in(host, request_id)
     assert "ended it as no_backend, status 503" in trace.summary
     assert "has not run and never will; p1 could not be reached" in trace.summary
-    assert "server set aside" in [entry.message for entry in trace.context]
+    assert "server ejected" in [entry.message for entry in trace.context]
 
 
 def test_a_stream_that_ends_early_is_traced_to_its_server(world, start):
@@ -195,7 +195,7 @@
     request_id, reply = call(host, "/book/1")
     assert reply.status == 502
     trace = trace_in(host, request_id)
-    assert "it may have run; the records of p1 tell" in trace.summary
+    assert "it may have run; the records of p1 show whether it did" in trace.summary
     assert [run.request_id for run in world.servers["p1"].runs] == [request_id]
 
 
--- a/tests/functional/test_leaving_servers.py
+++ b/tests/functional/test_leaving_servers.py
@@ -237,8 +237,8 @@
     gevent.sleep(1.0)
     fleet.call_at_once()
     assert entries == [
-        ServerLeaving(server=server.name, told_by_host=False),
-        ServerLeaving(server=server.name, told_by_host=True),
+        ServerLeaving(server=server.name, reported_by_host=False),
+        ServerLeaving(server=server.name, reported_by_host=True),
     ]
 
 
--- a/tests/unit/test_gateway_logs.py
+++ b/tests/unit/test_gateway_logs.py
@@ -89,7 +89,7 @@
 def test_long_log_entry_is_truncated(pipe, handler):
     write_log_entry(log, StoreLost(watched="x", error="e" * 100_000))
     write_log_entry(
-        log, ServersListed(news=[f"server-{n}" for n in range(9_000)], revision=1)
+        log, ServersListed(updates=[f"server-{n}" for n in range(9_000)], revision=1)
     )
     for entry in read_all(pipe, handler):
         assert len(msgspec.json.encode(entry)) < MAX_ENTRY_BYTES
@@ -101,7 +101,7 @@
     handler._log_dropped_counts()
     *entries, summary = read_all(pipe, handler)
     assert len(entries) == StoreLost.limit_per_s
-    assert summary["message"] == "lines left out"
+    assert summary["message"] == "log entries dropped"
     assert summary["counts"] == {"store lost": 20}
     assert logs.log_filter.dropped == 20
 
--- a/tests/unit/test_tracing.py
+++ b/tests/unit/test_tracing.py
@@ -106,7 +106,7 @@
             format_entry(1.1, make_end_entry(outcome="outcome_unknown", status=502)),
         ]
     )
-    assert "may have run; the records of p1 tell" in found.summary
+    assert "may have run; the records of p1 show whether it did" in found.summary
     assert "the answer of p1 broke off (closed without an answer)" in found.summary
 
 
