--- a/src/rosemarystream/_internal/gateway/server_statements.py
+++ b/src/rosemarystream/_internal/gateway/server_statements.py
@@ -72,7 +72,7 @@
 
     def _record_leaving(self, endpoint: Endpoint) -> None:
         if self._leaving.record(endpoint.number, endpoint.incarnation):
-            entry = ServerLeaving(server=endpoint.name, told_by_host=False)
+            entry = ServerLeaving(server=endpoint.name, reported_by_host=False)
             write_log_entry(log, entry)
 
     def _record_retry_after(self, endpoint: Endpoint, head: AnswerHead) -> None:
@@ -95,10 +95,10 @@
     def log_changes(self) -> None:
         """Log the servers that have changed their limits, or leave as others tell."""
         limits = {change.server: change.per_s for change in self._limits.take_changes()}
-        leaving = set(self._leaving.take_news())
+        leaving = set(self._leaving.take_updates())
         for endpoint in self._replica.list_endpoints() if limits or leaving else ():
             if (endpoint.number, endpoint.incarnation) in leaving:
-                entry = ServerLeaving(server=endpoint.name, told_by_host=True)
+                entry = ServerLeaving(server=endpoint.name, reported_by_host=True)
                 write_log_entry(log, entry)
             if endpoint.number in limits:
                 limit = limits[endpoint.number]
