Answer a request that waits for the first configuration when its host stops

What callers saw: a host that was told to stop while a request waited for the first configuration closed the connection at the end of the stop, without an answer.

Cause: the stop was turned into an answer around the attempts only; the wait for the configuration comes before them. Now it is around all that an exchange does.

--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -259,14 +259,6 @@
         if not self._router.take_retry(self._service):
             raise self.make_final_error(f"{reason}; the retry budget is used up")
 
-    def make_stopped_error(self) -> RequestEndedError:
-        """Return the error of a request that this host ends because it stops."""
-        if self.may_have_run:
-            return self.make_final_error("this host stops")
-        return RequestEndedError(
-            ErrorKind.LEAVING, "this host stops", retry_after_s=0.0
-        )
-
     def make_final_error(self, reason: str) -> RequestEndedError:
         """Return the error with which the request ends."""
         is_over = self._clock() >= self._deadline
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -123,10 +123,8 @@
         RequestEndedError
             If the request ends with an error of this host.
         """
-        self._resolve()
-        self._router.record_request(self._service)
         try:
-            self._attempt_until_answered()
+            self._serve()
             return "answered"
         except RequestEndedError as error:
             if self._failed_answer is None or self._answer.has_begun:
@@ -137,6 +135,23 @@
             self._answer.send_whole(head.status, head.headers, body)
             return "failed"
 
+    def _serve(self) -> None:
+        try:
+            self._resolve()
+            self._router.record_request(self._service)
+            while not self._attempt_once():
+                pass
+        except HostStoppedError as error:
+            raise self._make_stopped_error() from error
+
+    def _make_stopped_error(self) -> RequestEndedError:
+        """Return the error of a request that this host ends because it stops."""
+        if self._attempts is not None and self._attempts.may_have_run:
+            return self._attempts.make_final_error("this host stops")
+        return RequestEndedError(
+            ErrorKind.LEAVING, "this host stops", retry_after_s=0.0
+        )
+
     def _resolve(self) -> None:
         """Find out where the request belongs, and until when it may last.
 
@@ -199,13 +214,6 @@
             )
         return deadline
 
-    def _attempt_until_answered(self) -> None:
-        try:
-            while not self._attempt_once():
-                pass
-        except HostStoppedError as error:
-            raise self._attempts.make_stopped_error() from error
-
     def _attempt_once(self) -> bool:
         """Make the next attempt; return whether the request is answered."""
         self._current, self._successor = self._successor, None
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -126,7 +126,7 @@
         self.store.write("servers", successor.name, successor.describe())
         return successor
 
-    def add_host(self, name, data_centre="a", *, seeds=(), wait=True):
+    def add_host(self, name, data_centre="a", *, seeds=(), wait=True, shutdown_ms=3000):
         ip = f"{self.net}.{next(self._ips)}"
         store_address = self.store.add_address(
             (f"{self.net}.{next(self._ips)}", STORE_PORT)
@@ -143,7 +143,7 @@
                 "seeds": [f"{self.hosts[seed].ip}:1" for seed in seeds],
             },
             "platform": {"address": store_address},
-            "bounds": {"shutdown_ms": 3000},
+            "bounds": {"shutdown_ms": shutdown_ms},
         }
         settings = msgspec.convert(document, GatewaySettings)
         gateway = Gateway(settings=settings, path=Path("none"))
