Continue a stream elsewhere only after an event with an identifier

What callers saw: a resumable stream whose events bear no identifier, or not all of them, and that broke off or stalled went on at another server, which began again after the last identifier: events came twice in an answer that ended as complete. A sound server that paused was left in the same way.

Cause: an event without an identifier was passed on without a trace; resumption was decided by the route alone. Now the stream knows whether the caller has an event with data that Last-Event-Id can't name. Then a stalled server is waited for, and a break stays one. Comments and fields other than data don't count; before the first event, and right after one with an identifier, streams go on elsewhere as before.

Not covered: servers that disregard Last-Event-Id and leave identifiers out as well; they repeat events that nothing tells from new ones.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -157,7 +157,7 @@
 
     def _read_piece(self, attempt: Attempt) -> bytes | None:
         """Return the next piece; a stalled stream is left if it can go on elsewhere."""
-        if not self._route.resumable:
+        if not self._is_resumable():
             return attempt.read_piece(self._deadline)
         while True:
             try:
@@ -199,6 +199,10 @@
         RequestEndedError
             If it may not.
         """
-        is_resumable = self._route.resumable and self._stream.has_begun
+        is_resumable = self._stream.has_begun and self._is_resumable()
         if self._answer.has_begun and not is_resumable:
             raise RequestEndedError(ErrorKind.STREAM_BROKEN, reason)
+
+    def _is_resumable(self) -> bool:
+        """Return whether another server may go on after the events so far."""
+        return self._route.resumable and self._stream.can_continue
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -4,6 +4,7 @@
 from rosemarystream._internal.utils.server_sent_events import (
     EventSplitter,
     find_event_id,
+    has_data,
 )
 
 # Identifiers with more digits aren't compared: int() fails on some thousands.
@@ -24,11 +25,15 @@
         The same, with the events accepted since.
     has_begun : bool
         Whether any attempt was answered with a stream.
+    can_continue : bool
+        Whether another server can go on where this one ends: no event that the caller
+        has came without an identifier after `last_event`.
     """
 
     def __init__(self, *, last_event: bytes) -> None:
         self.last_event = last_event
         self.has_begun = False
+        self.can_continue = True
         self._splitter = EventSplitter()
         self._has_events = False
 
@@ -60,6 +65,7 @@
         """
         identifier = find_event_id(event)
         if not identifier:
+            self.can_continue &= not has_data(event)
             return True
         if _is_number(self.last_event) and _is_number(identifier):
             ahead = int(identifier) - int(self.last_event)
@@ -70,6 +76,7 @@
                     f"event {identifier!r} came after {self.last_event!r}"
                 )
         self.last_event = identifier
+        self.can_continue = True
         return True
 
     def check_end(self, *, is_delimited: bool) -> None:
--- a/src/rosemarystream/_internal/utils/server_sent_events.py
+++ b/src/rosemarystream/_internal/utils/server_sent_events.py
@@ -10,6 +10,7 @@
 _END_OVERLAP_BYTES = 3
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _IDENTIFIER = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_DATA = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n])")
 
 
 class EventTooLongError(BackendError):
@@ -53,3 +54,8 @@
     """Return the value of the ``id`` field of an event, or empty bytes."""
     match = _IDENTIFIER.search(event)
     return match.group(1) if match else b""
+
+
+def has_data(event: bytes) -> bool:
+    """Return whether an event has a ``data`` field, as comments don't."""
+    return _DATA.search(event) is not None
