Watch an unresponsive server while another one is prepared

What callers saw: an answer that came after the time of an attempt waited until the permission for the next server had come (up to four questions of 60 ms) or the connection to it was made (250 ms). The request was then sent to the second server although the first had answered, which spent a retry and ran it twice. A permission was asked for and thrown away if other requests had used up the retries meanwhile; a retry was counted though no server could be connected to.

Cause: the first server was only looked at from the moment at which the second had the request, and the retry was taken after the permission. Now gateway/failover.py watches the first connection from the time-out on and gives the other attempt up in whatever it waits for; the retry is set aside first, and released if nothing is sent. Bytes of a server that sends all the time without progress don't count for the time of an attempt, so that such a stream is still left (test_a_stalled_stream_that_sends_single_bytes).

Evidence: tests/functional/test_late_answers_of_first_servers.py.

A permission that is granted while the first server answers is still lost: it can't be handed back to the host that gave it.

--- a/src/rosemarystream/_internal/decisions/retry_budget.py
+++ b/src/rosemarystream/_internal/decisions/retry_budget.py
@@ -57,6 +57,11 @@
         self._retries.append(now)
         return True
 
+    def release(self, taken_at: float) -> None:
+        """Return a retry that was taken at a time, and not made."""
+        if taken_at in self._retries:
+            self._retries.remove(taken_at)
+
     def count_left(self, now: float, *, hosts: int) -> float:
         """Return the number of retries this host may still make."""
         for times in (self._requests, self._retries):
--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -40,8 +40,8 @@
         Is told of answers that are complete.
     on_event : callable
         Called when an event of a stream has arrived.
-    leave_silent : callable
-        Called while a server is silent; returns whether it is left.
+    leave_unresponsive : callable
+        Called while a server is unresponsive; returns whether it is left.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         crashes: CrashReporter,
         clock: Callable[[], float],
         on_event: Callable[[], None],
-        leave_silent: Callable[[], bool],
+        leave_unresponsive: Callable[[], bool],
     ) -> None:
         self._call = call
         self._route = route
@@ -67,7 +67,7 @@
         self._crashes = crashes
         self._clock = clock
         self._on_event = on_event
-        self._leave_silent = leave_silent
+        self._leave_unresponsive = leave_unresponsive
         self._stream = EventStream(last_event=call.last_event_id)
         self._loop_share = LoopShare()
         self._stalled_at = 0.0
@@ -163,7 +163,7 @@
             try:
                 return attempt.read_piece(min(self._deadline, self._stalled_at))
             except OutcomeUnknownError as error:
-                if not error.silent or self._leave_silent():
+                if not error.silent or self._leave_unresponsive():
                     raise
                 self._expect_progress()
 
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -30,6 +30,7 @@
     ServerUnreachableError,
     join_bounded,
 )
+from rosemarystream._internal.utils.read_watch import ReadWatch
 
 # Answers read per attempt; late answers to earlier requests are skipped.
 MAX_SKIPPED_ANSWERS = 3
@@ -184,9 +185,21 @@
         except ConnectionBrokenError as error:
             raise _convert(error) from error
 
-    def has_more(self) -> bool:
-        """Return whether the server has sent something that hasn't been read."""
-        return self._connection is not None and self._connection.has_data()
+    @property
+    def received_at(self) -> float | None:
+        """When the server last sent anything; None before that."""
+        return self._connection.received_at if self._connection else None
+
+    def watch(self, error: BaseException, *, delay_s: float) -> ReadWatch:
+        """Return a watch that raises an error when the server sends something.
+
+        Parameters
+        ----------
+        delay_s : float
+            Time for which what the server sends doesn't count, in seconds.
+        """
+        assert self._connection is not None
+        return self._connection.watch(error, delay_s=delay_s)
 
     def read_head(self, deadline: float) -> AnswerHead:
         """Return the head of the server's answer to this request.
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -70,6 +70,7 @@
         self._clock = clock
         self._excluded: set[str] = set()
         self._unsent_attempts = 0
+        self._reserved_at = 0.0
         self.may_have_run = False
 
     @property
@@ -81,23 +82,37 @@
     def choose_early(self) -> Placement | None:
         """Return the server of an attempt beside the one in progress.
 
-        It counts as a retry. None if no other attempt is allowed now, so that the one
-        in progress has to be waited for.
+        A retry is set aside for it until `end_early`. None if no other attempt is
+        allowed now, so that the one in progress has to be waited for.
         """
         now = self._clock()
         if not self.may_repeat or now >= self._deadline:
             return None
-        if self._blocks.find_blocked(self._shared_parts, now) is not None:
+        if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
             return None
-        # Asked first, as `_place` may use up a permission of a limited server.
-        if not self._router.has_retry(self._service):
+        if self._blocks.find_blocked(self._shared_parts, now) is not None:
             return None
-        placement = self._place(may_probe=False)
-        if placement is None or not self._router.take_retry(self._service):
+        # Before a permission of a limited server is asked for, which takes a while.
+        if not self._router.reserve_retry(self._service, now):
             return None
-        self._record_choice(placement)
+        self._reserved_at = now
+        placement = None
+        try:
+            placement = self._place(may_probe=False)
+        finally:
+            if placement is None:
+                self.end_early(is_sent=False)
+        if placement is not None:
+            self._record_choice(placement)
         return placement
 
+    def end_early(self, *, is_sent: bool) -> None:
+        """Count the retry that was set aside, or leave it to other requests."""
+        if is_sent:
+            self._router.record_retry()
+        else:
+            self._router.release_retry(self._service, self._reserved_at)
+
     def choose_next(self) -> Placement:
         """Return the server of the next attempt.
 
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -31,6 +31,7 @@
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.counted_attempt import CountedAttempt
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
+from rosemarystream._internal.gateway.failover import Failover
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.request_errors import (
     HostStoppedError,
@@ -44,13 +45,6 @@
 from rosemarystream._internal.models.route import Route
 from rosemarystream._internal.platform.headers import AnswerHead
 
-# Interval at which a silent server is looked at while another one is asked.
-LOOK_INTERVAL_S = 0.02
-
-
-class _NotNeededError(Exception):
-    """The server before goes on, so the other one need not answer."""
-
 
 class Exchange:
     """Handles one request with all its attempts.
@@ -102,7 +96,7 @@
         self._shared_parts = hash_shared_parts(call.parts)
         self._attempts: AttemptSequence | None = None
         self._current: CountedAttempt | None = None
-        self._successor: CountedAttempt | None = None
+        self._failover: Failover | None = None
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
 
     @property
@@ -143,6 +137,9 @@
                 pass
         except HostStoppedError as error:
             raise self._make_stopped_error() from error
+        finally:
+            if self._failover is not None:
+                self._failover.close()
 
     def _make_stopped_error(self) -> RequestEndedError:
         """Return the error of a request that this host ends because it stops."""
@@ -190,6 +187,15 @@
             crashes=self._crashes,
             clock=self._clock,
         )
+        self._failover = Failover(
+            route=route,
+            deadline=self._deadline,
+            attempts=self._attempts,
+            outcomes=self._outcomes,
+            begin=self._begin_attempt,
+            send=self._send,
+            clock=self._clock,
+        )
         self._relay = AnswerRelay(
             call=self._call,
             route=route,
@@ -200,7 +206,7 @@
             crashes=self._crashes,
             clock=self._clock,
             on_event=self._record_first_event,
-            leave_silent=self._leave_silent,
+            leave_unresponsive=self._leave_unresponsive,
         )
 
     def _compute_deadline(self, route: Route) -> float:
@@ -216,7 +222,7 @@
 
     def _attempt_once(self) -> bool:
         """Make the next attempt; return whether the request is answered."""
-        self._current, self._successor = self._successor, None
+        self._current = self._failover.take_successor()
         if self._current is None:
             self._current = self._begin_attempt(self._attempts.choose_next())
         with closing(self._current) as current:
@@ -251,7 +257,7 @@
             self._attempts.check_retry(sent=error.sent, reason=str(error))
         except OutcomeUnknownError as error:
             self._outcomes.record_unknown(current.attempt, error)
-            if self._successor is None:
+            if not self._failover.has_successor:
                 self._relay.check_resumable(str(error))
                 self._attempts.check_retry(sent=True, reason=str(error))
         except (Exception, HostStoppedError):
@@ -298,7 +304,7 @@
         raise OutcomeUnknownError(f"failed with {head.status}")
 
     def _read_head(self, attempt: Attempt) -> AnswerHead:
-        """Return the head of the answer; a silent server is left if that is of use."""
+        """Return the head of the answer; an unresponsive server may be left."""
         while True:
             attempt_deadline = compute_attempt_deadline(
                 self._route,
@@ -309,56 +315,11 @@
             try:
                 return attempt.read_head(attempt_deadline)
             except OutcomeUnknownError as error:
-                if not error.silent or self._leave_silent():
+                if not error.silent or self._leave_unresponsive():
                     raise
 
-    # Change from a silent server to another one
-
-    def _leave_silent(self) -> bool:
-        """Leave a silent server if another one begins to answer, or the time is over.
-
-        Returns
-        -------
-        bool
-            False if the server has to be waited for.
-        """
-        if self._clock() >= self._deadline:
-            return True
-        placement = self._attempts.choose_early()
-        if placement is None:
-            return False
-        successor = self._begin_attempt(placement)
-        try:
-            self._send(successor)
-            successor.head = self._await_head(successor.attempt)
-        except NotRunError as error:
-            self._outcomes.record_not_run(successor.attempt, error)
-        except OutcomeUnknownError as error:
-            self._outcomes.record_unknown(successor.attempt, error)
-        except _NotNeededError as error:
-            self._outcomes.record_not_needed(successor.attempt, str(error))
-        finally:
-            if successor.head is None:
-                successor.close()
-        if successor.head is not None:
-            self._successor = successor
-        return self._successor is not None
-
-    def _await_head(self, attempt: Attempt) -> AnswerHead:
-        """Return the head of a success, unless the server before goes on first."""
-        while True:
-            look_at = min(self._deadline, self._clock() + LOOK_INTERVAL_S)
-            try:
-                head = attempt.read_head(look_at)
-                break
-            except OutcomeUnknownError as error:
-                if not error.silent or self._clock() >= self._deadline:
-                    raise
-            if self._current.attempt.has_more():
-                raise _NotNeededError("the server before has gone on")
-        if head.is_success:
-            return head
-        raise OutcomeUnknownError(f"failed with {head.status}")
+    def _leave_unresponsive(self) -> bool:
+        return self._failover.leave(self._current.attempt)
 
     def _record_first_event(self) -> None:
         self._current.end_prefill()
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -359,15 +359,22 @@
         """Record a caller's request; the retry budget grows with these."""
         self._find_budget(service).record_request(self._clock())
 
-    def has_retry(self, service: str) -> bool:
-        """Return whether a service's budget allows another retry now."""
-        return self._count_retries(service, self._clock()) >= 1.0
+    def reserve_retry(self, service: str, now: float) -> bool:
+        """Set one retry of a service's budget aside; False if it is used up."""
+        hosts = self._peer_table.count_recent_peak(now)
+        return self._find_budget(service).take(now, hosts=hosts)
+
+    def release_retry(self, service: str, reserved_at: float) -> None:
+        """Return a retry to the budget that was set aside, and not made."""
+        self._find_budget(service).release(reserved_at)
+
+    def record_retry(self) -> None:
+        """Count a retry that was set aside as made."""
+        self.metrics.retries.inc()
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; False if it is used up."""
-        now = self._clock()
-        hosts = self._peer_table.count_recent_peak(now)
-        taken = self._find_budget(service).take(now, hosts=hosts)
+        taken = self.reserve_retry(service, self._clock())
         (self.metrics.retries if taken else self.metrics.retries_refused).inc()
         return taken
 
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -16,6 +16,7 @@
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.loop_share import LoopShare
+from rosemarystream._internal.utils.read_watch import ReadWatch
 from rosemarystream._internal.utils.remainder_sender import (
     RemainderSender,
     send_some,
@@ -78,11 +79,17 @@
         ``ip:port`` of the server.
     clock : callable
         Returns the current time in seconds.
+
+    Attributes
+    ----------
+    received_at : float or None
+        When bytes last arrived for the request in progress; None if none have.
     """
 
     def __init__(self, *, address: str, clock: Clock) -> None:
         self.address = address
         self.idle_since = 0.0
+        self.received_at: float | None = None
         self._clock = clock
         self._socket: socket.socket | None = None
         self._protocol = h11.Connection(h11.CLIENT)
@@ -108,6 +115,10 @@
         except OSError as error:
             tcp_socket.close()
             raise ConnectError(f"no connection to {self.address}: {error}") from error
+        except BaseException:
+            # The request ends, or another server answers it.
+            tcp_socket.close()
+            raise
         self._socket = tcp_socket
 
     def send(
@@ -122,6 +133,7 @@
         """
         assert self._socket is not None
         self._late_until = None
+        self.received_at = None
         framed_headers = [*headers]
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             framed_headers.append((b"content-length", b"%d" % len(body)))
@@ -240,6 +252,7 @@
                 self._socket.settimeout(wait_s)
                 data = self._socket.recv(READ_BYTES)
                 is_closed = not data
+                self.received_at = self._clock()
                 self._raise_send_error()
                 self._protocol.receive_data(data)
             except OSError as error:
@@ -301,14 +314,10 @@
         self.idle_since = self._clock()
         return True
 
-    def has_data(self) -> bool:
-        """Return whether bytes have arrived that haven't been read."""
-        if self._socket is None:
-            return False
-        try:
-            return bool(self._socket._sock.recv(1, plain_socket.MSG_PEEK))
-        except OSError:
-            return False
+    def watch(self, error: BaseException, *, delay_s: float) -> ReadWatch:
+        """Return a watch that raises an error when something arrives, see there."""
+        assert self._socket is not None
+        return ReadWatch(opened=self._socket, error=error, delay_s=delay_s)
 
     def is_reusable(self) -> bool:
         """Return whether an idle connection is open without unexpected data."""
