--- a/src/rosemarystream/_internal/gateway/retry_budgets.py
+++ b/src/rosemarystream/_internal/gateway/retry_budgets.py
@@ -45,12 +45,15 @@
         """Return the callers' requests for a service at this host, per second."""
         return self._find(service).measure_request_rate(self._clock())
 
-    def take(self, service: str) -> bool:
+    def take(self, service: str, now: float) -> bool:
         """Take one retry from the budget of a service; False if it is used up."""
-        now = self._clock()
         hosts = self._peer_table.count_recent_peak(now)
         return self._find(service).take(now, hosts=hosts)
 
+    def release(self, service: str, taken_at: float) -> None:
+        """Return a retry that was taken at a time, and not made."""
+        self._find(service).release(taken_at)
+
     def count_left(self, service: str) -> float:
         """Return the retries that this host may still make for a service."""
         now = self._clock()
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -279,13 +279,21 @@
         """Record a caller's request; the retry budget grows with these."""
         self._retries.record_request(service)
 
-    def has_retry(self, service: str) -> bool:
-        """Return whether a service's budget allows another retry now."""
-        return self._retries.count_left(service) >= 1.0
+    def reserve_retry(self, service: str, now: float) -> bool:
+        """Set one retry of a service's budget aside; False if it is used up."""
+        return self._retries.take(service, now)
+
+    def release_retry(self, service: str, reserved_at: float) -> None:
+        """Return a retry to the budget that was set aside, and not made."""
+        self._retries.release(service, reserved_at)
+
+    def record_retry(self) -> None:
+        """Count a retry that was set aside as made."""
+        self.metrics.retries.inc()
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; False if it is used up."""
-        taken = self._retries.take(service)
+        taken = self.reserve_retry(service, self._clock())
         (self.metrics.retries if taken else self.metrics.retries_refused).inc()
         return taken
 
