Ledger: each request that was read whole has one ending, by cause

The callers' listener begins an entry when a request has been read whole and ends it with one of eight causes: answered by a server, answered by the host, broken off by its server, its time over, the caller gone, the stop, the connection closed by an earlier answer, an error. The last six are counted in requests_ended_without_answer_total and logged at any load with the age and number of requests of the connection, the version of the configuration at the start and the end, the time since the last configuration, SIGHUP and SIGTERM, how much was sent, and what the server did last; limits are per cause, and the queue of log entries keeps 500 places for them. Nothing of a body is in them.

Begun less ended is compared with the listener's own count each second; the state dump shows both (`requests`), a difference is logged as an error, and the counts are logged at the planned stop.

--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -8,6 +8,7 @@
 
 from rosemarystream._internal.exceptions import ANSWERS, ErrorKind, Execution
 from rosemarystream._internal.models.call import Headers
+from rosemarystream._internal.models.endings import NO_NOTES, AnswerProgress
 from rosemarystream._internal.platform.headers import encode_retry_after
 
 
@@ -39,6 +40,10 @@
         Whether a part may have been sent, so that no other answer can follow.
     is_finished : bool
         Whether the answer has been sent completely.
+    is_by_host : bool
+        Whether it is this host's own answer, not one of a server.
+    notes : EndingNotes
+        What the handler knows of an ending without a whole answer.
     """
 
     def __init__(
@@ -58,6 +63,14 @@
         self.status = 0
         self.has_begun = False
         self.is_finished = False
+        self.is_by_host = False
+        self.notes = NO_NOTES
+        self._progress = AnswerProgress.NOTHING
+
+    @property
+    def progress(self) -> AnswerProgress:
+        """How much of the answer may have been sent."""
+        return AnswerProgress.WHOLE if self.is_finished else self._progress
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
@@ -66,11 +79,13 @@
         if self._has_body:
             data += self._protocol.send(h11.Data(data=body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
+        self._progress = AnswerProgress.PART
         self._write(data)
         self.is_finished = True
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body is sent in pieces (chunked)."""
+        self._progress = AnswerProgress.HEAD
         self._write(self._start(status, [*headers, (b"transfer-encoding", b"chunked")]))
 
     def _start(self, status: int, headers: Headers) -> bytes:
@@ -83,10 +98,12 @@
 
     def send_piece(self, data: bytes) -> None:
         """Send a piece of the body."""
+        self._progress = AnswerProgress.PART
         self._write(self._protocol.send(h11.Data(data=data)))
 
     def end(self) -> None:
         """End the body of an answer that was sent in pieces."""
+        self._progress = AnswerProgress.ALL_BUT_END
         self._write(self._protocol.send(h11.EndOfMessage()))
         self.is_finished = True
 
@@ -109,6 +126,7 @@
         execution : Execution or None
             Whether the request was executed; as the table says of the kind if None.
         """
+        self.is_by_host = True
         row = ANSWERS[kind]
         headers: Headers = [(b"content-type", b"application/json")]
         if retry_after_s is not None:
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -14,6 +14,7 @@
 )
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.endings import ServerAct
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.platform.headers import (
     AnswerHead,
@@ -105,6 +106,8 @@
     heard_at : float or None
         When the request was sent, or the server last sent a part of its answer; None
         before that.
+    last_act : ServerAct
+        What the server did last; its user records how the attempt failed.
     """
 
     def __init__(
@@ -129,6 +132,7 @@
         self.is_sent = False
         self.begun_at: float | None = None
         self.heard_at: float | None = None
+        self.last_act = ServerAct.NOT_REACHED
 
     def send(
         self,
@@ -178,6 +182,7 @@
             source=source,
         )
         self.is_sent = True
+        self.last_act = ServerAct.NO_ANSWER
         try:
             connection.send(self.call.method, self.call.target, headers, body)
             self.heard_at = self._clock()
@@ -216,6 +221,7 @@
             raise _convert(error) from error
         self._head = head
         self.begun_at = self.heard_at = self._clock()
+        self.last_act = ServerAct.ANSWERING
         if head.request_id == "":
             # Also a refusal: it may belong to an earlier request.
             raise OutcomeUnknownError(f"answer {head.status} names no request")
@@ -260,6 +266,7 @@
             raise _convert(error) from error
         self.heard_at = self._clock()
         if piece is None:
+            self.last_act = ServerAct.ANSWERED
             connection, self._connection = self._connection, None
             if self._head.closes_connection:
                 connection.close()
--- a/src/rosemarystream/_internal/gateway/attempt_outcomes.py
+++ b/src/rosemarystream/_internal/gateway/attempt_outcomes.py
@@ -15,6 +15,7 @@
 from rosemarystream._internal.gateway.request_record import measure_ms_since
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.endings import ServerAct
 from rosemarystream._internal.models.log_entries.requests import (
     AttemptBroken,
     AttemptNotRun,
@@ -58,6 +59,8 @@
     def record_not_run(self, attempt: Attempt, error: NotRunError) -> None:
         """Record that a server certainly has not run the request."""
         self._attempts.record_not_run(sent=error.sent)
+        if error.sent:
+            attempt.last_act = ServerAct.REFUSED
         entry = AttemptNotRun(
             request=self._call.request_id,
             server=attempt.endpoint.name,
@@ -73,6 +76,7 @@
     def record_unknown(self, attempt: Attempt, error: OutcomeUnknownError) -> None:
         """Record that a server may have run the request, without a whole answer."""
         self._attempts.record_unknown_outcome()
+        attempt.last_act = _find_last_act(error)
         self._log_broken(attempt, error)
         if error.closed:
             self._router.metrics.answers_closed.inc()
@@ -104,3 +108,11 @@
             reason=str(error),
         )
         write_log_entry(log, entry)
+
+
+def _find_last_act(error: OutcomeUnknownError) -> ServerAct:
+    if error.closed:
+        return ServerAct.CLOSED
+    if error.unreachable:
+        return ServerAct.UNREACHABLE
+    return ServerAct.UNRESPONSIVE if error.silent else ServerAct.FAULTY
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -110,6 +110,16 @@
         """Whether a server may have run the request."""
         return self._attempts is not None and self._attempts.may_have_run
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the time of the request is over."""
+        return self._attempts is not None and self._clock() >= self._deadline
+
+    @property
+    def last_attempt(self) -> Attempt | None:
+        """The last attempt, but for one that is made beside it."""
+        return None if self._current is None else self._current.attempt
+
     def run(self) -> str:
         """Serve the request and return its outcome.
 
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -29,6 +29,8 @@
 HOUSEKEEPING_INTERVAL_S = 0.1
 # Interval of the log entries on requests sent to limited servers.
 LIMITED_SENDS_INTERVAL_S = 1.0
+# Interval of the checks that each request that was begun has ended or is in progress.
+BALANCE_INTERVAL_S = 1.0
 _MS_PER_S = 1000
 
 
@@ -41,6 +43,8 @@
         Watches that know whether the store is lost.
     on_expiry : callable
         Called after servers have lapsed.
+    check_requests : callable
+        Checks that each request that was begun has ended or is in progress.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         peering: Peering,
         watches: Sequence[StoreWatch],
         on_expiry: Callable[[], None],
+        check_requests: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._replica = replica
@@ -65,6 +70,8 @@
         self._peering = peering
         self._watches = watches
         self._on_expiry = on_expiry
+        self._check_requests = check_requests
+        self._requests_due_at = 0.0
         self._steps: list[Callable[[float], None]] = [
             self._remove_stale_hosts,
             self._expire_servers,
@@ -74,6 +81,7 @@
             self._log_server_statements,
             self._record_version,
             self._record_store_loss,
+            self._check_request_balance,
         ]
         self._turns = cycle(self._steps)
 
@@ -107,6 +115,11 @@
     def _record_version(self, now: float) -> None:
         self._state.record_version()
 
+    def _check_request_balance(self, now: float) -> None:
+        if now >= self._requests_due_at:
+            self._requests_due_at = now + BALANCE_INTERVAL_S
+            self._check_requests()
+
     def _expire_servers(self, now: float) -> None:
         expired = self._replica.expire(now)
         if expired:
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -21,6 +21,11 @@
 from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.request_errors import HostStoppedError
+from rosemarystream._internal.gateway.request_ledger import (
+    BegunRequest,
+    RequestLedger,
+    find_cause,
+)
 from rosemarystream._internal.gateway.request_reader import (
     READ_BYTES,
     HeldBytes,
@@ -28,6 +33,7 @@
     Request,
     RequestReader,
 )
+from rosemarystream._internal.models.endings import EndingCause
 from rosemarystream._internal.models.log_entries.requests import (
     CallerConnectionBroken,
     RequestRefusedEarly,
@@ -75,6 +81,8 @@
         Returns the limits in force.
     record_error : callable
         Called with an error that no code expects.
+    ledger : RequestLedger or None
+        Counts the requests; None for listeners of operators.
 
     Attributes
     ----------
@@ -93,11 +101,13 @@
         get_limits: Callable[[], CallerLimits],
         record_error: Callable[[Exception], None],
         clock: Callable[[], float],
+        ledger: RequestLedger | None = None,
     ) -> None:
         self.handler = handler
         self.get_limits = get_limits
         self.record_error = record_error
         self.clock = clock
+        self.ledger = ledger
         self.leaving = False
         self.held = HeldBytes()
         self._connections: set[_CallerConnection] = set()
@@ -163,6 +173,8 @@
         self._greenlet = gevent.getcurrent()
         self._refusal: _Refusal | None = None
         self._loop_share = LoopShare()
+        self._connected_at = listener.clock()
+        self._requests = 0
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def run(self) -> None:
@@ -207,8 +219,7 @@
             request = self._reader.read(protocol, limits)
             if request is None:
                 return False
-            self.busy = True
-            return self._answer(protocol, request)
+            return self._serve(protocol, request)
         except RefusedRequestError as error:
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
@@ -228,24 +239,59 @@
             self.busy = False
             self._held.release()
 
-    def _answer(self, protocol: h11.Connection, request: Request) -> bool:
+    def _serve(self, protocol: h11.Connection, request: Request) -> bool:
+        """Serve a request that was read whole; return whether another may follow."""
+        self.busy = True
+        begun = self._begin(request)
+        answer = self._make_answer(protocol, request)
+        error: BaseException | None = None
+        try:
+            self._answer(request, answer)
+        except BaseException as raised:
+            error = raised
+            raise
+        finally:
+            self._end(begun, find_cause(answer, error), answer)
+        return answer.is_finished and not answer.is_closing
+
+    def _begin(self, request: Request) -> BegunRequest | None:
+        self._requests += 1
+        if self._listener.ledger is None:
+            return None
+        return self._listener.ledger.begin(
+            request,
+            connected_at=self._connected_at,
+            connection_requests=self._requests,
+        )
+
+    def _end(
+        self,
+        begun: BegunRequest | None,
+        cause: EndingCause,
+        answer: AnswerWriter | None = None,
+    ) -> None:
+        if begun is not None:
+            self._listener.ledger.end(begun, cause, answer=answer)
+
+    def _make_answer(self, protocol: h11.Connection, request: Request) -> AnswerWriter:
         self._reader.buffer = protocol.trailing_data[0]
         is_closing = protocol.their_state is h11.MUST_CLOSE
-        answer = AnswerWriter(
+        return AnswerWriter(
             connection=self._socket,
             protocol=protocol,
             has_body=request.method != b"HEAD",
             is_closing=is_closing,
             is_leaving=lambda: self._listener.leaving,
         )
+
+    def _answer(self, request: Request, answer: AnswerWriter) -> None:
         self._socket.settimeout(WRITE_TIMEOUT_S)
         watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
         try:
             self._handle(request, answer)
         finally:
             watch.stop()
-        self._reader.buffer += watch.data
-        return answer.is_finished and not answer.is_closing
+            self._reader.buffer += watch.data
 
     def _handle(self, request: Request, answer: AnswerWriter) -> None:
         try:
--- a/src/rosemarystream/_internal/gateway/logs.py
+++ b/src/rosemarystream/_internal/gateway/logs.py
@@ -27,6 +27,8 @@
 # Entries queued at most; with the next limit, on their size, this bounds the memory.
 MAX_QUEUED_ENTRIES = 2_000
 MAX_ENTRY_BYTES = 4_096
+# Entries queued beyond that, of kinds that have to be logged at any load.
+MAX_OVERFLOW_ENTRIES = 500
 MAX_LIST_ITEMS = 40
 # Time for which entries are collected before they are written in one call.
 BATCH_S = 0.05
@@ -115,7 +117,7 @@
     def emit(self, record: Any) -> None:
         """Queue one record, or drop it if the queue is full."""
         entry = record.kwargs.get("line")
-        if len(self._queue) >= MAX_QUEUED_ENTRIES:
+        if len(self._queue) >= _get_queue_bound(entry):
             log_filter.count_overflow(entry.kind if entry is not None else record.msg)
             return
         self._queue.append(self._encode(record, entry))
@@ -170,6 +172,12 @@
             self.flush_queue()
 
 
+def _get_queue_bound(entry: LogEntry | None) -> int:
+    if entry is not None and entry.may_overflow:
+        return MAX_QUEUED_ENTRIES + MAX_OVERFLOW_ENTRIES
+    return MAX_QUEUED_ENTRIES
+
+
 def _encode_fields(entry: LogEntry | None) -> bytes:
     if entry is None:
         return _NO_FIELDS
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -71,6 +71,15 @@
         self.requests = counter(
             "requests", "Requests that are over, by outcome", "outcome"
         )
+        self.requests_begun = counter("requests_begun", "Requests that were read whole")
+        self.requests_ended = counter(
+            "requests_ended", "Those of them that have ended, by cause", "cause"
+        )
+        self.requests_ended_without_answer = counter(
+            "requests_ended_without_answer",
+            "Those of them that ended without a whole answer, by cause",
+            "cause",
+        )
         self.attempts = counter(
             "attempts",
             "Attempts at servers: answered, failed, turned_away or unreachable",
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -24,6 +24,7 @@
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.host_registry import HostRegistry
+from rosemarystream._internal.gateway.host_times import HostTimes
 from rosemarystream._internal.gateway.housekeeping import Housekeeping
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.listener import Listener
@@ -36,6 +37,7 @@
 from rosemarystream._internal.gateway.operator_answers import OperatorAnswers
 from rosemarystream._internal.gateway.peering import Peering
 from rosemarystream._internal.gateway.relay import Relay
+from rosemarystream._internal.gateway.request_ledger import RequestLedger
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.gateway.service_probes import ServiceProbes
 from rosemarystream._internal.gateway.settings import (
@@ -117,6 +119,13 @@
         self._supervisor = supervisor or Supervisor(clock=self._clock)
         self._metrics = self._supervisor.metrics
         self._left_out = LeftOutObjects(on_new=self._metrics.count_left_out)
+        self._times = HostTimes(clock=self._clock)
+        self._ledger = RequestLedger(
+            metrics=self._metrics,
+            replica=self._replica,
+            times=self._times,
+            clock=self._clock,
+        )
         self._pool = ConnectionPool(clock=self._clock)
         self._router = Router(
             data_centre=host.data_centre,
@@ -198,6 +207,7 @@
             get_limits=self._get_limits,
             record_error=self._record_error,
             clock=self._clock,
+            ledger=self._ledger,
         )
         self._state = StateReport(
             name=host.name,
@@ -212,6 +222,8 @@
             count_busy=self._caller_listener.count_busy,
             count_dropped_entries=count_dropped_entries,
             left_out=self._left_out,
+            times=self._times,
+            ledger=self._ledger,
         )
         self._answers = OperatorAnswers(
             state=self._state,
@@ -253,6 +265,7 @@
             peering=self._peering,
             watches=self._watches,
             on_expiry=self._announce,
+            check_requests=self._check_requests,
         )
 
     def _make_configuration_watch(self, **arguments: Any) -> ConfigurationWatch:
@@ -330,6 +343,9 @@
     def _record_error(self, error: Exception) -> None:
         record_unexpected_error(error, metrics=self._metrics)
 
+    def _check_requests(self) -> None:
+        self._ledger.check_balance(self._caller_listener.count_busy())
+
     def _report_load_change(self) -> None:
         self._peering.report_load_change()
 
@@ -384,6 +400,7 @@
         )
 
     def _reload(self) -> None:
+        self._times.record_reload()
         try:
             settings = load_gateway_settings(self._path)
         except SettingsError as error:
@@ -404,6 +421,7 @@
 
     def leave(self) -> None:
         """Finish the requests in progress, at most for the shutdown time, then stop."""
+        self._times.record_stop()
         self._leaving.set()
         shutdown_s = self._settings.bounds.shutdown_ms / _MS_PER_S
         Shutdown(
@@ -412,6 +430,8 @@
             refuse_due_after=self._relay.end_at,
             clock=self._clock,
         ).run()
+        in_progress = self._caller_listener.count_busy()
+        self._ledger.log_counts(in_progress)
 
 
 def run_gateway(path: Path) -> int:
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -12,15 +12,22 @@
 from rosemarystream._internal.gateway.exchange import Exchange
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.logs import write_log_entry
-from rosemarystream._internal.gateway.request_errors import RequestEndedError
+from rosemarystream._internal.gateway.request_errors import (
+    HostStoppedError,
+    RequestEndedError,
+)
 from rosemarystream._internal.gateway.request_reader import Request
-from rosemarystream._internal.gateway.request_record import RequestRecord
+from rosemarystream._internal.gateway.request_record import (
+    RequestRecord,
+    measure_ms_since,
+)
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.gateway.unexpected_errors import (
     record_unexpected_error,
 )
+from rosemarystream._internal.models.endings import EndingCause, EndingNotes, ServerAct
 from rosemarystream._internal.platform.headers import decode_call
 
 log = Logger(__name__)
@@ -102,9 +109,27 @@
             answer.end_with_failure(ran)
             self._record_unexpected(record, error)
         finally:
+            if not answer.is_finished:
+                answer.notes = self._make_notes(exchange, record)
             self._log_ended(record, answer, outcome)
 
+    def _make_notes(self, exchange: Exchange, record: RequestRecord) -> EndingNotes:
+        notes = EndingNotes(
+            request=record.call.request_id,
+            cause=record.ending_cause,
+            reason=record.reason,
+        )
+        attempt = exchange.last_attempt
+        if attempt is None:
+            return notes
+        return notes._replace(
+            server=attempt.endpoint.name,
+            act=attempt.last_act,
+            quiet_ms=measure_ms_since(attempt.heard_at, self._clock),
+        )
+
     def _record_unexpected(self, record: RequestRecord, error: Exception) -> None:
+        record.ending_cause = EndingCause.ERROR
         record.reason = f"unexpected {type(error).__name__}"
         record_unexpected_error(
             error,
@@ -130,10 +155,22 @@
         return exchange.run()
     except RequestEndedError as error:
         record.reason = str(error)
+        record.ending_cause = _find_cause(error, exchange)
         _send_error(answer, error)
         return error.kind.value
 
 
+def _find_cause(error: RequestEndedError, exchange: Exchange) -> EndingCause:
+    """Return why an answer that has begun is not completed."""
+    if isinstance(error.__cause__, HostStoppedError):
+        return EndingCause.HOST_STOPPED
+    attempt = exchange.last_attempt
+    has_closed = attempt is not None and attempt.last_act is ServerAct.CLOSED
+    if exchange.is_over and not has_closed:
+        return EndingCause.TIMED_OUT
+    return EndingCause.SERVER_BROKE_OFF
+
+
 def _send_error(answer: AnswerWriter, error: RequestEndedError) -> None:
     answer.is_closing |= error.should_reconnect
     if answer.has_begun:
--- a/src/rosemarystream/_internal/gateway/request_record.py
+++ b/src/rosemarystream/_internal/gateway/request_record.py
@@ -7,6 +7,7 @@
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.endings import EndingCause
 from rosemarystream._internal.models.log_entries.requests import RequestEnded
 from rosemarystream._internal.models.route import Route
 
@@ -34,6 +35,8 @@
         The last decision on a server.
     first_event_s : float or None
         Time until the first event of a stream, in seconds.
+    ending_cause : EndingCause or None
+        Why an answer that has begun is not completed.
     """
 
     def __init__(self, *, call: Call, received_at: float) -> None:
@@ -50,6 +53,7 @@
         self.reason = ""
         self.placement: Placement | None = None
         self.first_event_s: float | None = None
+        self.ending_cause: EndingCause | None = None
 
     def make_entry(
         self,
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -11,7 +11,12 @@
     format_part,
 )
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.gateway.host_times import HostTimes
 from rosemarystream._internal.gateway.metrics import HostGauges
+from rosemarystream._internal.gateway.request_ledger import (
+    RequestBalance,
+    RequestLedger,
+)
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.gateway.supervisor import FailingLoop
 from rosemarystream._internal.models.endpoint import Endpoint
@@ -76,6 +81,8 @@
         the time until the end of the block in seconds.
     failing_loops : dict of str to FailingLoop
         Loops of the host that have failed and don't count as sound yet.
+    requests : RequestBalance
+        Requests that were begun, have ended and are in progress.
     left_out : dict of str to str
         Why objects of the store or of other hosts are left out, by kind and name.
     """
@@ -86,6 +93,7 @@
     leaving: bool
     figures: HostGauges
     revision: int
+    requests: RequestBalance
     routes: dict[str, list[str]]
     workspaces: list[str]
     out_of_reach: list[str]
@@ -131,6 +139,8 @@
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
         left_out: LeftOutObjects,
+        times: HostTimes,
+        ledger: RequestLedger,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -143,16 +153,14 @@
         self._list_failing_loops = list_failing_loops
         self._count_busy = count_busy
         self._left_out = left_out
+        self._times = times
+        self._ledger = ledger
         self._count_dropped_entries = count_dropped_entries
-        self._version = 0
-        self._version_at = clock()
         self.store_lost_s = 0.0
 
     def record_version(self) -> None:
         """Record the time if another configuration has come into force."""
-        if self._replica.version != self._version:
-            self._version = self._replica.version
-            self._version_at = self._clock()
+        self._times.record_version(self._replica.version)
 
     def collect_gauges(self) -> HostGauges:
         """Return the current gauges of this host."""
@@ -160,7 +168,7 @@
         return HostGauges(
             in_progress=self._count_busy(),
             version=self._replica.version,
-            configuration_age_s=round(now - self._version_at, 1),
+            configuration_age_s=round(now - self._times.configured_at, 1),
             counts_age_s=round(self._loads.measure_report_age(now), 3),
             store_lost_s=round(self.store_lost_s, 1),
             live_hosts=self._peer_table.count_live(now),
@@ -182,6 +190,7 @@
             leaving=leaving,
             figures=self.collect_gauges(),
             revision=self._replica.revision,
+            requests=self._ledger.read_balance(self._count_busy()),
             routes={host: [r.name for r in group] for host, group in routes.items()},
             workspaces=sorted({workspace.name for workspace in workspaces}),
             out_of_reach=self._router.list_unreachable_services(),
--- a/src/rosemarystream/_internal/models/log_entries/base.py
+++ b/src/rosemarystream/_internal/models/log_entries/base.py
@@ -17,6 +17,8 @@
     message: ClassVar[str]
     level: ClassVar[int] = INFO
     limit_per_s: ClassVar[int] = ENTRIES_PER_S
+    # Whether entries are queued beyond the bound of the queue, up to another one.
+    may_overflow: ClassVar[bool] = False
 
     @property
     def kind(self) -> str:
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -1,6 +1,11 @@
 """The catalogue of all kinds of log entries."""
 
 from rosemarystream._internal.models.log_entries.base import LogEntry
+from rosemarystream._internal.models.log_entries.endings import (
+    RequestsCounted,
+    RequestsUnbalanced,
+    RequestUnanswered,
+)
 from rosemarystream._internal.models.log_entries.hosts import (
     GossipFailed,
     GossipUnreadable,
@@ -60,6 +65,7 @@
 
 _ALL: tuple[type[LogEntry], ...] = (
     RequestEnded,
+    RequestUnanswered,
     AttemptNotRun,
     AttemptBroken,
     UnexpectedError,
@@ -68,6 +74,8 @@
     PromptPartReleased,
     RequestRefusedEarly,
     CallerConnectionBroken,
+    RequestsUnbalanced,
+    RequestsCounted,
     LimitedSends,
     ServerChanged,
     ServerRemoved,
--- a/tests/unit/test_gateway_logs.py
+++ b/tests/unit/test_gateway_logs.py
@@ -11,6 +11,7 @@
 from rosemarystream._internal.gateway import logs
 from rosemarystream._internal.gateway.logs import (
     MAX_ENTRY_BYTES,
+    MAX_OVERFLOW_ENTRIES,
     MAX_QUEUED_ENTRIES,
     LogFilter,
     QueuedJsonHandler,
@@ -128,6 +129,19 @@
     assert len(handler._queue) <= MAX_QUEUED_ENTRIES + 1
 
 
+def test_entries_that_have_to_be_logged_find_room_in_a_full_queue(handler, monkeypatch):
+    monkeypatch.setattr(StoreLost, "limit_per_s", 10 * MAX_QUEUED_ENTRIES)
+    for number in range(2 * MAX_QUEUED_ENTRIES):
+        write_log_entry(log, StoreLost(watched=str(number), error=""))
+    assert len(handler._queue) == MAX_QUEUED_ENTRIES
+    monkeypatch.setattr(ServerRemoved, "limit_per_s", 10 * MAX_QUEUED_ENTRIES)
+    monkeypatch.setattr(ServerRemoved, "may_overflow", True)
+    for number in range(2 * MAX_OVERFLOW_ENTRIES):
+        write_log_entry(log, ServerRemoved(server="e1", revision=number))
+    assert len(handler._queue) == MAX_QUEUED_ENTRIES + MAX_OVERFLOW_ENTRIES
+    assert logs.log_filter.dropped == MAX_QUEUED_ENTRIES + MAX_OVERFLOW_ENTRIES
+
+
 @pytest.mark.parametrize("kind", LOG_ENTRIES.values(), ids=LOG_ENTRIES)
 def test_no_field_of_an_entry_shadows_a_common_field(kind):
     common = {"time", "level", "host", "logger", "message", "exception"}
