Ledger: count whole requests behind the last answer of a connection

A caller may send several requests together. Those that had been read when an answer closed the connection were dropped without a trace: no entry, no count. They are begun and ended now, as connection_closed, caller_gone or host_stopped, with their identifier and place on the connection. A part of a request, and what follows one that was refused unread, is not counted.

--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -20,6 +20,7 @@
 )
 from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.pipelined_requests import split_requests
 from rosemarystream._internal.gateway.request_errors import HostStoppedError
 from rosemarystream._internal.gateway.request_ledger import (
     BegunRequest,
@@ -179,17 +180,35 @@
 
     def run(self) -> None:
         """Serve requests until either side closes."""
+        cause = EndingCause.CONNECTION_CLOSED
         try:
             while not self._closed and self._serve_next():
                 self._reader.has_begun = False
             if self._refusal is not None:
                 self._refuse(self._refusal)
-        except (CallerDisconnectedError, HostStoppedError):
-            pass
+        except CallerDisconnectedError:
+            cause = EndingCause.CALLER_GONE
+        except HostStoppedError:
+            cause = EndingCause.HOST_STOPPED
         except OSError as error:
             write_log_entry(log, CallerConnectionBroken(error=str(error)))
         finally:
             self._socket.close()
+        self._count_unserved(cause)
+
+    def _count_unserved(self, cause: EndingCause) -> None:
+        """Count the whole requests that were read behind the last one."""
+        # What follows a request that was refused unread may be its rest.
+        if not self._reader.buffer or self._refusal is not None:
+            return
+        now = self._listener.clock()
+        try:
+            for request in split_requests(self._reader.buffer, now):
+                self._end(self._begin(request), cause)
+                self._loop_share.take_step()
+        except HostStoppedError:
+            # Those that are left are neither begun nor ended.
+            return
 
     @property
     def is_idle(self) -> bool:
