Answer a request after an error between reading and handling it

Callers saw: a whole request, and the connection closed without an answer or a refusal. Cause: an error raised after a request had been read and before its handler ran (the watch of its caller's connection can't be made) ended the connection; an OSError among them was logged at level debug only, as a broken connection of the caller. Ruled out by reading: no other statement stands between the two that can raise or gives way to other greenlets.

Now 500 with `not_run`, logged and counted as an unexpected error; and an error is logged also if its answer can't be written.

test_an_error_between_reading_and_handling_is_answered: status 0 and an incomplete answer before, 500 after.

--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -304,8 +304,12 @@
         )
 
     def _answer(self, request: Request, answer: AnswerWriter) -> None:
-        self._socket.settimeout(WRITE_TIMEOUT_S)
-        watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
+        try:
+            self._socket.settimeout(WRITE_TIMEOUT_S)
+            watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
+        except Exception as error:
+            self._fail(answer, error, Execution.NOT_RUN)
+            return
         try:
             self._handle(request, answer)
         finally:
@@ -316,7 +320,15 @@
         try:
             self._listener.handler(request, answer)
         except Exception as error:
-            answer.end_with_failure(Execution.UNKNOWN)
+            self._fail(answer, error, Execution.UNKNOWN)
+
+    def _fail(
+        self, answer: AnswerWriter, error: Exception, execution: Execution
+    ) -> None:
+        """End a request after an error that no code expects."""
+        try:
+            answer.end_with_failure(execution)
+        finally:
             self._listener.record_error(error)
 
     def _refuse(self, refusal: _Refusal) -> None:
--- a/tests/functional/test_dropped_requests.py
+++ b/tests/functional/test_dropped_requests.py
@@ -1,5 +1,7 @@
 """Whole requests that are read, or have arrived, when their connection ends."""
 
+from rosemarystream._internal.exceptions import Execution
+from rosemarystream._internal.gateway import listener as listener_module
 from rosemarystream._internal.models.endings import EndingCause
 from standins.backend_server import Fault
 from tests.functional.test_request_endings import (
@@ -8,6 +10,7 @@
     frame,
     host,
     read_counts,
+    send,
     world,
 )
 
@@ -43,3 +46,19 @@
     caller.socket.sendall(frame("/brief/1", "r1") + frame("/book/1", "r2")[:-2])
     assert not caller.read().complete
     assert read_counts(host) == {EndingCause.SERVER_BROKE_OFF: 1}
+
+
+def test_an_error_between_reading_and_handling_is_answered(
+    world, host, caller, monkeypatch
+):
+    def fail(**arguments):
+        raise OSError("no watcher")
+
+    monkeypatch.setattr(listener_module, "DisconnectWatch", fail)
+    send(caller, "/book/1")
+    reply = caller.read()
+    assert (reply.status, reply.complete) == (500, True)
+    assert Execution.NOT_RUN.encode() in reply.body
+    monkeypatch.undo()
+    assert not world.servers["p1"].runs
+    assert read_counts(host) == {EndingCause.HOST_ANSWERED: 1}
