Refuse a request that arrives as the host ends

Callers saw: a whole request on a kept connection, and the connection closed without a word, at the end of a planned stop. Cause: what had arrived and had not been read counted as an idle connection when the requests are ended, though not when idle connections are closed. Now it is refused with 503 `leaving`.

test_a_request_that_arrives_as_the_host_ends_is_refused: closed without an answer before, 503 after; 8 of 8 runs. Ruled out with a test: a request that arrives while the process is paused for longer than the idle time is answered, 8 of 8 runs, with and without this change. Not covered: a request that crosses the close.

--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -244,7 +244,8 @@
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
         except HostStoppedError as error:
-            if not self.busy and not self.is_idle:
+            # One may have arrived that has not been read.
+            if not self.busy and (not self.is_idle or self._reader.has_data()):
                 self._refusal = _Refusal(ErrorKind.LEAVING, str(error), 0.0)
             return False
         except OSError:
--- a/tests/functional/test_dropped_requests.py
+++ b/tests/functional/test_dropped_requests.py
@@ -1,11 +1,21 @@
 """Whole requests that are read, or have arrived, when their connection ends."""
 
+import time
+
+import gevent
+import pytest
+from gevent import monkey
+
 from rosemarystream._internal.exceptions import Execution
 from rosemarystream._internal.gateway import listener as listener_module
+from rosemarystream._internal.gateway.listener import Listener
 from rosemarystream._internal.models.endings import EndingCause
+from rosemarystream._internal.models.route import CallerLimits
 from standins.backend_server import Fault
 from tests.functional.test_request_endings import (
+    UNDER_WAY_S,
     caller,
+    end_requests,
     entries,
     frame,
     host,
@@ -13,6 +23,7 @@
     send,
     world,
 )
+from tests.lib.entry_world import Caller
 
 __all__ = ["caller", "entries", "host", "world"]
 
@@ -62,3 +73,34 @@
     monkeypatch.undo()
     assert not world.servers["p1"].runs
     assert read_counts(host) == {EndingCause.HOST_ANSWERED: 1}
+
+
+def test_a_request_that_arrives_as_the_host_ends_is_refused(host, caller):
+    gevent.sleep(UNDER_WAY_S)
+    # Sent without giving way to the host, which has not read it when it ends.
+    caller.socket._sock.send(frame("/book/1", "r1"))
+    end_requests(host)
+    reply = caller.read()
+    assert (reply.status, reply.complete) == (503, True)
+
+
+def test_a_request_that_arrives_while_the_host_is_paused_is_answered():
+    listener = Listener(
+        address="127.0.0.1:0",
+        handler=lambda request, answer: answer.send_whole(200, [], b""),
+        get_limits=lambda: CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S),
+        record_error=pytest.fail,
+        clock=time.monotonic,
+    )
+    listener.start()
+    caller = Caller(*listener._server.address)
+    try:
+        gevent.sleep(IDLE_TIMEOUT_S / 2)
+        caller.socket._sock.send(frame("/book/1", "r1"))
+        # The whole process pauses, as under SIGSTOP.
+        monkey.get_original("time", "sleep")(2 * IDLE_TIMEOUT_S)
+        reply = caller.read()
+        assert (reply.status, reply.complete) == (200, True)
+    finally:
+        caller.close()
+        listener.stop()
