Answer two requests sent together by a host that stops

Callers saw: two whole requests sent together, the answer to the first one with `connection: close`, and neither an answer nor a refusal to the second, during all of a planned stop. Cause: a host that stops closes each connection after the answer in progress, whatever has been read behind it. HTTP allows that, and the caller may send the second one again; but the host had read it and could answer. Now `connection: close` goes with the answer to the last of them. What comes after the end of the stop is refused as before, and the refusal is the last.

test_two_requests_sent_together_are_both_answered_by_a_host_that_stops: 1 of 2 answered before, 2 of 2 after. Unchanged: the second behind a first that asks for the close itself, a stream that breaks off, an unexpected error, or a refusal that sends the caller to another host; it is counted.

--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -173,6 +173,7 @@
         self._closed = False
         self._greenlet = gevent.getcurrent()
         self._refusal: _Refusal | None = None
+        self._watch: DisconnectWatch | None = None
         self._loop_share = LoopShare()
         self._connected_at = listener.clock()
         self._requests = 0
@@ -301,13 +302,26 @@
             protocol=protocol,
             has_body=request.method != b"HEAD",
             is_closing=is_closing,
-            is_leaving=lambda: self._listener.leaving,
+            is_leaving=self._is_leaving,
         )
 
+    def _is_leaving(self) -> bool:
+        """Return whether the answer that begins is the last on this connection."""
+        return self._listener.leaving and not self._has_next()
+
+    def _has_next(self) -> bool:
+        """Return whether another whole request was sent together with this one."""
+        data = self._reader.buffer
+        if self._watch is not None:
+            data += self._watch.data
+        return any(split_requests(data, 0.0))
+
     def _answer(self, request: Request, answer: AnswerWriter) -> None:
         try:
             self._socket.settimeout(WRITE_TIMEOUT_S)
             watch = DisconnectWatch(opened=self._socket, greenlet=gevent.getcurrent())
+            self._watch = watch
+            self._watch = watch
         except Exception as error:
             self._fail(answer, error, Execution.NOT_RUN)
             return
@@ -315,6 +329,7 @@
             self._handle(request, answer)
         finally:
             watch.stop()
+            self._watch = None
             self._reader.buffer += watch.data
 
     def _handle(self, request: Request, answer: AnswerWriter) -> None:
--- a/tests/functional/test_dropped_requests.py
+++ b/tests/functional/test_dropped_requests.py
@@ -35,6 +35,34 @@
     caller.socket.sendall(b"".join(requests))
 
 
+def test_two_requests_sent_together_are_both_answered_by_a_host_that_stops(
+    world, host, caller
+):
+    host.gateway._caller_listener.leaving = True
+    send_together(caller, "/book/1", "/look/1")
+    data = b""
+    while piece := caller.socket.recv(65_536):
+        data += piece
+    assert data.count(b"HTTP/1.1 200") == 2
+    assert data.count(b"connection: close") == 1
+    assert read_counts(host) == {EndingCause.SERVER_ANSWERED: 2}
+
+
+def test_a_request_sent_during_another_one_is_answered_by_a_host_that_stops(
+    world, host, caller
+):
+    host.gateway._caller_listener.leaving = True
+    world.servers["p1"].work_s = 2 * UNDER_WAY_S
+    send_together(caller, "/book/1")
+    gevent.sleep(UNDER_WAY_S)
+    send_together(caller, "/look/1")
+    data = b""
+    while piece := caller.socket.recv(65_536):
+        data += piece
+    assert data.count(b"HTTP/1.1 200") == 2
+    assert read_counts(host) == {EndingCause.SERVER_ANSWERED: 2}
+
+
 def test_a_request_behind_a_stream_that_breaks_off_is_counted(
     world, host, caller, entries
 ):
