--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -20,7 +20,13 @@
 )
 from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.pipelined_requests import split_requests
 from rosemarystream._internal.gateway.request_errors import HostStoppedError
+from rosemarystream._internal.gateway.request_ledger import (
+    BegunRequest,
+    RequestLedger,
+    find_cause,
+)
 from rosemarystream._internal.gateway.request_reader import (
     READ_BYTES,
     HeldBytes,
@@ -28,6 +34,7 @@
     Request,
     RequestReader,
 )
+from rosemarystream._internal.models.endings import EndingCause
 from rosemarystream._internal.models.log_entries.requests import (
     CallerConnectionBroken,
     RequestRefusedEarly,
@@ -75,6 +82,8 @@
         Returns the limits in force.
     record_error : callable
         Called with an error that no code expects.
+    ledger : RequestLedger or None
+        Counts the requests; None for listeners of operators.
 
     Attributes
     ----------
@@ -93,11 +102,13 @@
         get_limits: Callable[[], CallerLimits],
         record_error: Callable[[Exception], None],
         clock: Callable[[], float],
+        ledger: RequestLedger | None = None,
     ) -> None:
         self.handler = handler
         self.get_limits = get_limits
         self.record_error = record_error
         self.clock = clock
+        self.ledger = ledger
         self.leaving = False
         self.held = HeldBytes()
         self._connections: set[_CallerConnection] = set()
@@ -162,22 +173,43 @@
         self._closed = False
         self._greenlet = gevent.getcurrent()
         self._refusal: _Refusal | None = None
+        self._watch: DisconnectWatch | None = None
         self._loop_share = LoopShare()
+        self._connected_at = listener.clock()
+        self._requests = 0
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def run(self) -> None:
         """Serve requests until either side closes."""
+        cause = EndingCause.CONNECTION_CLOSED
         try:
             while not self._closed and self._serve_next():
                 self._reader.has_begun = False
             if self._refusal is not None:
                 self._refuse(self._refusal)
-        except (CallerDisconnectedError, HostStoppedError):
-            pass
+        except CallerDisconnectedError:
+            cause = EndingCause.CALLER_GONE
+        except HostStoppedError:
+            cause = EndingCause.HOST_STOPPED
         except OSError as error:
             write_log_entry(log, CallerConnectionBroken(error=str(error)))
         finally:
             self._socket.close()
+        self._count_unserved(cause)
+
+    def _count_unserved(self, cause: EndingCause) -> None:
+        """Count the whole requests that were read behind the last one."""
+        # What follows a request that was refused unread may be its rest.
+        if not self._reader.buffer or self._refusal is not None:
+            return
+        now = self._listener.clock()
+        try:
+            for request in split_requests(self._reader.buffer, now):
+                self._end(self._begin(request), cause)
+                self._loop_share.take_step()
+        except HostStoppedError:
+            # Those that are left are neither begun nor ended.
+            return
 
     @property
     def is_idle(self) -> bool:
@@ -207,14 +239,14 @@
             request = self._reader.read(protocol, limits)
             if request is None:
                 return False
-            self.busy = True
-            return self._answer(protocol, request)
+            return self._serve(protocol, request)
         except RefusedRequestError as error:
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
             return False
         except HostStoppedError as error:
-            if not self.busy and not self.is_idle:
+            # One may have arrived that has not been read.
+            if not self.busy and (not self.is_idle or self._reader.has_data()):
                 self._refusal = _Refusal(ErrorKind.LEAVING, str(error), 0.0)
             return False
         except OSError:
@@ -228,32 +260,92 @@
             self.busy = False
             self._held.release()
 
-    def _answer(self, protocol: h11.Connection, request: Request) -> bool:
+    def _serve(self, protocol: h11.Connection, request: Request) -> bool:
+        """Serve a request that was read whole; return whether another may follow."""
+        self.busy = True
+        begun = self._begin(request)
+        answer = self._make_answer(protocol, request)
+        error: BaseException | None = None
+        try:
+            self._answer(request, answer)
+        except BaseException as raised:
+            error = raised
+            raise
+        finally:
+            self._end(begun, find_cause(answer, error), answer)
+        return answer.is_finished and not answer.is_closing
+
+    def _begin(self, request: Request) -> BegunRequest | None:
+        self._requests += 1
+        if self._listener.ledger is None:
+            return None
+        return self._listener.ledger.begin(
+            request,
+            connected_at=self._connected_at,
+            connection_requests=self._requests,
+        )
+
+    def _end(
+        self,
+        begun: BegunRequest | None,
+        cause: EndingCause,
+        answer: AnswerWriter | None = None,
+    ) -> None:
+        if begun is not None:
+            self._listener.ledger.end(begun, cause, answer=answer)
+
+    def _make_answer(self, protocol: h11.Connection, request: Request) -> AnswerWriter:
         self._reader.buffer = protocol.trailing_data[0]
         is_closing = protocol.their_state is h11.MUST_CLOSE
-        answer = AnswerWriter(
+        return AnswerWriter(
             connection=self._socket,
             protocol=protocol,
             has_body=request.method != b"HEAD",
             is_closing=is_closing,
-            is_leaving=lambda: self._listener.leaving,
-        )
-        self._socket.settimeout(WRITE_TIMEOUT_S)
-        watch = DisconnectWatch(
-            opened=self._socket, greenlet=gevent.getcurrent(), answer=answer
+            is_leaving=self._is_leaving,
         )
+
+    def _is_leaving(self) -> bool:
+        """Return whether the answer that begins is the last on this connection."""
+        return self._listener.leaving and not self._has_next()
+
+    def _has_next(self) -> bool:
+        """Return whether another whole request was sent together with this one."""
+        data = self._reader.buffer
+        if self._watch is not None:
+            data += self._watch.data
+        return any(split_requests(data, 0.0))
+
+    def _answer(self, request: Request, answer: AnswerWriter) -> None:
+        try:
+            self._socket.settimeout(WRITE_TIMEOUT_S)
+            watch = DisconnectWatch(
+                opened=self._socket, greenlet=gevent.getcurrent(), answer=answer
+            )
+            self._watch = watch
+        except Exception as error:
+            self._fail(answer, error, Execution.NOT_RUN)
+            return
         try:
             self._handle(request, answer)
         finally:
             watch.stop()
-        self._reader.buffer += watch.data
-        return answer.is_finished and not answer.is_closing
+            self._watch = None
+            self._reader.buffer += watch.data
 
     def _handle(self, request: Request, answer: AnswerWriter) -> None:
         try:
             self._listener.handler(request, answer)
         except Exception as error:
-            answer.end_with_failure(Execution.UNKNOWN)
+            self._fail(answer, error, Execution.UNKNOWN)
+
+    def _fail(
+        self, answer: AnswerWriter, error: Exception, execution: Execution
+    ) -> None:
+        """End a request after an error that no code expects."""
+        try:
+            answer.end_with_failure(execution)
+        finally:
             self._listener.record_error(error)
 
     def _refuse(self, refusal: _Refusal) -> None:
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -75,6 +75,15 @@
             "callers_half_closed",
             "Requests whose callers closed their sending side before the answer's end",
         )
+        self.requests_begun = counter("requests_begun", "Requests that were read whole")
+        self.requests_ended = counter(
+            "requests_ended", "Those of them that have ended, by cause", "cause"
+        )
+        self.requests_ended_without_answer = counter(
+            "requests_ended_without_answer",
+            "Those of them that ended without a whole answer, by cause",
+            "cause",
+        )
         self.attempts = counter(
             "attempts",
             "Attempts at servers: answered, failed, turned_away or unreachable",
