Plain terms in gateway/: peering, gossip, pulls, watches, records, supervisor, probes

Identifiers, docstrings and comments only; no logic. left_out is ignored as a parameter of StatePuller, the store watches, HostRegistry and read_hosts (the metric, the state dump's key and state.py keep left_out); Peering._contact_unheard is _contact_lost_data_centres, and so is what the switch wait_to_be_contacted replaces. tests/unit, tests/properties, test_block_records, test_odd_entries, test_failing_loops pass (those of KNOWN-RED.txt passed over).

--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -29,8 +29,8 @@
 # Interval at which blocks are written that the store doesn't have yet.
 WRITE_INTERVAL_S = 0.25
 WRITE_RETRY_S = 1.0
-# Time around the end of a block in which its record is left alone. The clocks of hosts
-# differ, and a record that goes before its time lifts the block.
+# Time around the end of a block in which its record is not changed. The clocks of hosts
+# differ, and a record that is removed too early lifts the block.
 REMOVAL_MARGIN_S = 30.0
 _MS_PER_S = 1000
 
@@ -82,13 +82,13 @@
                 self._blocks.lift_block(part, self._clock())
             else:
                 self._accept_record(part, decode_block_record(item))
-            self._left_out.remove(self.kind, item.name)
+            self._ignored.remove(self.kind, item.name)
         except (DocumentError, ValueError) as error:
-            self._leave_out(item, error)
+            self._ignore(item, error)
         return False
 
-    def _leave_out(self, item: StoredObject, error: Exception) -> None:
-        if self._left_out.add(self.kind, item.name, item.revision, str(error)):
+    def _ignore(self, item: StoredObject, error: Exception) -> None:
+        if self._ignored.add(self.kind, item.name, item.revision, str(error)):
             entry = BlockRecordInvalid(name=item.name, error=str(error))
             write_log_entry(log, entry)
 
@@ -138,7 +138,7 @@
         return BLOCKED_PARTS, format_part(block.part), spec
 
     def _remove_ended(self) -> None:
-        """Remove the records of blocks that are over, or that answers have lifted."""
+        """Remove the records of blocks that have expired or been lifted."""
         now = self._clock()
         blocked = {block.part for block in self._blocks.list_blocks()}
         for part, until in [*self._stored_until.items()]:
--- a/src/rosemarystream/_internal/gateway/gossip_names.py
+++ b/src/rosemarystream/_internal/gateway/gossip_names.py
@@ -1,4 +1,4 @@
-"""The hosts that a gossip message names, so that others learn of them."""
+"""The hosts that a gossip message names to make them known to others."""
 
 from rosemarystream._internal.decisions.peer_table import (
     CANDIDATES,
@@ -11,7 +11,7 @@
 # Hosts named besides those next in order, other ones in each message.
 OTHER_NAMES = 4
 # Age of a host of which no message has arrived.
-UNHEARD_AGE_MS = -1
+NEVER_SEEN_AGE_MS = -1
 _MS_PER_S = 1000
 
 
@@ -39,9 +39,9 @@
         for host in table.list_live(now)
         if host.data_centre == nearby and host.name not in names
     ]
-    # Known only by name: whoever gets it hears nothing of them later.
+    # Known only by name: the receiver gets no later updates about them.
     reserves = [
-        HostAddress(host.name, host.data_centre, host.ip, UNHEARD_AGE_MS)
+        HostAddress(host.name, host.data_centre, host.ip, NEVER_SEEN_AGE_MS)
         for host in take_turn(others, turn, OTHER_NAMES)
     ]
     return [_make_name(host, now) for host in named] + reserves
@@ -56,7 +56,7 @@
 
 
 def _make_name(host: Peer, now: float) -> HostAddress:
-    age_ms = UNHEARD_AGE_MS
+    age_ms = NEVER_SEEN_AGE_MS
     if host.last_seen_at:
         age_ms = int((now - host.last_seen_at) * _MS_PER_S)
     return HostAddress(host.name, host.data_centre, host.ip, age_ms)
--- a/src/rosemarystream/_internal/gateway/gossip_reports.py
+++ b/src/rosemarystream/_internal/gateway/gossip_reports.py
@@ -1,4 +1,4 @@
-"""What gossip messages tell of hosts: their names, load, number and store."""
+"""What gossip messages report of hosts: their names, load, number and store."""
 
 from typing import NamedTuple
 
--- a/src/rosemarystream/_internal/gateway/host_records.py
+++ b/src/rosemarystream/_internal/gateway/host_records.py
@@ -14,7 +14,7 @@
 
 
 def read_hosts(
-    store: Store, peer_table: PeerTable, left_out: IgnoredObjects, now: float
+    store: Store, peer_table: PeerTable, ignored: IgnoredObjects, now: float
 ) -> None:
     """Add the hosts in the store to the table; a record that is invalid is logged.
 
@@ -24,12 +24,12 @@
         If the store gives no usable answer.
     """
     objects = store.list(HOSTS).objects
-    left_out.keep_listed(HOSTS, [(item.name, item.revision) for item in objects])
+    ignored.keep_listed(HOSTS, [(item.name, item.revision) for item in objects])
     for item in objects:
         try:
             host = decode_host_record(item)
         except DocumentError as error:
-            if left_out.add(HOSTS, item.name, item.revision, str(error)):
+            if ignored.add(HOSTS, item.name, item.revision, str(error)):
                 entry = HostRecordInvalid(name=item.name, error=str(error))
                 write_log_entry(log, entry)
             continue
--- a/src/rosemarystream/_internal/gateway/host_registry.py
+++ b/src/rosemarystream/_internal/gateway/host_registry.py
@@ -31,8 +31,8 @@
         This host.
     store : Store
         The platform's store; the connection is closed after each exchange.
-    left_out : IgnoredObjects
-        Records the hosts' objects that can't be used.
+    ignored : IgnoredObjects
+        Records the invalid objects of hosts.
     """
 
     def __init__(
@@ -41,13 +41,13 @@
         this_host: HostAddress,
         store: Store,
         peer_table: PeerTable,
-        left_out: IgnoredObjects,
+        ignored: IgnoredObjects,
         clock: Callable[[], float],
     ) -> None:
         self._this_host = this_host
         self._store = store
         self._peer_table = peer_table
-        self._left_out = left_out
+        self._ignored = ignored
         self._clock = clock
         self._is_registered = False
 
@@ -65,7 +65,7 @@
             return
         try:
             self._register()
-            read_hosts(self._store, self._peer_table, self._left_out, self._clock())
+            read_hosts(self._store, self._peer_table, self._ignored, self._clock())
         except StoreError as error:
             write_log_entry(log, HostExchangeFailed(error=str(error)))
 
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -58,12 +58,12 @@
 LOAD_CHANGE_REQUESTS = 2
 # Rounds between two messages to the own data centre that name hosts.
 NAMES_EVERY_ROUNDS = 5
-# Rounds between two attempts to contact a data centre of which no host is heard, and
+# Rounds between two attempts to contact a data centre of which no host is live, and
 # the hosts contacted each time.
 RECONTACT_EVERY_ROUNDS = 10
 RECONTACT_HOSTS = 2
-# Rounds in which a new host contacts its seeds, unless it hears from a host, and
-# the interval between two contacts, in rounds.
+# Rounds in which a new host contacts its seeds, unless a message of a host arrives,
+# and the interval between two contacts, in rounds.
 SEED_CONTACT_ROUNDS = 100
 SEED_CONTACT_EVERY_ROUNDS = 5
 MAX_DATAGRAM_BYTES = 65_000
@@ -73,7 +73,7 @@
 
 
 class _Updates(NamedTuple):
-    """News that are sent in one round."""
+    """Updates that are sent in one round."""
 
     caches: list[CacheUpdate]
     crashes: CrashUpdates | None
@@ -188,7 +188,7 @@
         """Send the messages of one round."""
         self._rounds += 1
         self._contact_seeds()
-        self._contact_unheard()
+        self._contact_lost_data_centres()
         now = self._clock()
         collectors = self._list_collectors(now)
         is_collector = self._this_host.name in collectors
@@ -275,9 +275,9 @@
 
     def _contact_seeds(self) -> None:
         """Contact the seeds at the start, and until another host is in contact."""
-        heard = any(host.last_seen_at for host in self._peer_table.list_known())
+        has_contact = any(host.last_seen_at for host in self._peer_table.list_known())
         if self._rounds % SEED_CONTACT_EVERY_ROUNDS != 1 or (
-            heard and self._rounds > SEED_CONTACT_EVERY_ROUNDS
+            has_contact and self._rounds > SEED_CONTACT_EVERY_ROUNDS
         ):
             return
         message = self._make_message(
@@ -286,19 +286,19 @@
         for ip in self._seeds if self._rounds <= SEED_CONTACT_ROUNDS else ():
             self._send(ip, message)
 
-    def _contact_unheard(self) -> None:
-        """Contact data centres of which no host is heard, as after a network cut."""
+    def _contact_lost_data_centres(self) -> None:
+        """Contact data centres of which no host is live, as after a network cut."""
         if self._rounds % RECONTACT_EVERY_ROUNDS:
             return
         now = self._clock()
         message = self._make_message(
             LoadScope.NONE, self._loads.sum_own(), wants_answer=True
         )
-        unheard: dict[str, list[Peer]] = {}
+        unreachable: dict[str, list[Peer]] = {}
         for host in self._peer_table.list_unreachable(now):
-            unheard.setdefault(host.data_centre, []).append(host)
+            unreachable.setdefault(host.data_centre, []).append(host)
         turn = self._rounds // RECONTACT_EVERY_ROUNDS
-        for hosts in unheard.values():
+        for hosts in unreachable.values():
             for host in take_turn(hosts, turn, RECONTACT_HOSTS):
                 self._send(host.ip, message)
 
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -139,7 +139,7 @@
             blocks=self._blocks,
             on_change=self._forget_departed,
             supervisor=self._supervisor,
-            left_out=self._left_out,
+            ignored=self._left_out,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -176,7 +176,7 @@
                 is_watcher=self._is_watcher,
                 on_change=self._announce,
                 supervisor=self._supervisor,
-                left_out=self._left_out,
+                ignored=self._left_out,
             )
             for watch in (
                 self._make_configuration_watch,
@@ -237,7 +237,7 @@
             this_host=self._this_host,
             store=self._make_store(),
             peer_table=self._peer_table,
-            left_out=self._left_out,
+            ignored=self._left_out,
             clock=self._clock,
         )
         self._probes = ServiceProbes(
--- a/src/rosemarystream/_internal/gateway/service_probes.py
+++ b/src/rosemarystream/_internal/gateway/service_probes.py
@@ -26,7 +26,7 @@
     Attributes
     ----------
     unreachable : list of str
-        Services that were unreachable at the last look.
+        Services that were unreachable at the last check.
     """
 
     def __init__(
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -58,7 +58,7 @@
 READ_BYTES = 65_536
 # Kind of the entries of servers that other hosts pass on, in the state dump.
 PASSED_ON = "servers-passed-on"
-# Time after a document that can't be used in which no other one is pulled.
+# Time after an invalid document in which no other one is pulled.
 REFUSED_PAUSE_S = 0.5
 _MS_PER_S = 1000
 _LENGTH = struct.Struct("!I")
@@ -80,8 +80,8 @@
         Called after the replica has changed.
     supervisor : Supervisor
         Runs the pulls.
-    left_out : IgnoredObjects
-        Records the objects of other hosts that can't be used.
+    ignored : IgnoredObjects
+        Records the invalid objects of other hosts.
     """
 
     def __init__(
@@ -94,9 +94,9 @@
         blocks: PromptBlocks,
         on_change: Callable[[], None],
         supervisor: Supervisor,
-        left_out: IgnoredObjects | None = None,
+        ignored: IgnoredObjects | None = None,
     ) -> None:
-        self._left_out = left_out or IgnoredObjects()
+        self._ignored = ignored or IgnoredObjects()
         self._port = address[1]
         self._clock = clock
         self._replica = replica
@@ -130,7 +130,7 @@
             self._start_pull("document", ip, request)
 
     def pull_contexts(self, ip: str) -> None:
-        """Pull the map of cached prompt parts from the first hosts heard.
+        """Pull the map of cached prompt parts from the first hosts in contact.
 
         One of them may have just started as well, so several are asked, each once.
         """
@@ -196,7 +196,7 @@
             self._on_change()
 
     def _decode_endpoints(self, rows: list[msgspec.Raw]) -> list[Endpoint]:
-        """Return the entries that can be used; each is checked as one of the store."""
+        """Return the valid entries; each is checked as one of the store."""
         endpoints = []
         for row in rows:
             try:
@@ -204,7 +204,7 @@
                 check_endpoint(endpoint)
             except (msgspec.DecodeError, DocumentError) as error:
                 # What identifies the entry may be unreadable.
-                if self._left_out.add(PASSED_ON, "", zlib.crc32(row), str(error)):
+                if self._ignored.add(PASSED_ON, "", zlib.crc32(row), str(error)):
                     write_log_entry(log, ServerEntryInvalid(error=str(error)))
                 continue
             endpoints.append(endpoint)
@@ -216,12 +216,12 @@
         except zlib.error as error:
             reason = f"not compressed: {error}"
             revision = zlib.crc32(compressed)
-            if self._left_out.add(CONFIGURATION, CONFIGURATION_NAME, revision, reason):
+            if self._ignored.add(CONFIGURATION, CONFIGURATION_NAME, revision, reason):
                 write_log_entry(log, ConfigurationInvalid(error=reason))
             return False
         # The revision isn't sent; the same document is reported once.
         revision = zlib.crc32(document)
-        return accept_document(self._replica, self._left_out, revision, document)
+        return accept_document(self._replica, self._ignored, revision, document)
 
     def _serve_safely(self, connection: socket.socket, address: Any) -> None:
         self._supervisor.run_task("pull_answer", self._serve, connection, address)
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -46,8 +46,8 @@
 
 # How long a watch waits at the store for the first change.
 WATCH_TIMEOUT_S = 8.0
-# The same where a store that goes silent has to be noticed soon, since changes have to
-# be in force within two seconds.
+# The same where an unresponsive store has to be detected soon, since changes have to be
+# in force within two seconds.
 SHORT_WATCH_TIMEOUT_S = 0.8
 # Time after the end of a wait at which an answer of the store is overdue.
 OVERDUE_AFTER_S = 0.4
@@ -60,16 +60,16 @@
 
 
 def accept_document(
-    replica: Replica, left_out: IgnoredObjects, revision: int, document: bytes
+    replica: Replica, ignored: IgnoredObjects, revision: int, document: bytes
 ) -> bool:
     """Apply a configuration document of the store; return whether it is newer."""
     try:
         configuration = decode_configuration(document)
     except DocumentError as error:
-        if left_out.add(CONFIGURATION, CONFIGURATION_NAME, revision, str(error)):
+        if ignored.add(CONFIGURATION, CONFIGURATION_NAME, revision, str(error)):
             write_log_entry(log, ConfigurationInvalid(error=str(error)))
         return False
-    left_out.remove(CONFIGURATION, CONFIGURATION_NAME)
+    ignored.remove(CONFIGURATION, CONFIGURATION_NAME)
     return replica.accept_configuration(configuration, document)
 
 
@@ -84,8 +84,8 @@
         Returns whether this host is a watcher now.
     on_change : callable
         Called after the replica has changed.
-    left_out : IgnoredObjects
-        Records the objects that can't be used.
+    ignored : IgnoredObjects
+        Records the invalid objects.
 
     Attributes
     ----------
@@ -105,9 +105,9 @@
         is_watcher: Callable[[], bool],
         on_change: Callable[[], None],
         supervisor: Supervisor,
-        left_out: IgnoredObjects | None = None,
+        ignored: IgnoredObjects | None = None,
     ) -> None:
-        self._left_out = left_out or IgnoredObjects()
+        self._ignored = ignored or IgnoredObjects()
         self._store = store
         self._clock = clock
         self._replica = replica
@@ -168,7 +168,7 @@
             listing = self._store.list(self.kind)
             self._accept_listing(listing.objects, listing.revision)
             listed = [(item.name, item.revision) for item in listing.objects]
-            self._left_out.keep_listed(self.kind, listed)
+            self._ignored.keep_listed(self.kind, listed)
             self._revision = listing.revision
             return
         wait_s = self._choose_wait()
@@ -183,7 +183,7 @@
             self._accept_safely(change.object, change.deleted, changes.revision)
             for change in changes.changes
         ]
-        # What an error kept out is read once more, with a new listing.
+        # What an error excluded is read once more, with a new listing.
         self._revision = None if None in changed else changes.revision
         if any(changed):
             self._on_change()
@@ -193,7 +193,7 @@
     def _accept_safely(
         self, item: StoredObject, deleted: bool, revision: int
     ) -> bool | None:
-        """Apply an entry; return None if an unexpected error kept it out."""
+        """Apply an entry; return None if an unexpected error excluded it."""
         accept = self._accept
         return self._supervisor.run_step(self.loop, accept, item, deleted, revision)
 
@@ -236,7 +236,7 @@
     Parameters
     ----------
     keeps_waits_short : callable
-        Returns whether a silent store has to be noticed soon.
+        Returns whether an unresponsive store has to be detected soon.
     """
 
     kind = CONFIGURATION
@@ -263,7 +263,7 @@
         if deleted or item.name != CONFIGURATION_NAME:
             return False
         changed = accept_document(
-            self._replica, self._left_out, item.revision, item.spec
+            self._replica, self._ignored, item.revision, item.spec
         )
         if changed:
             write_log_entry(log, ConfigurationActivated(version=self._replica.version))
@@ -290,7 +290,7 @@
 
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted:
-            self._left_out.remove(self.kind, item.name)
+            self._ignored.remove(self.kind, item.name)
             changed = self._replica.accept_removal(item.name, revision)
             if changed:
                 write_log_entry(log, ServerRemoved(server=item.name, revision=revision))
@@ -309,8 +309,8 @@
         try:
             endpoint = decode_endpoint(item.name, item.read_spec(), item.revision)
         except DocumentError as error:
-            if self._left_out.add(self.kind, item.name, item.revision, str(error)):
+            if self._ignored.add(self.kind, item.name, item.revision, str(error)):
                 write_log_entry(log, ServerEntryInvalid(error=str(error)))
             return None
-        self._left_out.remove(self.kind, item.name)
+        self._ignored.remove(self.kind, item.name)
         return endpoint
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -162,7 +162,7 @@
 def wait_to_be_contacted():
     from rosemarystream._internal.gateway.peering import Peering
 
-    Peering._contact_unheard = lambda self: None
+    Peering._contact_lost_data_centres = lambda self: None
 
 
 def retry_non_idempotent():
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -157,7 +157,7 @@
 
     def __init__(self, monkeypatch, answer):
         self.replica = Replica()
-        self.left_out = IgnoredObjects()
+        self.ignored = IgnoredObjects()
         self.puller = StatePuller(
             address=("127.0.0.1", 1),
             clock=lambda: 50.0,
@@ -165,7 +165,7 @@
             contexts=ContextMap(),
             blocks=PromptBlocks(),
             on_change=lambda: None,
-            left_out=self.left_out,
+            ignored=self.ignored,
             supervisor=Supervisor(clock=lambda: 50.0),
         )
         monkeypatch.setattr(
@@ -207,7 +207,7 @@
     pulls.pull()
     assert [entry.name for entry in pulls.replica.list_endpoints()] == ["s1", "s2"]
     assert pulls.replica.revision == 9
-    assert len(pulls.left_out.list_reasons()) == 1
+    assert len(pulls.ignored.list_reasons()) == 1
 
 
 @pytest.mark.parametrize(
@@ -247,4 +247,4 @@
     pulls.pull()
     assert pulls.replica.configuration is None
     assert pulls.replica.revision == 9
-    assert [*pulls.left_out.list_reasons()] == ["config/main"]
+    assert [*pulls.ignored.list_reasons()] == ["config/main"]
