--- a/tests/unit/test_ignored_objects.py
+++ b/tests/unit/test_ignored_objects.py
@@ -1,4 +1,4 @@
-"""Objects that are left out are reported once, and not longer than they last."""
+"""Objects that are ignored are reported once, and not longer than they last."""
 
 from rosemarystream._internal.decisions.ignored_objects import (
     MAX_OBJECTS,
--- a/tests/unit/test_leaving_news.py
+++ b/tests/unit/test_leaving_updates.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of servers that leave."""
+"""What hosts report to each other of servers that leave."""
 
 import msgspec
 import pytest
