--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -14,11 +14,11 @@
 from rosemarystream._internal.decisions.hashing import order_candidates
 
 COLLECTORS = 2
-# Time without a sign of life after which a host is considered dead.
+# Time since a host was last seen after which it is considered dead.
 DEAD_AFTER_S = 1.2
 # Time for which a host that was only named by others counts as live.
 UNCONFIRMED_TTL_S = 3.0
-# Time without a sign of life after which a host is removed from the table.
+# Time since a host was last seen after which it is removed from the table.
 FORGET_AFTER_S = 120.0
 # Collectors of a data centre that watch the store if there are other data centres.
 WATCHERS = 1
@@ -44,7 +44,8 @@
     Attributes
     ----------
     last_seen_at : float
-        Time of its last sign of life, by this host's clock; 0 if there was none.
+        When this host or another last got a message of it, by this host's clock; 0 if
+        none did.
     known_since : float
         When it became known; starts again if it is named at another address.
     """
@@ -100,7 +101,7 @@
     def record_alive(
         self, name: str, data_centre: str, ip: str, last_seen_at: float
     ) -> None:
-        """Record a sign of life of a host."""
+        """Record that this host or another got a message of a host."""
         known = self._hosts.get(name)
         if name == self._name or (
             known and known.ip == ip and known.last_seen_at >= last_seen_at
@@ -110,7 +111,7 @@
         self._hosts[name] = Peer(name, data_centre, ip, last_seen_at, known_since)
 
     def remove_stale(self, now: float) -> None:
-        """Remove hosts without a sign of life for `FORGET_AFTER_S`."""
+        """Remove the hosts that were not seen for `FORGET_AFTER_S`."""
         for host in [*self._hosts.values()]:
             if now - max(host.last_seen_at, host.known_since) > FORGET_AFTER_S:
                 del self._hosts[host.name]
@@ -130,7 +131,7 @@
     def take_changes(self, now: float) -> PeerChanges:
         """Return the hosts that were found or lost since the last call.
 
-        Hosts that have never given a sign of life are ignored.
+        Hosts that were never seen are ignored.
         """
         live = {host.name: host for host in self.list_live(now) if host.last_seen_at}
         before, self._previous_live = self._previous_live, live
@@ -156,7 +157,7 @@
     def count_live(self, now: float) -> int:
         """Return the number of live hosts of the fleet, this one included.
 
-        Hosts that this host does not hear are counted by those that do.
+        Hosts that send this host no messages are counted by those that get some.
         """
         counts = Counter(host.data_centre for host in self.list_live(now))
         counts[self._data_centre] += 1
--- a/src/rosemarystream/_internal/models/log_entries/hosts.py
+++ b/src/rosemarystream/_internal/models/log_entries/hosts.py
@@ -62,7 +62,7 @@
     Attributes
     ----------
     last_seen_ms : float
-        Time since the last message of the host, or the last report that it is live.
+        Time since this host or another got a message of the lost one.
     """
 
     message = "host lost"
