Count only a request's own bytes against the bound on its body

What callers saw: of 400 requests of 500 bytes that were sent together, where bodies of 1,000 are allowed, the first was answered, the second refused with 413 'over 1000 bytes', and the other 398 got neither an answer nor a refusal, as the connection was closed. Cause: bytes that had been read ahead, of the requests after it, were counted as the wire bytes of the request (at most 16 times the body's bound and 64 KB). A configuration that lowers max-body-bytes brings it about on connections that worked before. Change: the count is checked when more bytes are needed; by then all that was received has been taken as this request's. Reading goes past the bound by one read at most, as before. Evidence: test_many_short_requests_at_once_are_each_answered, 1 of 400 answered before, 400 now; test_endless_bytes.py, test_entry_connections.py and test_entry_requests.py pass.

--- a/src/rosemarystream/_internal/gateway/request_reader.py
+++ b/src/rosemarystream/_internal/gateway/request_reader.py
@@ -235,25 +235,33 @@
                     return bytes(body)
                 if isinstance(event, h11.Data):
                     body += event.data
-                    if len(body) > limits.body_bytes or received > max_received:
-                        raise RefusedRequestError(
-                            ErrorKind.TOO_LARGE, f"over {limits.body_bytes} bytes"
-                        )
+                    if len(body) > limits.body_bytes:
+                        raise _make_too_large_error(limits)
                     self._held.add(len(event.data))
                     continue
-                if protocol.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(
-                        status_code=100, headers=[]
-                    )
-                    self._socket.sendall(protocol.send(continue_response))
-                data = self._socket.recv(READ_BYTES)
+                # Only now none of what was received may belong to a later request.
+                if received > max_received:
+                    raise _make_too_large_error(limits)
+                data = self._receive_body_bytes(protocol)
             except h11.ProtocolError as error:
                 raise RefusedRequestError(ErrorKind.BAD_REQUEST, str(error)) from error
             except TimeoutError:
                 raise RefusedRequestError(
                     ErrorKind.SLOW_SENDER, f"no byte in {limits.idle_timeout_s} s"
                 ) from None
-            if not data:
-                raise CallerDisconnectedError("closed before its request was whole")
             received += len(data)
             protocol.receive_data(data)
+
+    def _receive_body_bytes(self, protocol: h11.Connection) -> bytes:
+        """Receive more of a body, after an interim answer if the caller awaits it."""
+        if protocol.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._socket.sendall(protocol.send(interim))
+        data = self._socket.recv(READ_BYTES)
+        if not data:
+            raise CallerDisconnectedError("closed before its request was whole")
+        return data
+
+
+def _make_too_large_error(limits: CallerLimits) -> RefusedRequestError:
+    return RefusedRequestError(ErrorKind.TOO_LARGE, f"over {limits.body_bytes} bytes")
--- a/tests/functional/test_review_of_half_closed_callers.py
+++ b/tests/functional/test_review_of_half_closed_callers.py
@@ -253,6 +253,23 @@
     assert (reply.status, reply.complete) == (503, True)
 
 
+def send_many(caller):
+    for _ in range(MANY):
+        caller.send("/book/1", body=SHORT_BODY)
+    half_close(caller)
+
+
+def test_many_short_requests_at_once_are_each_answered(world, caller):
+    for server in world.servers.values():
+        server.work_s = 0.0
+        server.pause_s = LATE_S
+        server.faults = [Fault.PAUSE]
+    configure(world, **{"max-body-bytes": MAX_SHORT_BODY})
+    gevent.spawn(send_many, caller)
+    received = receive_all(caller)
+    assert received.count(b"HTTP/1.1 200") == MANY
+
+
 def answer_at_length(connection, protocol, status, headers, body):
     framed = [*headers, (b"content-length", b"%d" % len(LONG_ANSWER))]
     data = protocol.send(h11.Response(status_code=status, headers=framed))
