Reset the connection when an answer to an HTTP/1.0 caller breaks off

What callers saw: a stream (or an answer of over 262,144 bytes) to a caller of HTTP/1.0 that broke off ended like a complete one, with the end of its connection. Cause: such an answer has neither a length nor chunks; only the end of the connection shows that of the body, and the host closed in the same way after a break. Change: between the head and the end of such an answer a close resets the connection, that of the process included. Evidence: test_a_stream_that_is_cut_does_not_look_complete[1.0] failed before, [1.1] passed.

--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -9,9 +9,12 @@
 from rosemarystream._internal.exceptions import ANSWERS, ErrorKind, Execution
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.platform.headers import encode_retry_after
+from rosemarystream._internal.utils.socket_options import reset_on_close
 
 # Start of each answer's status line.
 STATUS_LINE_START = b"HTTP/1.1 "
+# First version of HTTP whose callers can be sent a body in chunks.
+CHUNKS_VERSION = b"1.1"
 
 
 class CallerDisconnectedError(BaseException):
@@ -98,8 +101,14 @@
         self.is_finished = True
 
     def send_head(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer whose body is sent in pieces (chunked)."""
-        self._write(self._start(status, [*headers, (b"transfer-encoding", b"chunked")]))
+        """Send the head of an answer whose body is sent in pieces (chunked).
+
+        To a caller of HTTP/1.0 they are sent without chunks; the end of the connection
+        is that of the body, so that one that breaks off has to be reset.
+        """
+        data = self._start(status, [*headers, (b"transfer-encoding", b"chunked")])
+        self._reset_on_close(True)
+        self._write(data)
 
     def _start(self, status: int, headers: Headers) -> bytes:
         self.is_closing = self.is_closing or self._is_leaving()
@@ -116,8 +125,14 @@
     def end(self) -> None:
         """End the body of an answer that was sent in pieces."""
         self._write(self._protocol.send(h11.EndOfMessage()))
+        self._reset_on_close(False)
         self.is_finished = True
 
+    def _reset_on_close(self, is_reset: bool) -> None:
+        version = self._protocol.their_http_version
+        if version is not None and version < CHUNKS_VERSION:
+            reset_on_close(self._connection, is_reset=is_reset)
+
     def send_error(
         self,
         kind: ErrorKind,
--- a/src/rosemarystream/_internal/utils/socket_options.py
+++ b/src/rosemarystream/_internal/utils/socket_options.py
@@ -1,5 +1,7 @@
 """Options by which the operating system detects connections that are dead."""
 
+import struct
+
 from gevent import socket
 
 # A machine that acknowledges nothing for this time counts as unreachable.
@@ -11,6 +13,9 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
+# Values of SO_LINGER: whether it is on, and its time in seconds.
+_RESET = struct.pack("ii", 1, 0)
+_NO_RESET = struct.pack("ii", 0, 0)
 
 
 def set_socket_options(tcp_socket: socket.socket) -> None:
@@ -28,3 +33,9 @@
     """Limit the time for which the bytes of a request may remain unacknowledged."""
     timeout_ms = LONG_UNACKNOWLEDGED_MS if is_long else UNACKNOWLEDGED_MS
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def reset_on_close(tcp_socket: socket.socket, *, is_reset: bool) -> None:
+    """Set whether closing the socket resets its connection instead of ending it."""
+    value = _RESET if is_reset else _NO_RESET
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
--- a/tests/functional/test_review_of_half_closed_callers.py
+++ b/tests/functional/test_review_of_half_closed_callers.py
@@ -158,6 +158,15 @@
         assert list_event_ids(received) == [*range(1, EVENTS + 1)]
 
 
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_a_stream_that_is_cut_does_not_look_complete(world, caller, version):
+    for server in world.servers.values():
+        server.faults = [Fault.CUT] * 4
+    caller.socket.sendall(make_head("/brief/1", "Content-Length: 0", version=version))
+    reply = caller.read()
+    assert (reply.status, reply.complete) == (200, False)
+
+
 def test_half_closed_caller_with_a_long_body(world, caller):
     configure(world, **{"max-body-bytes": 2 * len(LONG_BODY)})
     caller.send("/book/1", body=LONG_BODY)
