Check half-closed callers less often after 0.3 s

Each request in progress of a half-closed caller was checked 50 times a second to its end, a stream for as long as it lasts. A caller that leaves at once is still reset by the first byte and seen within 0.02 s; one that leaves later than 0.3 s after its FIN within 0.1 s of the reset.

--- a/src/rosemarystream/_internal/gateway/disconnect_watch.py
+++ b/src/rosemarystream/_internal/gateway/disconnect_watch.py
@@ -1,7 +1,7 @@
 """Detection of a caller's disconnect while its request is served.
 
 A caller that closes its sending side may have left, or may still wait for its answer
-(half-close). Only the second one takes in what is sent: the connection of the first is
+(half-close). Only the latter accepts what is sent: the connection of the former is
 reset by any byte. ``docs/design/half-closed-callers.md`` weighs the ways.
 """
 
@@ -16,8 +16,14 @@
 READ_BYTES = 65_536
 # Bytes of pipelined requests that are buffered while one is being served.
 MAX_PIPELINED_BYTES = 262_144
-# Interval at which a connection whose caller has closed its sending side is checked.
+# Interval at which a connection whose caller has closed its sending side is checked,
+# and number of these checks; most callers that leave are noticed by then.
 CHECK_INTERVAL_S = 0.02
+FREQUENT_CHECKS = 16
+# Intervals between two later checks.
+INTERVALS_PER_LATE_CHECK = 5
+# Event of a socket that gevent's loop watches.
+READABLE = 1
 
 
 class DisconnectWatch:
@@ -47,13 +53,15 @@
         self._socket = opened
         self._greenlet = greenlet
         self._answer = answer
-        self._checks = 0
-        # Number of the check at which the next byte is sent.
+        # Check intervals since the caller closed its sending side, and their number at
+        # which the next byte is sent.
+        self._intervals = 0
         self._next_byte = 1
+        self._intervals_per_check = 1
         loop = gevent.get_hub().loop
         self._timer = loop.timer(0.0, CHECK_INTERVAL_S)
-        # Event mask 1 (readable), and a callback, as in gevent's own socket waits.
-        self._watcher = loop.io(opened.fileno(), 1)
+        # With a callback, as in gevent's own socket waits.
+        self._watcher = loop.io(opened.fileno(), READABLE)
         self._watcher.start(self._on_readable)
 
     def _on_readable(self) -> None:
@@ -79,12 +87,22 @@
         if code:
             self._end_request(f"reset ({code})")
             return
-        self._checks += 1
+        self._intervals += self._intervals_per_check
+        if self._intervals == FREQUENT_CHECKS:
+            self._check_less_often()
         # Few bytes can be sent ahead, so the time between two of them doubles.
-        if self._checks == self._next_byte:
+        if self._intervals >= self._next_byte:
             self._next_byte *= 2
             self._send_ahead()
 
+    def _check_less_often(self) -> None:
+        self._intervals_per_check = INTERVALS_PER_LATE_CHECK
+        interval_s = INTERVALS_PER_LATE_CHECK * CHECK_INTERVAL_S
+        self._timer.stop()
+        self._timer.close()
+        self._timer = gevent.get_hub().loop.timer(interval_s, interval_s)
+        self._timer.start(self._check)
+
     def _send_ahead(self) -> None:
         try:
             self._answer.send_ahead()
