--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -7,17 +7,16 @@
 there are more collectors.
 """
 
-from collections import Counter
 from collections.abc import Collection
 from typing import NamedTuple
 
-from rosemarystream._internal.decisions.hashing import order_candidates
+from rosemarystream._internal.decisions.live_hosts import (
+    LiveHosts,
+    Peer,
+    find_live_hosts,
+)
 
 COLLECTORS = 2
-# Time without a sign of life after which a host is considered dead.
-DEAD_AFTER_S = 1.2
-# Time for which a host that was only named by others counts as live.
-UNCONFIRMED_TTL_S = 3.0
 # Time without a sign of life after which a host is removed from the table.
 FORGET_AFTER_S = 120.0
 # Collectors of a data centre that watch the store if there are other data centres.
@@ -38,24 +37,6 @@
 RESERVE_WATCHERS = 1
 
 
-class Peer(NamedTuple):
-    """Another host of the fleet.
-
-    Attributes
-    ----------
-    last_seen_at : float
-        Time of its last sign of life, by this host's clock; 0 if there was none.
-    known_since : float
-        When it became known; starts again if it is named at another address.
-    """
-
-    name: str
-    data_centre: str
-    ip: str
-    last_seen_at: float
-    known_since: float
-
-
 class PeerChanges(NamedTuple):
     """Hosts that were found or lost since the last call of `take_changes`."""
 
@@ -81,6 +62,7 @@
         self._name = name
         self._data_centre = data_centre
         self._hosts: dict[str, Peer] = {}
+        self._live: LiveHosts | None = None
         self._previous_live: dict[str, Peer] = {}
         self._data_centre_counts: dict[str, _HostCount] = {}
         self._fleet_count = _HostCount(0, 0.0)
@@ -95,7 +77,7 @@
             return
         last_seen_at = known.last_seen_at if known and known.ip == ip else 0.0
         known_since = known.known_since if known and known.ip == ip else now
-        self._hosts[name] = Peer(name, data_centre, ip, last_seen_at, known_since)
+        self._store(Peer(name, data_centre, ip, last_seen_at, known_since))
 
     def record_alive(
         self, name: str, data_centre: str, ip: str, last_seen_at: float
@@ -107,13 +89,23 @@
         ):
             return
         known_since = known.known_since if known else last_seen_at
-        self._hosts[name] = Peer(name, data_centre, ip, last_seen_at, known_since)
+        self._store(Peer(name, data_centre, ip, last_seen_at, known_since))
+
+    def _store(self, host: Peer) -> None:
+        self._hosts[host.name] = host
+        live = self._live
+        if live is not None and (
+            live.names.get(host.name) != host.data_centre
+            or host.compute_deadline() < live.deadline
+        ):
+            self._live = None
 
     def remove_stale(self, now: float) -> None:
         """Remove hosts without a sign of life for `FORGET_AFTER_S`."""
         for host in [*self._hosts.values()]:
             if now - max(host.last_seen_at, host.known_since) > FORGET_AFTER_S:
                 del self._hosts[host.name]
+                self._live = None
 
     def find(self, name: str) -> Peer | None:
         """Return a host by its name, or None if it is unknown."""
@@ -125,7 +117,20 @@
 
     def list_live(self, now: float) -> list[Peer]:
         """Return the hosts that are alive, or newly named and not yet confirmed."""
-        return [host for host in self._hosts.values() if _is_live(host, now)]
+        return [self._hosts[name] for name in self._find_live(now).names]
+
+    def _find_live(self, now: float) -> LiveHosts:
+        """Return which hosts are live, as found before unless that may have changed."""
+        live = self._live
+        if live is None or not live.since <= now < live.deadline:
+            live = find_live_hosts(
+                self._hosts.values(),
+                now,
+                name=self._name,
+                data_centre=self._data_centre,
+            )
+            self._live = live
+        return live
 
     def take_changes(self, now: float) -> PeerChanges:
         """Return the hosts that were found or lost since the last call.
@@ -158,12 +163,12 @@
 
         Hosts that this host does not hear are counted by those that do.
         """
-        counts = Counter(host.data_centre for host in self.list_live(now))
-        counts[self._data_centre] += 1
+        orders = self._find_live(now).orders
+        counts = {data_centre: len(order) for data_centre, order in orders.items()}
         for data_centre, reported in self._data_centre_counts.items():
             if now <= reported.valid_until and data_centre != self._data_centre:
-                counts[data_centre] = max(counts[data_centre], reported.hosts)
-        total = counts.total()
+                counts[data_centre] = max(counts.get(data_centre, 0), reported.hosts)
+        total = sum(counts.values())
         if now <= self._fleet_count.valid_until:
             total = max(total, self._fleet_count.hosts)
         return total
@@ -183,12 +188,7 @@
 
     def _order_hosts(self, data_centre: str, now: float) -> list[str]:
         """Return the live hosts of a data centre in the order that assigns roles."""
-        names = [
-            host.name for host in self.list_live(now) if host.data_centre == data_centre
-        ]
-        if data_centre == self._data_centre:
-            names.append(self._name)
-        return order_candidates(data_centre, names)
+        return self._find_live(now).orders.get(data_centre, [])
 
     def list_collectors(self, data_centre: str, now: float) -> list[str]:
         """Return the names of a data centre's collectors."""
@@ -201,7 +201,7 @@
 
     def list_unheard(self, now: float) -> list[Peer]:
         """Return the known hosts of the data centres in which none is live."""
-        live = {host.data_centre for host in self.list_live(now)}
+        live = {*self._find_live(now).names.values()}
         return [host for host in self._hosts.values() if host.data_centre not in live]
 
     def is_collector(self, now: float) -> bool:
@@ -221,9 +221,7 @@
         before = order[: order.index(self._name)]
         if len(before) >= COLLECTORS + RESERVE_WATCHERS:
             return False
-        is_single_data_centre = all(
-            host.data_centre == self._data_centre for host in self.list_live(now)
-        )
+        is_single_data_centre = len(self._find_live(now).orders) == 1
         watching = [name for name in before if name not in lost]
         return len(watching) < (
             SINGLE_DATA_CENTRE_WATCHERS if is_single_data_centre else WATCHERS
@@ -236,9 +234,8 @@
         enough in a few data centres: the others miss no change unless all watchers of
         the fleet are cut off, and then these tell them.
         """
-        names = {host.data_centre for host in self.list_live(now)}
-        names.add(self._data_centre)
-        return self._data_centre in sorted(names)[:SHORT_WAIT_DATA_CENTRES]
+        names = sorted(self._find_live(now).orders)
+        return self._data_centre in names[:SHORT_WAIT_DATA_CENTRES]
 
     def list_data_centres(self) -> list[str]:
         """Return the names of the other known data centres."""
@@ -248,11 +245,4 @@
 
     def list_heard_data_centres(self, now: float) -> list[str]:
         """Return the names of the other data centres of which a host is live."""
-        live = {host.data_centre for host in self.list_live(now)}
-        return sorted(live - {self._data_centre})
-
-
-def _is_live(host: Peer, now: float) -> bool:
-    if host.last_seen_at:
-        return now - host.last_seen_at <= DEAD_AFTER_S
-    return now - host.known_since <= UNCONFIRMED_TTL_S
+        return sorted(self._find_live(now).orders.keys() - {self._data_centre})
--- a/src/rosemarystream/_internal/gateway/gossip_names.py
+++ b/src/rosemarystream/_internal/gateway/gossip_names.py
@@ -1,9 +1,9 @@
 """The hosts that a gossip message names, so that others learn of them."""
 
+from rosemarystream._internal.decisions.live_hosts import Peer
 from rosemarystream._internal.decisions.peer_table import (
     CANDIDATES,
     COLLECTORS,
-    Peer,
     PeerTable,
 )
 from rosemarystream._internal.models.gossip import HostAddress
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -15,7 +15,8 @@
     LimitQuotas,
     compute_share,
 )
-from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
+from rosemarystream._internal.decisions.live_hosts import Peer
+from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.gossip import (
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -21,11 +21,9 @@
     FleetObservations,
     ObservationReports,
 )
+from rosemarystream._internal.decisions.live_hosts import Peer
 from rosemarystream._internal.decisions.load_table import Load, LoadTable
-from rosemarystream._internal.decisions.peer_table import (
-    Peer,
-    PeerTable,
-)
+from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.gossip_decoder import decode_gossip
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -14,8 +14,9 @@
 
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.left_out_objects import LeftOutObjects
+from rosemarystream._internal.decisions.live_hosts import Peer
 from rosemarystream._internal.decisions.load_table import LoadTable
-from rosemarystream._internal.decisions.peer_table import Peer, PeerTable
+from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.prompt_blocks import (
     PromptBlocks,
 )
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -13,7 +13,7 @@
 import msgspec
 from gevent import socket
 
-from rosemarystream._internal.decisions.peer_table import DEAD_AFTER_S
+from rosemarystream._internal.decisions.live_hosts import DEAD_AFTER_S
 from rosemarystream._internal.gateway.process import Gateway
 from rosemarystream._internal.gateway.settings import GatewaySettings
 from rosemarystream._internal.utils.address import split_address
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -1,8 +1,9 @@
 """Collectors and watchers of a data centre while hosts join, fail and return."""
 
+from rosemarystream._internal.decisions import hashing
+from rosemarystream._internal.decisions.live_hosts import DEAD_AFTER_S
 from rosemarystream._internal.decisions.peer_table import (
     COLLECTORS,
-    DEAD_AFTER_S,
     PEAK_PERIOD_S,
     RESERVE_WATCHERS,
     SHORT_WAIT_DATA_CENTRES,
@@ -119,3 +120,24 @@
     assert len(short) == SHORT_WAIT_DATA_CENTRES
     alone_at = 5.0 + DEAD_AFTER_S + 0.1
     assert all(table.keeps_waits_short(alone_at) for table in tables.values())
+
+
+def test_signs_of_life_of_live_hosts_order_no_data_centre_anew(monkeypatch):
+    scored = []
+    score = hashing.score_candidate
+    monkeypatch.setattr(
+        hashing,
+        "score_candidate",
+        lambda key, candidate: scored.append(candidate) or score(key, candidate),
+    )
+    names = [f"host-{number}" for number in range(30)]
+    table = PeerTable(name=names[0], data_centre="a")
+    rounds = 10
+    for number in range(rounds):
+        now = 5.0 + number * 0.1
+        for name in names[1:]:
+            table.record_alive(name, "a", "10.0.0.1", now)
+            table.is_collector(now)
+    # Once as each host joins, and once more in a second for those that may be lost.
+    joins = sum(range(1, len(names) + 1))
+    assert len(scored) <= joins + len(names)
