Read each event's identifier once, and work out the stall time once a stream

Cause: the identifier of the last event was checked and converted again at each event. Change: its number is kept. The bound of 18 digits stays. Tests: those of event order (header decoders, unexpected errors, entry requests).

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -70,6 +70,7 @@
         self._leave_silent = leave_silent
         self._stream = EventStream(last_event=call.last_event_id)
         self._loop_share = LoopShare()
+        self._stall_timeout_s = compute_stall_timeout(route)
         self._stalled_at = 0.0
 
     @property
@@ -153,7 +154,7 @@
         self._record_answered(attempt, head)
 
     def _expect_progress(self) -> None:
-        self._stalled_at = self._clock() + compute_stall_timeout(self._route)
+        self._stalled_at = self._clock() + self._stall_timeout_s
 
     def _read_piece(self, attempt: Attempt) -> bytes | None:
         """Return the next piece; a stalled stream is left if it can go on elsewhere."""
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -28,6 +28,7 @@
 
     def __init__(self, *, last_event: bytes) -> None:
         self.last_event = last_event
+        self._last_number = _read_number(last_event)
         self.has_begun = False
         self._splitter = EventSplitter()
         self._has_events = False
@@ -61,8 +62,9 @@
         identifier = find_event_id(event)
         if not identifier:
             return True
-        if _is_number(self.last_event) and _is_number(identifier):
-            ahead = int(identifier) - int(self.last_event)
+        number = _read_number(identifier)
+        if number is not None and self._last_number is not None:
+            ahead = number - self._last_number
             if ahead <= 0:
                 return False
             if ahead > 1:
@@ -70,6 +72,7 @@
                     f"event {identifier!r} came after {self.last_event!r}"
                 )
         self.last_event = identifier
+        self._last_number = number
         return True
 
     def check_end(self, *, is_delimited: bool) -> None:
@@ -94,5 +97,7 @@
             raise OutcomeUnknownError("the stream ended before an event", closed=True)
 
 
-def _is_number(identifier: bytes) -> bool:
-    return identifier.isdigit() and len(identifier) <= MAX_NUMBER_DIGITS
+def _read_number(identifier: bytes) -> int | None:
+    if len(identifier) > MAX_NUMBER_DIGITS or not identifier.isdigit():
+        return None
+    return int(identifier)
