Do nothing for the parts of a gossip message that report nothing

Change: what is empty is passed over, at the receiver and the sender; a host's report on its store is kept only while it has lost it. Each check of a message stays, as they are made when it is decoded. Content and rate of the messages stay as they are. Tests: tests/unit (gossip, peering, load table, odd gossip), the decoders' properties.

--- a/src/rosemarystream/_internal/decisions/fleet_observations.py
+++ b/src/rosemarystream/_internal/decisions/fleet_observations.py
@@ -89,7 +89,12 @@
         nearby : bool
             Whether it reports its own observations, as a host of this data centre.
         """
-        self._speeds.accept_reports(reports.slowness, now, nearby=nearby)
-        self._limits.accept_reports(reports.limits, now, nearby=nearby)
-        self._retries.accept_reports(reports.retry_after, now, nearby=nearby)
-        self._leaving.accept_reports(reports.leaving)
+        # Most messages have nothing to report.
+        if reports.slowness:
+            self._speeds.accept_reports(reports.slowness, now, nearby=nearby)
+        if reports.limits:
+            self._limits.accept_reports(reports.limits, now, nearby=nearby)
+        if reports.retry_after:
+            self._retries.accept_reports(reports.retry_after, now, nearby=nearby)
+        if reports.leaving:
+            self._leaving.accept_reports(reports.leaving)
--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -117,7 +117,8 @@
         for host in hosts:
             own = self._hosts.get(host, _NO_REPORT)
             others[host] = Load(
-                total.counts - Counter(own.counts), total.prefill - Counter(own.prefill)
+                _exclude(total.counts, own.counts),
+                _exclude(total.prefill, own.prefill),
             )
         return others
 
@@ -157,11 +158,25 @@
 
 def _add(load: Load, reports: Mapping[str, LoadReport]) -> Load:
     for report in reports.values():
-        load.counts.update(report.counts)
-        load.prefill.update(report.prefill)
+        _add_counts(load.counts, report.counts)
+        _add_counts(load.prefill, report.prefill)
     return load
 
 
+# `Counter` can do both, but checks the type of its operand at each call.
+
+
+def _add_counts(total: Counter[int], counts: Mapping[int, int]) -> None:
+    for server, count in counts.items():
+        total[server] = total.get(server, 0) + count
+
+
+def _exclude(total: Counter[int], counts: Mapping[int, int]) -> Counter[int]:
+    """Return what is left of a sum without one part of it, where anything is."""
+    rest = {server: count - counts.get(server, 0) for server, count in total.items()}
+    return Counter({server: count for server, count in rest.items() if count > 0})
+
+
 def _store_if_newer(
     reports: dict[str, LoadReport], name: str, report: LoadReport
 ) -> None:
--- a/src/rosemarystream/_internal/decisions/server_observations.py
+++ b/src/rosemarystream/_internal/decisions/server_observations.py
@@ -79,6 +79,8 @@
     def _select_reported(
         self, observations: Mapping[int, Observation], now: float
     ) -> dict[int, ServerReport]:
+        if not observations:
+            return {}
         return {
             server: make_report(observation, now)
             for server, observation in observations.items()
--- a/src/rosemarystream/_internal/gateway/gossip_reports.py
+++ b/src/rosemarystream/_internal/gateway/gossip_reports.py
@@ -1,7 +1,5 @@
 """What gossip messages tell of hosts: their names, load, number and store."""
 
-from typing import NamedTuple
-
 from rosemarystream._internal.decisions.load_table import LoadReport, LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.models.gossip import (
@@ -16,36 +14,35 @@
 _MS_PER_S = 1000
 
 
-class _StoreReport(NamedTuple):
-    """The last report of a host about its contact with the store."""
-
-    reported_at: float
-    lost_ms: int
-
-
 class GossipReports:
     """Enters the reports of received messages in the tables of hosts and loads."""
 
     def __init__(self, *, peer_table: PeerTable, loads: LoadTable) -> None:
         self._peer_table = peer_table
         self._loads = loads
-        self._store_reports: dict[str, _StoreReport] = {}
+        # When hosts last reported that they lost the store, unless they regained it.
+        self._lost_stores: dict[str, float] = {}
 
     def accept(self, message: GossipMessage, now: float) -> None:
         """Enter all reports of a message."""
         sender = message.sender
         self._peer_table.record_alive(sender.name, sender.data_centre, sender.ip, now)
-        self._accept_known_hosts(message.known_hosts, now)
+        if message.known_hosts:
+            self._accept_known_hosts(message.known_hosts, now)
         self._accept_load(message, now)
-        self._accept_count(message, now)
-        self._store_reports[sender.name] = _StoreReport(now, message.store_lost_ms)
+        if message.live_hosts:
+            self._accept_count(message, now)
+        if message.store_lost_ms:
+            self._lost_stores[sender.name] = now
+        elif self._lost_stores:
+            self._lost_stores.pop(sender.name, None)
 
     def list_lost_stores(self, now: float) -> set[str]:
         """Return the hosts that have lately reported that they lost the store."""
         return {
             name
-            for name, report in self._store_reports.items()
-            if report.lost_ms > 0 and now - report.reported_at <= STORE_REPORT_LIFE_S
+            for name, reported_at in self._lost_stores.items()
+            if now - reported_at <= STORE_REPORT_LIFE_S
         }
 
     def _accept_known_hosts(self, known_hosts: list[HostAddress], now: float) -> None:
@@ -71,8 +68,6 @@
             self._loads.accept_others_sum(sender.name, report)
 
     def _accept_count(self, message: GossipMessage, now: float) -> None:
-        if not message.live_hosts:
-            return
         if message.scope is LoadScope.DATA_CENTRE:
             self._peer_table.record_data_centre_count(
                 message.sender.data_centre, message.live_hosts, now
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -240,7 +240,8 @@
                 self._socket.settimeout(wait_s)
                 data = self._socket.recv(READ_BYTES)
                 is_closed = not data
-                self._raise_send_error()
+                if self._remainder is not None:
+                    self._raise_send_error()
                 self._protocol.receive_data(data)
             except OSError as error:
                 self._raise_send_error()
