--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -32,6 +32,7 @@
 
     def __init__(self, *, last_event: bytes) -> None:
         self.last_event = last_event
+        self._last_number = _read_number(last_event)
         self.has_begun = False
         self.can_continue = True
         self._splitter = EventSplitter()
@@ -67,8 +68,9 @@
         if not identifier:
             self.can_continue &= not has_data(event)
             return True
-        if _is_number(self.last_event) and _is_number(identifier):
-            ahead = int(identifier) - int(self.last_event)
+        number = _read_number(identifier)
+        if number is not None and self._last_number is not None:
+            ahead = number - self._last_number
             if ahead <= 0:
                 return False
             if ahead > 1:
@@ -77,6 +79,7 @@
                 )
         self.last_event = identifier
         self.can_continue = True
+        self._last_number = number
         return True
 
     def check_end(self, *, is_delimited: bool) -> None:
@@ -101,5 +104,7 @@
             raise OutcomeUnknownError("the stream ended before an event", closed=True)
 
 
-def _is_number(identifier: bytes) -> bool:
-    return identifier.isdigit() and len(identifier) <= MAX_NUMBER_DIGITS
+def _read_number(identifier: bytes) -> int | None:
+    if len(identifier) > MAX_NUMBER_DIGITS or not identifier.isdigit():
+        return None
+    return int(identifier)
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -253,7 +253,8 @@
                 data = self._socket.recv(READ_BYTES)
                 is_closed = not data
                 self.received_at = self._clock()
-                self._raise_send_error()
+                if self._remainder is not None:
+                    self._raise_send_error()
                 self._protocol.receive_data(data)
             except OSError as error:
                 self._raise_send_error()
