Linger after the last answer on a connection, as after a refusal

What callers saw: within a planned stop, or where a caller is to reconnect, an answer of 3 MB that was read late was cut when its caller had sent its next request meanwhile. Cause: the host closed after its last write; closing with unread bytes resets the connection, and what had not been delivered was discarded.

--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -48,7 +48,8 @@
 BACKLOG = 1024
 # Time in which a caller has to take in each piece of an answer.
 WRITE_TIMEOUT_S = 15.0
-# Time in which the rest of a refused request is read and discarded.
+# Time in which what comes after the last answer, as the rest of a refused request, is
+# read and discarded.
 LINGER_TIMEOUT_S = 0.5
 LINGER_BYTES = 1_000_000
 
@@ -171,6 +172,8 @@
         )
         self.busy = False
         self._closed = False
+        # Whether the last answer has announced that this host closes the connection.
+        self._is_closing = False
         self._greenlet = gevent.getcurrent()
         self._refusal: _Refusal | None = None
         self._watch: DisconnectWatch | None = None
@@ -187,6 +190,8 @@
                 self._reader.has_begun = False
             if self._refusal is not None:
                 self._refuse(self._refusal)
+            elif self._is_closing:
+                self._linger()
         except CallerDisconnectedError:
             cause = EndingCause.CALLER_GONE
         except HostStoppedError:
@@ -273,6 +278,7 @@
             raise
         finally:
             self._end(begun, find_cause(answer, error), answer)
+        self._is_closing = answer.is_finished and answer.is_closing
         return answer.is_finished and not answer.is_closing
 
     def _begin(self, request: Request) -> BegunRequest | None:
@@ -370,13 +376,14 @@
         self._linger()
 
     def _linger(self) -> None:
-        """Read on for a while after a refusal.
+        """Read on for a while after the last answer.
 
         Closing with unread bytes would reset the connection and discard the answer.
         """
         deadline = self._listener.clock() + LINGER_TIMEOUT_S
         received = 0
         try:
+            self._socket.settimeout(LINGER_TIMEOUT_S)
             self._socket.shutdown(socket.SHUT_WR)
             while received < LINGER_BYTES and self._listener.clock() < deadline:
                 self._loop_share.take_step()
