Keep the second server's attempt until the first one's answer is passed on

What callers saw: two servers had a request, as the first was unresponsive. When the first then refused the request, failed, broke off or crashed, the second attempt was given up at its first byte, and both attempts of the route were used: 502, or the 500 of the first, though the second server was at work on the answer.

Cause: any byte of the first server was taken for its answer. Now the other attempt stays open until a part of the first answer is passed on to the caller; if the first fails before, the exchange goes on with the other one, without another retry.

Evidence: tests/functional/test_two_servers_at_once.py, 54 cases. On 11 failed: late refusal, failure, garbage, answer without seal and half a head of the first (plain and stream), and a plain answer that is cut after its head. Now all 54 pass, and the 12 of test_late_answers_of_first_servers.

Ruled out by the other cases, which pass on too: a failure of the second, the cancelling of the work that isn't needed, counts of load and of retries, connections that are used again, the caller leaving, the host stopping, a configuration without the route, with another service, shorter timeouts or without the key, and either server draining or removed, each while both servers are asked.

A stream that has gone on and is cut then breaks off: its route's two attempts are used.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -40,6 +40,8 @@
         Is told of answers that are complete.
     on_event : callable
         Called when an event of a stream has arrived.
+    on_progress : callable
+        Called before a part of an answer is passed on.
     leave_unresponsive : callable
         Called while a server is unresponsive; returns whether it is left.
     """
@@ -56,6 +58,7 @@
         crashes: CrashReporter,
         clock: Callable[[], float],
         on_event: Callable[[], None],
+        on_progress: Callable[[], None],
         leave_unresponsive: Callable[[], bool],
     ) -> None:
         self._call = call
@@ -67,6 +70,7 @@
         self._crashes = crashes
         self._clock = clock
         self._on_event = on_event
+        self._on_progress = on_progress
         self._leave_unresponsive = leave_unresponsive
         self._stream = EventStream(last_event=call.last_event_id)
         self._loop_share = LoopShare()
@@ -107,6 +111,7 @@
             # A server that crashes after the head ends its answer in the same way.
             raise OutcomeUnknownError("the answer ended before its body", closed=True)
         self._record_answered(attempt, head, failed=head.status >= SERVER_ERROR)
+        self._on_progress()
         self._answer.send_whole(head.status, head.headers, b"".join(pieces))
 
     def _lacks_end(self, head: AnswerHead) -> bool:
@@ -116,6 +121,7 @@
 
     def relay_long(self, attempt: Attempt, head: AnswerHead, received: bytes) -> None:
         """Relay an answer without a stream, of which a part has been received."""
+        self._on_progress()
         self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(received)
         while (piece := attempt.read_piece(self._deadline)) is not None:
@@ -186,6 +192,7 @@
         """Relay an event; return False if the caller has it already."""
         if not self._stream.accept(event):
             return False
+        self._on_progress()
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(event)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -206,6 +206,7 @@
             crashes=self._crashes,
             clock=self._clock,
             on_event=self._record_first_event,
+            on_progress=self._failover.give_up_other,
             leave_unresponsive=self._leave_unresponsive,
         )
 
@@ -222,7 +223,7 @@
 
     def _attempt_once(self) -> bool:
         """Make the next attempt; return whether the request is answered."""
-        self._current = self._failover.take_successor()
+        self._current = self._failover.take_other()
         if self._current is None:
             self._current = self._begin_attempt(self._attempts.choose_next())
         with closing(self._current) as current:
@@ -250,14 +251,16 @@
         """Make an attempt and record how it ends; return whether it is the last."""
         try:
             self._run_attempt(current)
+            self._failover.give_up_other()
             self._record.sends += 1
             return True
         except NotRunError as error:
             self._outcomes.record_not_run(current.attempt, error)
-            self._attempts.check_retry(sent=error.sent, reason=str(error))
+            if not self._failover.has_other:
+                self._attempts.check_retry(sent=error.sent, reason=str(error))
         except OutcomeUnknownError as error:
             self._outcomes.record_unknown(current.attempt, error)
-            if not self._failover.has_successor:
+            if not self._failover.has_other:
                 self._relay.check_resumable(str(error))
                 self._attempts.check_retry(sent=True, reason=str(error))
         except (Exception, HostStoppedError):
@@ -269,7 +272,8 @@
         attempt = current.attempt
         head = current.head
         if head is None:
-            self._send(current)
+            if not attempt.is_sent:
+                self._send(current)
             head = self._read_head(attempt)
         self._router.record_answer(attempt.endpoint, slowness=head.slowness)
         if head.status >= SERVER_ERROR and self._attempts.may_repeat:
--- a/src/rosemarystream/_internal/gateway/failover.py
+++ b/src/rosemarystream/_internal/gateway/failover.py
@@ -1,7 +1,8 @@
 """Change of a request from an unresponsive server to another one.
 
 The server before may only be slow. So it is left only when the other one has begun to
-answer, and the other one is given up as soon as the server before sends something.
+answer, and the other one is given up only when the caller gets something of the one
+before.
 """
 
 from collections.abc import Callable
@@ -17,14 +18,13 @@
 from rosemarystream._internal.gateway.attempt_sequence import AttemptSequence
 from rosemarystream._internal.gateway.counted_attempt import CountedAttempt
 from rosemarystream._internal.models.route import Route
-from rosemarystream._internal.platform.headers import AnswerHead
 
 # A server from which bytes came within this time sends some that make no progress.
 RECENTLY_S = 0.1
 
 
 class ServerResumedError(BaseException):
-    """The server before sends again, so the other one need not answer.
+    """The server before sends again, so that has to be read first.
 
     Not an `Exception`, so that no handler of failed attempts catches it.
     """
@@ -61,40 +61,51 @@
         self._begin = begin
         self._send = send
         self._clock = clock
-        self._successor: CountedAttempt | None = None
+        self._other: CountedAttempt | None = None
 
     @property
-    def has_successor(self) -> bool:
-        """Whether another server has begun to answer."""
-        return self._successor is not None
-
-    def take_successor(self) -> CountedAttempt | None:
-        """Return the attempt that has begun to answer, if any, to be closed by now."""
-        successor, self._successor = self._successor, None
-        return successor
+    def has_other(self) -> bool:
+        """Whether another server has the request beside the one before."""
+        return self._other is not None
+
+    def take_other(self) -> CountedAttempt | None:
+        """Return the attempt at the other server, if any; its user closes it."""
+        other, self._other = self._other, None
+        return other
+
+    def give_up_other(self) -> None:
+        """End the attempt at the other server, if any, as it isn't needed."""
+        other = self.take_other()
+        if other is not None:
+            reason = "the server before has gone on"
+            self._outcomes.record_not_needed(other.attempt, reason)
+            other.close()
 
     def close(self) -> None:
-        """Close the attempt that has begun to answer, if nobody has taken it."""
-        successor = self.take_successor()
-        if successor is not None:
-            successor.close()
+        """End the attempt at the other server, if any, as the request ends."""
+        other = self.take_other()
+        if other is not None:
+            other.close()
 
     def leave(self, unresponsive: Attempt) -> bool:
         """Ask another server; return whether the one before is left.
 
-        It is if the other one begins to answer, or the time is over.
+        It is if the other one begins to answer, or the time is over. If the one before
+        sends something first, the other one keeps the request: what was sent may be a
+        refusal, or the end of the connection.
         """
         if self._clock() >= self._deadline:
             return True
         delay_s = self._compute_watch_delay(unresponsive)
         try:
-            with unresponsive.watch(
-                ServerResumedError("the server before has gone on"), delay_s=delay_s
-            ):
-                self._ask_another()
+            with unresponsive.watch(ServerResumedError(), delay_s=delay_s):
+                if self._other is None:
+                    self._ask_another()
+                if self._other is not None:
+                    self._read_head(self._other)
         except ServerResumedError:
             return False
-        return self.has_successor
+        return self._other is not None
 
     def _compute_watch_delay(self, unresponsive: Attempt) -> float:
         """Return how long bytes of the server before don't count, in seconds.
@@ -116,33 +127,35 @@
             return
         is_sent = False
         try:
-            successor = self._begin(placement)
+            other = self._begin(placement)
             try:
-                self._read_answer(successor)
+                self._send_to(other)
             finally:
-                is_sent = successor.attempt.is_sent
-                if not self.has_successor:
-                    successor.close()
+                is_sent = other.attempt.is_sent
+                if not self.has_other:
+                    other.close()
         finally:
             self._attempts.end_early(is_sent=is_sent)
 
-    def _read_answer(self, successor: CountedAttempt) -> None:
-        attempt = successor.attempt
+    def _send_to(self, other: CountedAttempt) -> None:
+        try:
+            self._send(other)
+            self._other = other
+        except NotRunError as error:
+            self._outcomes.record_not_run(other.attempt, error)
+        except OutcomeUnknownError as error:
+            self._outcomes.record_unknown(other.attempt, error)
+
+    def _read_head(self, other: CountedAttempt) -> None:
+        """Read the head of the other answer; the attempt ends unless it succeeds."""
         try:
-            self._send(successor)
-            successor.head = self._read_head(attempt)
-            self._successor = successor
+            head = other.attempt.read_head(self._deadline)
+            if not head.is_success:
+                raise OutcomeUnknownError(f"failed with {head.status}")
+            other.head = head
+            return
         except NotRunError as error:
-            self._outcomes.record_not_run(attempt, error)
+            self._outcomes.record_not_run(other.attempt, error)
         except OutcomeUnknownError as error:
-            self._outcomes.record_unknown(attempt, error)
-        except ServerResumedError as error:
-            if attempt.is_sent:
-                self._outcomes.record_not_needed(attempt, str(error))
-            raise
-
-    def _read_head(self, attempt: Attempt) -> AnswerHead:
-        head = attempt.read_head(self._deadline)
-        if head.is_success:
-            return head
-        raise OutcomeUnknownError(f"failed with {head.status}")
+            self._outcomes.record_unknown(other.attempt, error)
+        self.close()
