An answered request leaves no reference cycle

Cause: when exchange.py was divided, the relay of the answer got two callbacks of the exchange, which holds the relay. Change: the exchange gives up the relay when it ends.

--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -136,6 +136,9 @@
             head, body = self._failed_answer
             self._answer.send_whole(head.status, head.headers, body)
             return "failed"
+        finally:
+            # It calls back: the cycle would keep all buffers until a collection.
+            del self._relay
 
     def _resolve(self) -> None:
         """Find out where the request belongs, and until when it may last.
