--- a/src/rosemarystream/_internal/gateway/request_ledger.py
+++ b/src/rosemarystream/_internal/gateway/request_ledger.py
@@ -35,6 +35,8 @@
 
 log = Logger(__name__)
 
+_ANSWERED = frozenset(cause for cause in EndingCause if cause.has_answer)
+
 
 class RequestBalance(TypedDict):
     """Requests since the start of the process.
@@ -93,23 +95,15 @@
         self._begun = 0
         self._ended = dict.fromkeys(EndingCause, 0)
         self._logged_difference = 0
-        # Looked up once, as that takes longer than to count.
-        self._begun_metric = metrics.requests_begun
-        self._ended_metrics = {
-            cause: metrics.requests_ended.labels(cause) for cause in EndingCause
-        }
-        self._unanswered_metrics = {
-            cause: metrics.requests_ended_without_answer.labels(cause)
-            for cause in EndingCause
-            if not cause.has_answer
-        }
+        self._metrics = metrics
+        self._published_begun = 0
+        self._published_ended = dict.fromkeys(EndingCause, 0)
 
     def begin(
         self, request: Request, *, connected_at: float, connection_requests: int
     ) -> BegunRequest:
         """Count a request that was read whole."""
         self._begun += 1
-        self._begun_metric.inc()
         return BegunRequest(
             request, connected_at, connection_requests, self._replica.version
         )
@@ -129,11 +123,21 @@
             Its answer; None if it was not handled.
         """
         self._ended[cause] += 1
-        self._ended_metrics[cause].inc()
-        if not cause.has_answer:
-            self._unanswered_metrics[cause].inc()
+        if cause not in _ANSWERED:
             write_log_entry(log, self._make_entry(begun, cause, answer))
 
+    def publish(self) -> None:
+        """Bring the metrics up to date, which is not done at each request."""
+        metrics = self._metrics
+        metrics.requests_begun.inc(self._begun - self._published_begun)
+        self._published_begun = self._begun
+        for cause, count in self._ended.items():
+            added = count - self._published_ended[cause]
+            self._published_ended[cause] = count
+            metrics.requests_ended.labels(cause).inc(added)
+            if cause not in _ANSWERED:
+                metrics.requests_ended_without_answer.labels(cause).inc(added)
+
     def read_balance(self, in_progress: int) -> RequestBalance:
         """Return the counts beside the number of requests that are being served."""
         difference = self._begun - sum(self._ended.values()) - in_progress
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -163,7 +163,8 @@
         self._times.record_version(self._replica.version)
 
     def collect_gauges(self) -> HostGauges:
-        """Return the current gauges of this host."""
+        """Return the current gauges of this host, and bring its counters up to date."""
+        self._ledger.publish()
         now = self._clock()
         return HostGauges(
             in_progress=self._count_busy(),
