--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -14,8 +14,10 @@
     Execution,
     RequestError,
 )
+from rosemarystream._internal.models.endings import EndingCause
 from rosemarystream._internal.models.log_entries.base import LogEntry
 from rosemarystream._internal.models.log_entries.catalogue import LOG_ENTRIES
+from rosemarystream._internal.models.log_entries.endings import RequestUnanswered
 from rosemarystream._internal.models.log_entries.process import LogEntriesDropped
 from rosemarystream._internal.models.log_entries.requests import (
     AttemptBroken,
@@ -47,9 +49,22 @@
         "services out of reach",
         "servers did not come back",
         "lines left out",
+        "requests unbalanced",
     }
 )
 
+CAUSE_TEXT = {
+    EndingCause.SERVER_BROKE_OFF: "its server broke the answer off",
+    EndingCause.TIMED_OUT: "its time was over within the answer",
+    EndingCause.CALLER_GONE: "its caller left, or took nothing in",
+    EndingCause.HOST_STOPPED: "the host stopped",
+    EndingCause.CONNECTION_CLOSED: (
+        "it was sent together with an earlier request, whose answer was the last on "
+        "the connection; it was not handled"
+    ),
+    EndingCause.ERROR: "an error in the host; look for 'unexpected error'",
+}
+
 EXECUTION_TEXT = {
     Execution.NOT_RUN: "it has not run and never will",
     Execution.RAN: "it has run",
@@ -195,11 +210,16 @@
     request: str, entries: Sequence[LoggedEntry], context: Sequence[LoggedEntry]
 ) -> str:
     """Return a sentence that says what happened to a request."""
-    ended = next((x for x in entries if isinstance(x.entry, RequestEnded)), None)
-    if ended is None:
+    ended = _find(entries, RequestEnded)
+    unanswered = _find(entries, RequestUnanswered)
+    if ended is None and unanswered is None:
         return _summarize_unended(request, entries)
+    if ended is None:
+        return f"{_describe_unanswered(unanswered.host, unanswered.entry)}."
     entry = ended.entry
     parts = [_describe_end(ended.host, entry), *_describe_attempts(entries)]
+    if unanswered is not None:
+        parts.append(_describe_unanswered(unanswered.host, unanswered.entry))
     if entry.reason and not any(entry.reason in part for part in parts):
         parts.append(f"the reason given: {entry.reason}")
     if entry.outcome != "answered":
@@ -207,6 +227,37 @@
     return "; ".join(parts) + "."
 
 
+def _find(entries: Sequence[LoggedEntry], kind: type[LogEntry]) -> LoggedEntry | None:
+    return next((x for x in entries if isinstance(x.entry, kind)), None)
+
+
+def _describe_unanswered(host: str, entry: RequestUnanswered) -> str:
+    """Return why a request had no whole answer, and what changed beside it."""
+    text = (
+        f"{host} ended it without a whole answer ({entry.progress} was sent): "
+        f"{CAUSE_TEXT[entry.cause]}"
+    )
+    if entry.server:
+        text += f"; the last act of {entry.server}: {entry.server_act}"
+    if entry.version != entry.version_at_start:
+        text += (
+            f"; the configuration changed meanwhile from {entry.version_at_start} to "
+            f"{entry.version}"
+        )
+    changes = {
+        "the configuration": entry.configuration_ms,
+        "SIGHUP": entry.reload_ms,
+        "SIGTERM": entry.stop_ms,
+    }
+    for what, age_ms in changes.items():
+        if age_ms is not None and age_ms <= entry.ms + CONTEXT_BEFORE_S * 1000:
+            text += f"; {what} came {age_ms} ms before the end"
+    return (
+        f"{text}; it was request {entry.connection_requests} of a connection that was "
+        f"{entry.connection_ms} ms old"
+    )
+
+
 def _summarize_unended(request: str, entries: Sequence[LoggedEntry]) -> str:
     if entries:
         return (
--- a/tests/unit/test_tracing.py
+++ b/tests/unit/test_tracing.py
@@ -4,6 +4,12 @@
 import pytest
 
 from rosemarystream._internal.exceptions import RequestError
+from rosemarystream._internal.models.endings import (
+    AnswerProgress,
+    EndingCause,
+    ServerAct,
+)
+from rosemarystream._internal.models.log_entries.endings import RequestUnanswered
 from rosemarystream._internal.models.log_entries.process import LogEntriesDropped
 from rosemarystream._internal.models.log_entries.requests import (
     AttemptBroken,
@@ -15,6 +21,7 @@
     ServicesUnreachable,
 )
 from rosemarystream._internal.models.log_entries.store import StoreLost
+from rosemarystream._internal.operators import tracing
 from rosemarystream._internal.operators.tracing import trace_request
 
 
@@ -110,6 +117,60 @@
     assert "the answer of p1 broke off (closed without an answer)" in found.summary
 
 
+def make_unanswered_entry(**changes):
+    fields = {
+        "request": "r1",
+        "cause": EndingCause.HOST_STOPPED,
+        "progress": AnswerProgress.PART,
+        "status": 200,
+        "ms": 900.0,
+        "connection_ms": 12_000.0,
+        "connection_requests": 3,
+        "version_at_start": 4,
+        "version": 5,
+        "configuration_ms": 300.0,
+        "reload_ms": 60_000.0,
+        "stop_ms": 800.0,
+        "server": "e1",
+        "server_act": ServerAct.ANSWERING,
+    }
+    return RequestUnanswered(**{**fields, **changes})
+
+
+def test_summary_of_an_ending_without_an_answer_names_its_cause(trace):
+    found = trace(
+        [
+            format_entry(1, make_unanswered_entry()),
+            format_entry(1.1, make_end_entry(outcome="outcome_unknown")),
+        ]
+    )
+    for part in (
+        "h1 ended it without a whole answer (part was sent): the host stopped",
+        "the last act of e1: answering",
+        "the configuration changed meanwhile from 4 to 5",
+        "the configuration came 300.0 ms before the end",
+        "SIGTERM came 800.0 ms before the end",
+        "it was request 3 of a connection that was 12000.0 ms old",
+    ):
+        assert part in found.summary
+    assert "SIGHUP" not in found.summary
+
+
+def test_a_request_that_was_not_handled_is_explained(trace):
+    entry = make_unanswered_entry(
+        cause=EndingCause.CONNECTION_CLOSED, progress=AnswerProgress.NOTHING, server=""
+    )
+    found = trace([format_entry(1, entry)])
+    assert "sent together with an earlier request" in found.summary
+    assert "the last act" not in found.summary
+
+
+@pytest.mark.parametrize("cause", [x for x in EndingCause if not x.has_answer])
+def test_each_cause_is_explained(trace, cause):
+    entry = make_unanswered_entry(cause=cause)
+    assert tracing.CAUSE_TEXT[cause] in trace([format_entry(1, entry)]).summary
+
+
 def test_entries_of_all_files_are_sorted_by_time(trace):
     broken = AttemptNotRun(request="r1", server="p1", sent=True, reason="full")
     found = trace([format_entry(3, make_end_entry())], [format_entry(2, broken)])
