Compare the ledger with the callers' lists and the servers' runs

The soak does the same across restarts: an exchange without a whole answer has an entry of its host, or its connection met the end of that host. That check was wrong at first, twice: it left out the log entries that a killed host had not written, and connections that were opened before the host was killed and used after it.

--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -5,6 +5,7 @@
 
 import itertools
 import os
+import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -212,6 +213,7 @@
     """A caller with one connection to an entry host."""
 
     def __init__(self, ip, port=CALLER_PORT):
+        self.opened_at = time.monotonic()
         self.socket = socket.create_connection((ip, port), timeout=5)
 
     def send(
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 
 from standins.backend_server import EVENTS, BackendServer
 from tests.lib.entry_world import Reply
+from tests.lib.ledger_checks import HostLog, list_log_problems
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 AT_MOST_ONCE_KINDS = ("book", "brief")
@@ -11,11 +12,37 @@
 
 
 class Exchange(NamedTuple):
-    """A request and the reply that its caller got."""
+    """A request and the reply that its caller got.
+
+    Attributes
+    ----------
+    host : str
+        Host that it was sent to.
+    connected_at, ended_at : float
+        When its connection was opened, and its reply ended, by the monotonic clock.
+    """
 
     request_id: str
     kind: str
     reply: Reply
+    host: str
+    connected_at: float
+    ended_at: float
+
+
+class Ending(NamedTuple):
+    """A host that was killed or told to stop, between two times."""
+
+    host: str
+    begun_at: float
+    gone_at: float
+
+    def explains(self, exchange: Exchange) -> bool:
+        """Return whether the exchange may have met it."""
+        begun_before = self.begun_at <= exchange.ended_at
+        return self.host == exchange.host and (
+            begun_before and self.gone_at >= exchange.connected_at
+        )
 
 
 def count_runs(servers: list[BackendServer]) -> dict[str, list[str]]:
@@ -47,7 +74,7 @@
 
 
 def _check(exchange: Exchange, runs: list[str]) -> list[str]:
-    name, kind, reply = exchange
+    name, kind, reply = exchange[:3]
     violations = []
     if kind in AT_MOST_ONCE_KINDS and len(runs) > 1:
         violations.append(f"{name} ({kind}) ran {len(runs)} times, at {runs}")
@@ -77,3 +104,27 @@
     if reply.complete and len(numbers) != EVENTS:
         return [f"{name} ended as complete after {len(numbers)} events"]
     return []
+
+
+def list_ledger_violations(
+    exchanges: list[Exchange], endings: list[Ending], logs: dict[str, HostLog]
+) -> list[str]:
+    """Return where the ledgers of hosts and the lists of their callers differ."""
+    replies = {exchange.request_id: exchange.reply for exchange in exchanges}
+    violations = []
+    for name, log in logs.items():
+        causes = {"server_broke_off", "timed_out", "caller_gone"}
+        if any(ending.host == name for ending in endings):
+            causes.add("host_stopped")
+        violations += [f"{name}: {x}" for x in list_log_problems(log, replies, causes)]
+    for exchange in exchanges:
+        log = logs[exchange.host]
+        if exchange.reply.complete or exchange.request_id in log.unanswered:
+            continue
+        if log.left_out or any(ending.explains(exchange) for ending in endings):
+            continue
+        violations.append(
+            f"{exchange.request_id} ({exchange.kind}) got no whole answer of "
+            f"{exchange.host}, which has no entry of that"
+        )
+    return violations
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults that a soak injects into hosts, servers, links and the store."""
 
 import signal
+import time
 
 import gevent
 from gevent import socket
@@ -24,12 +25,15 @@
     nest,
     write_odd,
 )
+from tests.soak.checks import Ending
 
 # Prompt part on which engines crash.
 CRASHING_PART = "crash"
 CRASHING_HEADERS = (
     ("X-Rosemarystream-Prompt-Prefix", f"a:900,{CRASHING_PART}:50,c:10"),
 )
+# Time for which a host may hold log entries back, which are lost if it is killed.
+UNWRITTEN_S = 0.3
 # Limits of single servers while faults strike.
 FAULT_LIMITS_PER_S = (0.0, 1.0, 5.0, 40.0)
 
@@ -62,10 +66,17 @@
         getattr(self, f"_strike_{kind}")(host, server, length_s)
 
     def _strike_kill(self, host, server, length_s):
-        host.restart(signal.SIGKILL)
+        self._end_host(host, signal.SIGKILL)
 
     def _strike_term(self, host, server, length_s):
-        host.restart(signal.SIGTERM)
+        self._end_host(host, signal.SIGTERM)
+
+    def _end_host(self, host, number):
+        begun_at = time.monotonic()
+        if number == signal.SIGKILL:
+            begun_at -= UNWRITTEN_S
+        host.restart(number)
+        self.endings.append(Ending(host.name, begun_at, time.monotonic()))
 
     def _strike_hup(self, host, server, length_s):
         host.send(signal.SIGHUP)
@@ -155,7 +166,7 @@
             caller = Caller(host.ip)
         except OSError:
             return
-        self._call(caller, "brief", CRASHING_HEADERS)
+        self._call(caller, host, "brief", CRASHING_HEADERS)
         caller.close()
 
     def _count_crashing_requests(self):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 import gevent
+import msgspec
 
 from standins.link import Link
 from tests.lib.entry_world import (
@@ -21,8 +22,9 @@
     wait_until,
 )
 from tests.lib.host_process import HostProcess
+from tests.lib.ledger_checks import read_host_log
 from tests.lib.odd_objects import CONTENTS, OBJECTS, write_odd
-from tests.soak.checks import Exchange, list_violations
+from tests.soak.checks import Exchange, list_ledger_violations, list_violations
 from tests.soak.faults import CRASHING_PART, FaultSource
 
 ROOT = Path(__file__).parents[2]
@@ -82,6 +84,7 @@
         self.exchanges = []
         self.sent = set()
         self.faults = []
+        self.endings = []
         self.links = {}
         self.addresses = {}
         self.stopping = False
@@ -149,12 +152,12 @@
                 gevent.sleep(0.05)
                 continue
             for _ in range(rng.randint(1, 6)):
-                if not self._call(caller, rng.choice(KINDS)):
+                if not self._call(caller, host, rng.choice(KINDS)):
                     break
                 gevent.sleep(rng.random() * 0.05)
             caller.close()
 
-    def _call(self, caller, kind, headers=STREAM_HEADERS):
+    def _call(self, caller, host, kind, headers=STREAM_HEADERS):
         request_id = f"soak-{next(self._numbers)}"
         self.sent.add(request_id)
         headers = headers if kind in ("chat", "brief") else ()
@@ -163,7 +166,10 @@
             reply = caller.read()
         except OSError:
             reply = Reply(0, {}, b"", False)
-        self.exchanges.append(Exchange(request_id, kind, reply))
+        ended_at = time.monotonic()
+        self.exchanges.append(
+            Exchange(request_id, kind, reply, host.name, caller.opened_at, ended_at)
+        )
         return reply.complete and reply.headers.get(b"connection") != b"close"
 
     # Phases of a run
@@ -187,7 +193,22 @@
         violations = self._check_recovery()
         self.stopping = True
         gevent.joinall(callers, timeout=10.0)
-        return violations
+        return violations + self._check_balances()
+
+    def _check_balances(self):
+        """Check that on each host all requests have ended."""
+        wait_until(lambda: not any(x["in_progress"] for x in self._list_balances()))
+        return [
+            f"{name}: {balance}"
+            for name, balance in zip(self.hosts, self._list_balances(), strict=True)
+            if balance["difference"]
+        ]
+
+    def _list_balances(self):
+        bodies = [
+            get(host.ip, METRICS_PORT, "/v1/state").body for host in self.hosts.values()
+        ]
+        return [msgspec.json.decode(body)["requests"] for body in bodies]
 
     def _check_recovery(self):
         for server in self.world.servers.values():
@@ -271,5 +292,7 @@
         soak.stop()
     servers = [*soak.world.servers.values()]
     violations += list_violations(soak.exchanges, soak.sent, servers)
+    logs = {host.name: read_host_log(host.log) for host in soak.hosts.values()}
+    violations += list_ledger_violations(soak.exchanges, soak.endings, logs)
     served = sum(e.reply.status == 200 and e.reply.complete for e in soak.exchanges)
     return Report(seed, len(soak.exchanges), served, soak.faults, violations, folder)
