--- a/tests/functional/test_review_of_half_closed_callers.py
+++ b/tests/functional/test_review_of_half_closed_callers.py
@@ -275,6 +275,20 @@
     assert received.count(b"HTTP/1.1 200") == 2
 
 
+def test_each_of_two_requests_sent_together_is_refused_if_no_server_is_left(
+    world, caller
+):
+    for server in world.servers.values():
+        server.stop()
+        world.store.remove("servers", server.name)
+    wait_until(lambda: not world.hosts["h1"].list_servers())
+    caller.send("/book/1")
+    caller.send("/book/2")
+    half_close(caller)
+    received = receive_all(caller)
+    assert received.count(b"HTTP/1.1 503") == 2
+
+
 def send_many(caller):
     for _ in range(MANY):
         caller.send("/book/1", body=SHORT_BODY)
