--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -46,7 +46,7 @@
     is_finished : bool
         Whether the answer has been sent completely.
     is_half_closed : bool
-        Whether the caller has closed its sending side.
+        Whether the caller has closed its sending side, as `DisconnectWatch` sets it.
     """
 
     def __init__(
--- a/tests/functional/test_half_closed_callers.py
+++ b/tests/functional/test_half_closed_callers.py
@@ -11,7 +11,7 @@
     ("X-Rosemarystream-Model", "m"),
     ("X-Rosemarystream-Prompt-Prefix", "a:900,b:100"),
 )
-# Longer than the looks at a caller that has closed its sending side take.
+# Longer than it takes to tell a caller that has left from one that still reads.
 WORK_S = 0.8
 # Time in which a server ends the work for a caller that has left, in seconds.
 CANCELLED_WITHIN_S = 0.5
--- a/tests/functional/test_review_of_half_closed_callers.py
+++ b/tests/functional/test_review_of_half_closed_callers.py
@@ -345,6 +345,25 @@
     assert (reply.status, reply.complete) == (200, True)
 
 
+@pytest.mark.parametrize("path", PATHS)
+def test_a_server_that_closes_its_sending_side_after_each_answer(
+    monkeypatch, world, caller, path
+):
+    serve = backend_server.BackendServer._serve_next
+
+    def serve_and_half_close(self, connection):
+        goes_on = serve(self, connection)
+        connection.shutdown(socket.SHUT_WR)
+        return goes_on
+
+    monkeypatch.setattr(
+        backend_server.BackendServer, "_serve_next", serve_and_half_close
+    )
+    for _ in range(3):
+        reply = caller.call(path, headers=HEADERS)
+        assert (reply.status, reply.complete) == (200, True)
+
+
 @pytest.mark.parametrize("port", [READY_PORT, METRICS_PORT])
 def test_half_closed_caller_of_a_listener_for_operators(world, port):
     caller = Caller(world.hosts["h1"].ip, port)
