--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -37,9 +37,14 @@
     is_leaving : callable
         Returns whether the host is shutting down, so that every connection is
         closed after its answer.
+    has_next : callable
+        Returns whether another whole request was sent together with this one; then
+        the connection is closed after that one's answer instead.
 
     Attributes
     ----------
+    should_reconnect : bool
+        Whether the caller should send its next request on another connection.
     status : int
         Status that was sent; 0 before the head is sent.
     has_begun : bool
@@ -47,7 +52,7 @@
     is_finished : bool
         Whether the answer has been sent completely.
     is_half_closed : bool
-        Whether the caller has closed its sending side.
+        Whether the caller has closed its sending side, as `DisconnectWatch` sets it.
     is_by_host : bool
         Whether it is this host's own answer, not one of a server.
     notes : EndingNotes
@@ -62,12 +67,15 @@
         has_body: bool = True,
         is_closing: bool,
         is_leaving: Callable[[], bool],
+        has_next: Callable[[], bool] = lambda: False,
     ) -> None:
         self._connection = connection
         self._protocol = protocol
         self._has_body = has_body
         self.is_closing = is_closing
         self._is_leaving = is_leaving
+        self._has_next = has_next
+        self.should_reconnect = False
         self.status = 0
         self.has_begun = False
         self.is_finished = False
@@ -126,7 +134,9 @@
         self._write(data)
 
     def _start(self, status: int, headers: Headers) -> bytes:
-        self.is_closing = self.is_closing or self._is_leaving()
+        wants_close = self.should_reconnect or self._is_leaving()
+        if wants_close and not self._has_next():
+            self.is_closing = True
         if self.is_closing:
             headers.append((b"connection", b"close"))
         data = self._protocol.send(h11.Response(status_code=status, headers=headers))
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -134,7 +134,7 @@
             if self._failed_answer is None or self._answer.has_begun:
                 raise
             self._record.reason = str(error)
-            self._answer.is_closing |= error.should_reconnect
+            self._answer.should_reconnect |= error.should_reconnect
             head, body = self._failed_answer
             self._answer.send_whole(head.status, head.headers, body)
             return "failed"
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -308,13 +308,10 @@
             protocol=protocol,
             has_body=request.method != b"HEAD",
             is_closing=is_closing,
-            is_leaving=self._is_leaving,
+            is_leaving=lambda: self._listener.leaving,
+            has_next=self._has_next,
         )
 
-    def _is_leaving(self) -> bool:
-        """Return whether the answer that begins is the last on this connection."""
-        return self._listener.leaving and not self._has_next()
-
     def _has_next(self) -> bool:
         """Return whether another whole request was sent together with this one."""
         data = self._reader.buffer
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -174,7 +174,7 @@
 
 
 def _send_error(answer: AnswerWriter, error: RequestEndedError) -> None:
-    answer.is_closing |= error.should_reconnect
+    answer.should_reconnect |= error.should_reconnect
     if answer.has_begun:
         answer.is_closing = True
     else:
