--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -97,6 +97,7 @@
         self._attempts: AttemptSequence | None = None
         self._current: CountedAttempt | None = None
         self._failover: Failover | None = None
+        self._relay: AnswerRelay | None = None
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
 
     @property
@@ -139,8 +140,8 @@
             self._answer.send_whole(head.status, head.headers, body)
             return "failed"
         finally:
-            # It calls back: the cycle would keep all buffers until a collection.
-            del self._relay
+            # They call back: the cycles would keep all buffers until a collection.
+            self._relay = self._failover = None
 
     def _serve(self) -> None:
         try:
