--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -6,7 +6,8 @@
 from rosemarystream._internal.decisions.timeouts import compute_stall_timeout
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
-from rosemarystream._internal.gateway.attempt import Attempt, OutcomeUnknownError
+from rosemarystream._internal.gateway.attempt import Attempt
+from rosemarystream._internal.gateway.attempt_errors import OutcomeUnknownError
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
 from rosemarystream._internal.gateway.event_stream import EventStream
 from rosemarystream._internal.gateway.request_errors import RequestEndedError
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Callable
 
-from rosemarystream._internal.exceptions import (
-    BackendError,
-    ConnectError,
-    ErrorKind,
-    RefusedError,
+from rosemarystream._internal.exceptions import ConnectError
+from rosemarystream._internal.gateway.attempt_errors import (
+    NotRunError,
+    OutcomeUnknownError,
+    convert_error,
 )
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.models.call import Call
@@ -22,12 +22,9 @@
 )
 from rosemarystream._internal.utils.http_connection import (
     MAX_DISCARDED_BYTES,
-    AnswerTimeoutError,
     AnswerTooLongError,
     ClientConnection,
     ConnectionBrokenError,
-    ServerClosedError,
-    ServerUnreachableError,
     join_bounded,
 )
 from rosemarystream._internal.utils.read_watch import ReadWatch
@@ -38,49 +35,6 @@
 DISCARD_TIMEOUT_S = 0.1
 
 
-class NotRunError(RefusedError):
-    """The request certainly has not run at this server and won't.
-
-    Attributes
-    ----------
-    sent : bool
-        Whether the server received the request and refused it.
-    """
-
-    default_kind = ErrorKind.NO_BACKEND
-
-    def __init__(self, message: str, *, sent: bool) -> None:
-        super().__init__(message)
-        self.sent = sent
-
-
-class OutcomeUnknownError(BackendError):
-    """The request may have run, and there is no complete answer.
-
-    Attributes
-    ----------
-    silent : bool
-        Whether nothing came in time; the server may only be slow.
-    unreachable : bool
-        Whether the server's machine no longer acknowledges anything.
-    closed : bool
-        Whether the server closed or reset the connection, as one that crashes does.
-    """
-
-    def __init__(
-        self,
-        message: str,
-        *,
-        silent: bool = False,
-        unreachable: bool = False,
-        closed: bool = False,
-    ) -> None:
-        super().__init__(message)
-        self.silent = silent
-        self.unreachable = unreachable
-        self.closed = closed
-
-
 class Attempt:
     """Sends a request to a server and reads the answer.
 
@@ -183,7 +137,7 @@
             connection.send(self.call.method, self.call.target, headers, body)
             self.heard_at = self._clock()
         except ConnectionBrokenError as error:
-            raise _convert(error) from error
+            raise convert_error(error) from error
 
     @property
     def received_at(self) -> float | None:
@@ -226,7 +180,7 @@
             else:
                 raise ConnectionBrokenError("only answers to other requests came")
         except ConnectionBrokenError as error:
-            raise _convert(error) from error
+            raise convert_error(error) from error
         self._head = head
         self.begun_at = self.heard_at = self._clock()
         if head.request_id == "":
@@ -270,7 +224,7 @@
         try:
             piece = self._connection.read_piece(deadline)
         except ConnectionBrokenError as error:
-            raise _convert(error) from error
+            raise convert_error(error) from error
         self.heard_at = self._clock()
         if piece is None:
             connection, self._connection = self._connection, None
@@ -293,7 +247,7 @@
         try:
             return join_bounded(pieces, max_bytes, self.endpoint.address)
         except AnswerTooLongError as error:
-            raise _convert(error) from error
+            raise convert_error(error) from error
 
     def read_start(self, deadline: float, *, max_bytes: int) -> tuple[bytes, bool]:
         """Return the body, or more than `max_bytes` of it, and whether it is whole.
@@ -316,12 +270,3 @@
         if self._connection is not None:
             self._connection.close()
             self._connection = None
-
-
-def _convert(error: ConnectionBrokenError) -> OutcomeUnknownError:
-    return OutcomeUnknownError(
-        str(error),
-        silent=isinstance(error, AnswerTimeoutError),
-        unreachable=isinstance(error, ServerUnreachableError),
-        closed=isinstance(error, ServerClosedError),
-    )
--- a/src/rosemarystream/_internal/gateway/attempt_outcomes.py
+++ b/src/rosemarystream/_internal/gateway/attempt_outcomes.py
@@ -4,8 +4,8 @@
 
 from logbook import Logger
 
-from rosemarystream._internal.gateway.attempt import (
-    Attempt,
+from rosemarystream._internal.gateway.attempt import Attempt
+from rosemarystream._internal.gateway.attempt_errors import (
     NotRunError,
     OutcomeUnknownError,
 )
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -1,6 +1,6 @@
 """The events of a streamed answer, put together from the attempts of a request."""
 
-from rosemarystream._internal.gateway.attempt import OutcomeUnknownError
+from rosemarystream._internal.gateway.attempt_errors import OutcomeUnknownError
 from rosemarystream._internal.utils.server_sent_events import (
     EventSplitter,
     find_event_id,
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -21,8 +21,8 @@
     AnswerRelay,
 )
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
-from rosemarystream._internal.gateway.attempt import (
-    Attempt,
+from rosemarystream._internal.gateway.attempt import Attempt
+from rosemarystream._internal.gateway.attempt_errors import (
     NotRunError,
     OutcomeUnknownError,
 )
--- a/src/rosemarystream/_internal/gateway/failover.py
+++ b/src/rosemarystream/_internal/gateway/failover.py
@@ -9,8 +9,8 @@
 
 from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.decisions.timeouts import compute_attempt_deadline
-from rosemarystream._internal.gateway.attempt import (
-    Attempt,
+from rosemarystream._internal.gateway.attempt import Attempt
+from rosemarystream._internal.gateway.attempt_errors import (
     NotRunError,
     OutcomeUnknownError,
 )
--- a/tests/properties/test_header_decoders.py
+++ b/tests/properties/test_header_decoders.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rosemarystream._internal.gateway.attempt import OutcomeUnknownError
+from rosemarystream._internal.gateway.attempt_errors import OutcomeUnknownError
 from rosemarystream._internal.gateway.event_stream import EventStream
 from rosemarystream._internal.models.ranges import (
     MAX_MS,
