Split the events of a piece as they are relayed, so that no other request waits

What was seen: the test of repeated events failed twice beside load (115 ms where 100 are allowed for the 99th percentile of a neighbour's calls). Four such streams hold a call of a neighbour at each of its steps. Change: events are split off as they are taken, under the same pauses. A test of the splitter takes the events of the iterator, else unchanged. Ruled out: reading the identifiers, 1.1 us an event here and 1.2 on.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -1,6 +1,6 @@
 """Passes the answer of one attempt on to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from math import inf
 
 from rosemarystream._internal.decisions.timeouts import compute_stall_timeout
@@ -168,13 +168,13 @@
                     raise
                 self._expect_progress()
 
-    def _split(self, piece: bytes) -> list[bytes]:
+    def _split(self, piece: bytes) -> Iterator[bytes]:
         try:
             return self._stream.split(piece)
         except EventTooLongError as error:
             raise OutcomeUnknownError(str(error)) from error
 
-    def _relay_all(self, events: list[bytes], head: AnswerHead) -> bool:
+    def _relay_all(self, events: Iterator[bytes], head: AnswerHead) -> bool:
         """Relay events; return False if the caller has all of them already."""
         is_progress = False
         for event in events:
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -1,5 +1,7 @@
 """The events of a streamed answer, put together from the attempts of a request."""
 
+from collections.abc import Iterator
+
 from rosemarystream._internal.gateway.attempt import OutcomeUnknownError
 from rosemarystream._internal.utils.server_sent_events import (
     EventSplitter,
@@ -39,17 +41,17 @@
         self._splitter = EventSplitter()
         self._has_events = False
 
-    def split(self, piece: bytes) -> list[bytes]:
+    def split(self, piece: bytes) -> Iterator[bytes]:
         """Return the events that a piece of the answer completes.
 
+        All have to be taken before the next piece is split.
+
         Raises
         ------
         EventTooLongError
             If an event exceeds its bound.
         """
-        events = self._splitter.split(piece)
-        self._has_events |= bool(events)
-        return events
+        return self._splitter.split(piece)
 
     def accept(self, event: bytes) -> bool:
         """Return whether an event is new to the caller, who then gets it.
@@ -59,6 +61,7 @@
         OutcomeUnknownError
             If events before it are missing.
         """
+        self._has_events = True
         identifier = find_event_id(event)
         if not identifier:
             return True
--- a/src/rosemarystream/_internal/utils/server_sent_events.py
+++ b/src/rosemarystream/_internal/utils/server_sent_events.py
@@ -1,6 +1,7 @@
 """Splitting of a byte stream into server-sent events."""
 
 import re
+from collections.abc import Iterator
 
 from rosemarystream._internal.exceptions import BackendError
 
@@ -22,9 +23,12 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
-    def split(self, data: bytes) -> list[bytes]:
+    def split(self, data: bytes) -> Iterator[bytes]:
         """Return the events completed by `data`, each with its blank line.
 
+        They are split off as they are taken, since a piece may hold thousands; all
+        have to be taken before the next call.
+
         Raises
         ------
         EventTooLongError
@@ -35,13 +39,14 @@
         # The bytes buffered before hold no end of an event.
         search_from = max(0, len(self._buffer) - _END_OVERLAP_BYTES)
         self._buffer += data
-        events = []
+        return self._take_events(search_from)
+
+    def _take_events(self, search_from: int) -> Iterator[bytes]:
         start = 0
         for match in _END.finditer(self._buffer, search_from):
-            events.append(bytes(self._buffer[start : match.end()]))
+            yield bytes(self._buffer[start : match.end()])
             start = match.end()
         del self._buffer[:start]
-        return events
 
     @property
     def remainder(self) -> bytes:
--- a/tests/unit/test_server_sent_events.py
+++ b/tests/unit/test_server_sent_events.py
@@ -28,7 +28,7 @@
 
 def test_incomplete_event_is_buffered():
     splitter = EventSplitter()
-    assert splitter.split(EVENTS[0] + b"id: 2\nda") == [EVENTS[0]]
+    assert [*splitter.split(EVENTS[0] + b"id: 2\nda")] == [EVENTS[0]]
     assert splitter.remainder == b"id: 2\nda"
 
 
