--- a/src/rosemarystream/_internal/decisions/fleet_observations.py
+++ b/src/rosemarystream/_internal/decisions/fleet_observations.py
@@ -89,11 +89,9 @@
         nearby : bool
             Whether it reports its own observations, as a host of this data centre.
         """
-        # Most messages have nothing to report.
-        if reports.slowness:
-            self._speeds.accept_reports(reports.slowness, now, nearby=nearby)
-        if reports.limits:
-            self._limits.accept_reports(reports.limits, now, nearby=nearby)
+        self._speeds.accept_reports(reports.slowness, now, nearby=nearby)
+        self._limits.accept_reports(reports.limits, now, nearby=nearby)
+        # Most messages have nothing to report of these.
         if reports.retry_after:
             self._retries.accept_reports(reports.retry_after, now, nearby=nearby)
         if reports.leaving:
--- a/src/rosemarystream/_internal/decisions/server_limits.py
+++ b/src/rosemarystream/_internal/decisions/server_limits.py
@@ -53,6 +53,8 @@
         self, reports: Mapping[int, ServerReport], now: float, *, nearby: bool
     ) -> None:
         """Record what other hosts have seen; see the base class."""
+        if not reports:
+            return
         before = {server: self.find(server) for server in reports}
         super().accept_reports(reports, now, nearby=nearby)
         for server, limit in before.items():
