Allow a server again that was chosen and not sent anything

What callers saw: an unresponsive server refused or failed while the connection to the second one was being made; that was given up for the late bytes, and the second counted as tried, so with two servers the request ended with 503, 502 or the failure.

Cause: a server is excluded when it is chosen.

--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -86,9 +86,8 @@
         allowed now, so that the one in progress has to be waited for.
         """
         now = self._clock()
-        if not self.may_repeat or now >= self._deadline:
-            return None
-        if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
+        has_attempts = self._unsent_attempts < MAX_UNSENT_ATTEMPTS and self.may_repeat
+        if not has_attempts or now >= self._deadline:
             return None
         if self._blocks.find_blocked(self._shared_parts, now) is not None:
             return None
@@ -102,8 +101,8 @@
         finally:
             if placement is None:
                 self.end_early(is_sent=False)
-        if placement is not None:
-            self._record_choice(placement)
+            else:
+                self._record_choice(placement)
         return placement
 
     def end_early(self, *, is_sent: bool) -> None:
@@ -113,6 +112,10 @@
         else:
             self._router.release_retry(self._service, self._reserved_at)
 
+    def allow_again(self, endpoint: Endpoint) -> None:
+        """Allow another choice of a server that was chosen, and not sent anything."""
+        self._excluded.discard(endpoint.name)
+
     def choose_next(self) -> Placement:
         """Return the server of the next attempt.
 
--- a/src/rosemarystream/_internal/gateway/failover.py
+++ b/src/rosemarystream/_internal/gateway/failover.py
@@ -145,6 +145,10 @@
             self._outcomes.record_not_run(other.attempt, error)
         except OutcomeUnknownError as error:
             self._outcomes.record_unknown(other.attempt, error)
+        except ServerResumedError:
+            # Nothing speaks against this server, should the one before fail.
+            self._attempts.allow_again(other.endpoint)
+            raise
 
     def _read_head(self, other: CountedAttempt) -> None:
         """Read the head of the other answer; the attempt ends unless it succeeds."""
--- a/tests/functional/test_two_servers_at_once.py
+++ b/tests/functional/test_two_servers_at_once.py
@@ -192,6 +192,28 @@
     assert fleet.list_problems() == []
 
 
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("late", LATE_FAULTS)
+@pytest.mark.parametrize("place", ["_gate.admit", "_pool.open"])
+def test_a_server_that_was_being_prepared_is_asked_after_a_late_failure(
+    make_fleet, path, late, place
+):
+    fleet = make_fleet(path, first=Fault.PAUSE, second=Fault.NONE, late=late)
+    owner, _, name = place.partition(".")
+    owner = getattr(fleet.host.gateway, owner)
+    original = getattr(owner, name)
+
+    def prepare(*arguments):
+        if fleet.count_arrivals():
+            gevent.sleep(SECOND_S)
+        return original(*arguments)
+
+    setattr(owner, name, prepare)
+    reply = fleet.call()
+    assert is_whole(reply), reply
+    assert fleet.count_arrivals() == 2
+
+
 def test_a_stream_that_goes_on_and_is_cut_has_used_its_attempts(make_fleet):
     fleet = make_fleet("/chat/1", first=Fault.PAUSE, late=Fault.CUT)
     reply = fleet.call()
