Divide the listener: a caller's connection in a module of its own

Moved; the connection gets what it needs instead of its listener. Tests of connections, stops and endings pass.

--- a/tests/functional/test_dropped_requests.py
+++ b/tests/functional/test_dropped_requests.py
@@ -8,7 +8,7 @@
 from gevent import monkey
 
 from rosemarystream._internal.exceptions import Execution
-from rosemarystream._internal.gateway import listener as listener_module
+from rosemarystream._internal.gateway import caller_connection
 from rosemarystream._internal.gateway.listener import Listener
 from rosemarystream._internal.models.endings import EndingCause
 from rosemarystream._internal.models.route import CallerLimits
@@ -98,7 +98,7 @@
     def fail(**arguments):
         raise OSError("no watcher")
 
-    monkeypatch.setattr(listener_module, "DisconnectWatch", fail)
+    monkeypatch.setattr(caller_connection, "DisconnectWatch", fail)
     send(caller, "/book/1")
     reply = caller.read()
     assert (reply.status, reply.complete) == (500, True)
