Tests of joined branches use the names of each other

The soak's check looked for dropped entries under the old message. No check changed. tests/unit, test_live_hosts and test_ledger_balance pass.

--- a/tests/lib/ledger_checks.py
+++ b/tests/lib/ledger_checks.py
@@ -13,7 +13,7 @@
 UNANSWERED, COUNTED, UNBALANCED = (
     kind.message for kind in (RequestUnanswered, RequestsCounted, RequestsUnbalanced)
 )
-LEFT_OUT = "lines left out"
+DROPPED = "log entries dropped"
 # A header that servers' answers have, and a host's own have not.
 SERVER_HEADER = b"x-rosemarystream-response-seal"
 
@@ -47,12 +47,12 @@
     entries = [*read_entries([path])]
     raw = {
         kind: [x.raw for x in entries if x.message == kind]
-        for kind in (UNANSWERED, COUNTED, UNBALANCED, LEFT_OUT)
+        for kind in (UNANSWERED, COUNTED, UNBALANCED, DROPPED)
     }
     times = Counter(x["request"] for x in raw[UNANSWERED])
     left_out = [
         count
-        for x in raw[LEFT_OUT]
+        for x in raw[DROPPED]
         for kind, count in x["counts"].items()
         if kind.startswith(UNANSWERED)
     ]
--- a/tests/properties/test_live_hosts.py
+++ b/tests/properties/test_live_hosts.py
@@ -37,8 +37,8 @@
     assert sorted(table.list_live(now)) == sorted(live)
     assert table.count_live(now) == len(live) + 1
     heard = {host.data_centre for host in live}
-    assert table.list_heard_data_centres(now) == sorted(heard - {OWN})
-    assert {host.name for host in table.list_unheard(now)} == {
+    assert table.list_live_data_centres(now) == sorted(heard - {OWN})
+    assert {host.name for host in table.list_unreachable(now)} == {
         host.name for host in table.list_known() if host.data_centre not in heard
     }
     for data_centre in "abc":
--- a/tests/unit/test_answer_relay.py
+++ b/tests/unit/test_answer_relay.py
@@ -30,7 +30,8 @@
         crashes=crashes,
         clock=time.monotonic,
         on_event=lambda: None,
-        leave_silent=lambda: True,
+        on_progress=lambda: None,
+        leave_unresponsive=lambda: True,
     )
 
 
