--- a/review/common.py
+++ b/review/common.py
@@ -166,6 +166,11 @@
         template = (ROOT / self._role["template"]).read_text()
         self._settings.write_text(fill_in(template, self._fields))
 
+    def set_seeds(self, seeds):
+        """Set the hosts that it contacts first."""
+        self._fields["seeds"] = seeds
+        self.write_settings()
+
     def start(self):
         """Start a process; a later one is not the first of the whole system."""
         if self.process is not None:
@@ -344,6 +349,14 @@
         self.hosts.append(host)
         return host
 
+    def set_seeds(self):
+        """Give all hosts the first host of each zone as seeds."""
+        first = {}
+        for host in self.hosts:
+            first.setdefault(host.zone, f"{host.ip}:{CONTROL_PORT}")
+        for host in self.hosts:
+            host.set_seeds([*first.values()])
+
     def start(self):
         for host in self.hosts:
             host.start()
