--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
 """A host keeps a server that has left, as its collectors were restarting at that time.
 
-The two collectors of a zone are killed and start again at once. Meanwhile a server leaves
-without a word: its entry is removed. The third host of the zone never hears of it.
+The two collectors of a zone are killed and start again at once. Meanwhile a server
+leaves without a word: its entry is removed. The zone's third host never hears of it.
 """
 
 import json
@@ -138,8 +138,8 @@
         case.give_up(f"only {served} of {len(senders)} requests were served")
     hosts = sorted({senders[request_id].name for request_id in late})
     text = (
-        f"DRAIN: {len(late)} requests of {', '.join(hosts)} reached {leaving.name} over "
-        f"{DRAIN_S} s after its entry was gone"
+        f"DRAIN: {len(late)} requests of {', '.join(hosts)} reached {leaving.name} "
+        f"over {DRAIN_S} s after its entry was gone"
     )
     case.finish(text if late else "")
 
--- a/review/common.py
+++ b/review/common.py
@@ -166,6 +166,11 @@
         template = (ROOT / self._role["template"]).read_text()
         self._settings.write_text(fill_in(template, self._fields))
 
+    def set_store(self, address):
+        """Set the address of the store."""
+        self._fields["platform"]["address"] = address
+        self.write_settings()
+
     def set_seeds(self, seeds):
         """Set the hosts that it contacts first."""
         self._fields["seeds"] = seeds
