--- a/review/4/case.py
+++ b/review/4/case.py
@@ -31,13 +31,15 @@
 
 SEED = int(os.environ.get("SEED", "1"))
 ZONES = {"bergen-a": 3, "bergen-b": 2, "forde": 3}
-CHANGES, FREEZE_S, PAUSE_S = 12, 4.0, 4.0
-# Latest time from the store's answer to the moment at which the host is suspended.
-LATEST_MS = 10.0
+CHANGES, FREEZE_S, PAUSE_S = 18, 4.0, 0.6
+# Latest time from the store's answer to the moment at which the host is suspended; the
+# moments of the changes are spread evenly over it, in an order drawn from the seed.
+LATEST_MS = 12.0
 # Routes in the configuration, as after it has grown.
 ROUTES = 350
 APPLY_S = BOUNDS["config-apply-ms"] / 1000
 PROBE_AFTER_S = APPLY_S + 0.3
+CONTACT_S = BOUNDS["contact-ms"] / 1000
 
 
 class WatchedStore(ObjectStore):
@@ -89,6 +91,14 @@
     case.start()
     gevent.sleep(2.0)
     stale = []
+    moments_ms = [LATEST_MS * number / CHANGES for number in range(CHANGES)]
+    chance.shuffle(moments_ms)
+    woken_at = {}
+
+    def is_in_touch(host, suspended):
+        """Return whether a host runs, and has run since `contact-ms` before."""
+        since = time.monotonic() - woken_at.get(host.name, 0.0)
+        return host not in suspended and since > CONTACT_S
 
     def probe(host, version):
         request_id = make_id()
@@ -102,11 +112,11 @@
     def suspend(host, delay_s):
         gevent.sleep(delay_s)
         host.send_signal(signal.SIGSTOP)
-        case.record.write(f"{host.name} is suspended")
+        case.record.write(f"{host.name} is suspended, after {delay_s * 1000:.0f} ms")
 
     for version in range(4, 4 + CHANGES):
         suspended = []
-        delay_s = chance.uniform(0, LATEST_MS) / 1000
+        delay_s = moments_ms[version - 4] / 1000
 
         def on_change(address, suspended=suspended, delay_s=delay_s):
             if WITH_TROUBLE and not suspended:
@@ -118,11 +128,12 @@
         changed_at = time.monotonic()
         case.record.write(f"version {version} is acknowledged")
         gevent.sleep(PROBE_AFTER_S)
-        running = [host for host in case.hosts if host not in suspended]
+        running = [host for host in case.hosts if is_in_touch(host, suspended)]
         gevent.joinall([gevent.spawn(probe, host, version) for host in running])
         gevent.sleep(max(0.0, changed_at + FREEZE_S - time.monotonic()))
         for host in suspended:
             host.send_signal(signal.SIGCONT)
+            woken_at[host.name] = time.monotonic()
             case.record.write(f"{host.name} goes on")
         gevent.sleep(PAUSE_S)
     text = f"CONFIG: over {APPLY_S} s after a change 404 on its route: "
