--- a/src/rosemarystream/_internal/decisions/replica.py
+++ b/src/rosemarystream/_internal/decisions/replica.py
@@ -5,7 +5,7 @@
 reached.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
@@ -33,7 +33,7 @@
 
 
 class Delta(NamedTuple):
-    """Entries written or removed after a revision.
+    """Entries written or removed after a revision, or all entries.
 
     Attributes
     ----------
@@ -41,21 +41,39 @@
         Revisions at which servers were seen to be removed, by name.
     lapsing : dict of str to Lapse
         Entries that are kept for their grace period, by name.
+    revision : int
+        Revision up to which the sender knows all changes.
+    is_whole : bool
+        Whether `endpoints` has all entries, so that all others are removed.
+    grace_until : float
+        Time until which an entry that is missing may have lapsed in an outage.
     """
 
     endpoints: list[Endpoint]
     removed: dict[str, int]
     lapsing: dict[str, Lapse]
     revision: int
+    is_whole: bool = False
+    grace_until: float = 0.0
 
 
 class Replica:
-    """Configuration and registered servers, merged from all sources."""
+    """Configuration and registered servers, merged from all sources.
+
+    Attributes
+    ----------
+    document : bytes
+        The configuration as the store has it.
+    revision : int
+        Revision of the store up to which all changes of servers are known.
+    """
 
     def __init__(self) -> None:
         self.configuration: FleetConfiguration | None = None
         self.document = b""
         self.revision = 0
+        # Revision of the last whole list. What was removed before may be unknown.
+        self._listed_at = 0
         self._endpoints: dict[str, Endpoint] = {}
         self._removed: dict[str, int] = {}
         self._lapsing: dict[str, Lapse] = {}
@@ -97,19 +115,25 @@
         return True
 
     def accept_removal(self, name: str, revision: int) -> bool:
-        """Apply the removal of an entry; return whether an entry was removed."""
+        """Apply the removal of an entry; return whether an entry was removed.
+
+        The removal of an unknown entry is recorded: a peer may know the entry.
+        """
         known = self._endpoints.get(name)
-        if known is None or revision < known.revision:
+        if known is not None and revision < known.revision:
             return False
-        self._remove(name, revision)
-        return True
+        if revision > self._removed.get(name, 0):
+            self._remove(name, revision)
+        return known is not None
 
     def _remove(self, name: str, revision: int) -> None:
         self._endpoints.pop(name, None)
         self._lapsing.pop(name, None)
+        self._removed.pop(name, None)
         self._removed[name] = revision
         while len(self._removed) > MAX_TOMBSTONES:
-            self._removed.pop(next(iter(self._removed)))
+            forgotten = self._removed.pop(next(iter(self._removed)))
+            self._listed_at = max(self._listed_at, forgotten)
 
     def accept_listing(
         self, endpoints: Iterable[Endpoint], revision: int, now: float
@@ -123,38 +147,60 @@
         changed = [
             name for name, entry in listed.items() if self.accept_endpoint(entry)
         ]
+        changed += self._accept_absences(listed, revision, now)
+        self.advance(revision)
+        return changed
+
+    def _accept_absences(
+        self, listed: Collection[str], revision: int, now: float
+    ) -> list[str]:
+        """Remove the entries that a whole list lacks; return their names."""
+        removed = []
         for name in [*self._endpoints]:
             if name in listed:
                 continue
             if now < self._grace_until:
                 self._accept_lapse(name, Lapse(revision, self._grace_until))
             elif self.accept_removal(name, revision):
-                changed.append(name)
-        self.advance(revision)
-        return changed
+                removed.append(name)
+        if revision > self.revision:
+            # Entries that came and went since the last known change were never seen.
+            self._listed_at = revision
+        return removed
 
     def _accept_lapse(self, name: str, lapse: Lapse) -> None:
         known = self._endpoints.get(name)
         if known is not None and known.revision <= lapse.revision:
             self._lapsing.setdefault(name, lapse)
 
-    def accept_delta(self, delta: Delta) -> list[str]:
+    def accept_delta(self, delta: Delta, now: float) -> list[str]:
         """Apply the changes that a peer knows; return the names of changed entries.
 
         A pending removal is taken over with its deadline. The peer's revision covers
         it, so it would not be asked for again.
         """
         changed = [
-            entry.name for entry in delta.endpoints if self.accept_endpoint(entry)
+            entry.name
+            for entry in delta.endpoints
+            if not self._is_outdated(entry) and self.accept_endpoint(entry)
         ]
         for name, revision in delta.removed.items():
             if self.accept_removal(name, revision):
                 changed.append(name)
         for name, lapse in delta.lapsing.items():
             self._accept_lapse(name, lapse)
+        if delta.is_whole or not self.revision:
+            grace_until = min(delta.grace_until, now + RECOVERY_GRACE_S)
+            self._grace_until = max(self._grace_until, grace_until)
+            listed = {entry.name for entry in delta.endpoints}
+            changed += self._accept_absences(listed, delta.revision, now)
         self.advance(delta.revision)
         return changed
 
+    def _is_outdated(self, entry: Endpoint) -> bool:
+        """Return whether an entry was removed before the last whole list."""
+        return entry.name not in self._endpoints and entry.revision <= self._listed_at
+
     def advance(self, revision: int) -> None:
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
@@ -171,16 +217,23 @@
         return [name for name, _ in expired]
 
     def select_delta(self, revision: int) -> Delta:
-        """Return the changes after a revision, for a peer that knows all up to it."""
+        """Return the changes after a revision, for a peer that knows all up to it.
+
+        All entries if some removals after that revision may be unknown here.
+        """
+        is_whole = revision < self._listed_at
+        after = 0 if is_whole else revision
         return Delta(
-            [entry for entry in self._endpoints.values() if entry.revision > revision],
+            [entry for entry in self._endpoints.values() if entry.revision > after],
             {name: at for name, at in self._removed.items() if at > revision},
             {
                 name: lapse
                 for name, lapse in self._lapsing.items()
-                if lapse.revision > revision
+                if lapse.revision > after
             },
             self.revision,
+            is_whole,
+            self._grace_until,
         )
 
     def list_endpoints(self) -> list[Endpoint]:
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -4,7 +4,6 @@
 configuration on a slow link doesn't delay the change that a server leaves.
 """
 
-import struct
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -18,8 +17,9 @@
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
-from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
+from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.state_answers import StateAnswers, read_delta
 from rosemarystream._internal.gateway.store_watches import accept_document
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.endpoint import Endpoint
@@ -37,6 +37,7 @@
 from rosemarystream._internal.models.log_entries.store import ConfigurationInvalid
 from rosemarystream._internal.platform.documents import DocumentError, check_endpoint
 from rosemarystream._internal.platform.store import CONFIGURATION, CONFIGURATION_NAME
+from rosemarystream._internal.utils.frames import receive_frame, send_frame
 from rosemarystream._internal.utils.wire import decode_message
 
 log = Logger(__name__)
@@ -49,19 +50,11 @@
 UNEXPECTED_ERROR_PAUSE_S = 1.0
 # Hosts that a host asks for the map of cached prompt parts after its start.
 CONTEXT_PULLS = 3
-# Most entries of that map in an answer, so that it stays below the size of a frame.
-MAX_CONTEXT_ENTRIES = 100_000
-# An object of the store has at most about 1 MB, and the servers of a large fleet take
-# less than that.
-MAX_FRAME_BYTES = 4_000_000
 MAX_DOCUMENT_BYTES = 4_000_000
-READ_BYTES = 65_536
 # Kind of the entries of servers that other hosts pass on, in the state dump.
 PASSED_ON = "servers-passed-on"
 # Time after an invalid document in which no other one is pulled.
 REFUSED_PAUSE_S = 0.5
-_MS_PER_S = 1000
-_LENGTH = struct.Struct("!I")
 
 _request_decoder = msgspec.msgpack.Decoder(PullRequest)
 _answer_decoder = msgspec.msgpack.Decoder(PullAnswer)
@@ -108,7 +101,9 @@
         self._active_pulls: set[str] = set()
         self._paused_until = 0.0
         self._document_paused_until = 0.0
-        self._compressed = (0, b"")
+        self._answers = StateAnswers(
+            clock=clock, replica=replica, contexts=contexts, blocks=blocks
+        )
         self._server = StreamServer(address, self._serve_safely)
 
     def start(self) -> None:
@@ -162,8 +157,8 @@
                 gevent.Timeout(timeout_s),
                 socket.create_connection((ip, self._port)) as connection,
             ):
-                _send_frame(connection, _encode(request))
-                answer = decode_message(_answer_decoder, _receive_frame(connection))
+                send_frame(connection, _encode(request))
+                answer = decode_message(_answer_decoder, receive_frame(connection))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
             write_log_entry(log, PullFailed(state=kind, ip=ip, error=str(error)))
             self._paused_until = self._clock() + FAILURE_PAUSE_S
@@ -180,8 +175,8 @@
             else:
                 self._document_paused_until = self._clock() + REFUSED_PAUSE_S
         endpoints = self._decode_endpoints(answer.endpoints)
-        delta = _read_delta(answer, endpoints, self._clock())
-        changed += self._replica.accept_delta(delta)
+        delta = read_delta(answer, endpoints, self._clock())
+        changed += self._replica.accept_delta(delta, self._clock())
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
@@ -231,76 +226,13 @@
             with connection:
                 with gevent.Timeout(SERVERS_TIMEOUT_S):
                     request = decode_message(
-                        _request_decoder, _receive_frame(connection)
+                        _request_decoder, receive_frame(connection)
                     )
                 with gevent.Timeout(_get_timeout(request)):
-                    _send_frame(connection, _encode(self._select_newer(request)))
+                    send_frame(connection, _encode(self._answers.select(request)))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
             write_log_entry(log, PullUnanswered(error=str(error)))
 
-    def _select_newer(self, request: PullRequest) -> PullAnswer:
-        document = b""
-        if request.version is not None and self._replica.version > request.version:
-            document = self._compress_document()
-        if request.wants_contexts:
-            now = self._clock()
-            entries = self._contexts.list_entries(now)[:MAX_CONTEXT_ENTRIES]
-            blocks = self._blocks.list_rows(now)
-            return PullAnswer(document, [], {}, 0, entries, blocks)
-        if request.revision is None:
-            return PullAnswer(document, [], {}, 0)
-        delta = self._replica.select_delta(request.revision)
-        return PullAnswer(
-            document,
-            [msgspec.Raw(_encode(endpoint)) for endpoint in delta.endpoints],
-            delta.removed,
-            delta.revision,
-            lapsing=_list_lapsing(delta, self._clock()),
-        )
-
-    def _compress_document(self) -> bytes:
-        """Return the compressed configuration; each version is compressed once."""
-        if self._compressed[0] != self._replica.version:
-            compressed = zlib.compress(self._replica.document)
-            self._compressed = (self._replica.version, compressed)
-        return self._compressed[1]
-
-
-def _list_lapsing(delta: Delta, now: float) -> dict[str, tuple[int, int]]:
-    return {
-        name: (lapse.revision, max(0, int((lapse.deadline - now) * _MS_PER_S)))
-        for name, lapse in delta.lapsing.items()
-    }
-
-
-def _read_delta(answer: PullAnswer, endpoints: list[Endpoint], now: float) -> Delta:
-    lapsing = {
-        name: Lapse(revision, now + left_ms / _MS_PER_S)
-        for name, (revision, left_ms) in answer.lapsing.items()
-    }
-    return Delta(endpoints, answer.removed, lapsing, answer.revision)
-
 
 def _get_timeout(request: PullRequest) -> float:
     return SERVERS_TIMEOUT_S if request.version is None else DOCUMENT_TIMEOUT_S
-
-
-def _send_frame(connection: socket.socket, data: bytes) -> None:
-    connection.sendall(_LENGTH.pack(len(data)) + data)
-
-
-def _receive_frame(connection: socket.socket) -> bytes:
-    (length,) = _LENGTH.unpack(_receive_exactly(connection, _LENGTH.size))
-    if length > MAX_FRAME_BYTES:
-        raise ConnectionAbortedError(f"a frame of {length} bytes is too long")
-    return _receive_exactly(connection, length)
-
-
-def _receive_exactly(connection: socket.socket, length: int) -> bytes:
-    data = bytearray()
-    while len(data) < length:
-        piece = connection.recv(min(READ_BYTES, length - len(data)))
-        if not piece:
-            raise ConnectionAbortedError("the connection closed within a frame")
-        data += piece
-    return bytes(data)
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -215,6 +215,12 @@
     lapsing : dict of str to tuple of int
         Servers that were missing after an outage of the store: the revision at which
         they were, and the time until their removal in milliseconds, by name.
+    is_whole : bool
+        Whether `endpoints` has all servers, as the sender doesn't know all removals
+        after the stated revision.
+    grace_ms : int
+        Time for which servers missing from a whole list may have lapsed in an outage of
+        the store, in milliseconds.
     """
 
     document: bytes
@@ -224,3 +230,5 @@
     contexts: list[tuple[Number, Number, AgeMs]] = []
     blocks: list[tuple[Number, AgeMs, AgeMs]] = []
     lapsing: dict[Name, tuple[Count, AgeMs]] = {}
+    is_whole: bool = False
+    grace_ms: AgeMs = 0
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -201,16 +201,16 @@
     # The last host in the order of collectors, so one that gets its state from others.
     last = order_candidates("a", ["h1", "h2", "h3", "h4", "h5", "h6"])[-1]
     host = world.hosts.get(last) or world.add_host(last, seeds=["h1"])
-    receive, begun = state_pulls._receive_frame, []
+    receive, begun = state_pulls.receive_frame, []
 
-    def receive_slowly(connection):
-        frame = receive(connection)
+    def receive_slowly(connection, *on_piece):
+        frame = receive(connection, *on_piece)
         if len(frame) > 20_000:
             begun.append(len(frame))
             gevent.sleep(2.0)
         return frame
 
-    monkeypatch.setattr(state_pulls, "_receive_frame", receive_slowly)
+    monkeypatch.setattr(state_pulls, "receive_frame", receive_slowly)
     rng = random.Random(1)
     names = [f"r{rng.getrandbits(128):x}" for _ in range(2000)]
     routes = [make_route(name, "idempotent") for name in names]
--- a/tests/functional/test_review_of_half_closed_callers.py
+++ b/tests/functional/test_review_of_half_closed_callers.py
@@ -4,15 +4,12 @@
 
 import gevent
 import h11
+import msgspec
 import pytest
 from gevent import socket
 
-from rosemarystream._internal.gateway.state_pulls import (
-    _encode,
-    _receive_frame,
-    _send_frame,
-)
 from rosemarystream._internal.models.gossip import PullRequest
+from rosemarystream._internal.utils.frames import receive_frame, send_frame
 from standins import backend_server
 from standins.backend_server import EVENTS, Fault
 from tests.lib.entry_world import (
@@ -378,9 +375,9 @@
     ip = world.hosts["h1"].ip
     connection = socket.create_connection((ip, PEER_PORT), timeout=3)
     request = PullRequest(0, None)
-    _send_frame(connection, _encode(request))
+    send_frame(connection, msgspec.msgpack.encode(request))
     connection.shutdown(socket.SHUT_WR)
-    assert _receive_frame(connection)
+    assert receive_frame(connection)
     connection.close()
 
 
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -265,6 +265,17 @@
     Replica._accept_lapse = lambda self, name, lapse: None
 
 
+def pass_changes_on_without_lists():
+    from rosemarystream._internal.decisions.replica import Replica
+
+    select = Replica.select_delta
+
+    def select_changes(self, revision):
+        return select(self, revision)._replace(is_whole=False)
+
+    Replica.select_delta = select_changes
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -300,6 +311,7 @@
         wait_for_overdue_answers,
         send_without_permission,
         keep_pending_removals,
+        pass_changes_on_without_lists,
     )
 }
 
--- a/tests/properties/test_parsers.py
+++ b/tests/properties/test_parsers.py
@@ -15,12 +15,13 @@
 
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.gateway.listener import Listener
-from rosemarystream._internal.gateway.state_pulls import (
+from rosemarystream._internal.models.gossip import (
+    GossipMessage,
+    HostAddress,
+    LoadScope,
     PullAnswer,
     PullRequest,
-    _receive_frame,
 )
-from rosemarystream._internal.models.gossip import GossipMessage, HostAddress, LoadScope
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.platform.documents import (
     DocumentError,
@@ -28,6 +29,7 @@
     decode_endpoint,
 )
 from rosemarystream._internal.platform.store import Store
+from rosemarystream._internal.utils.frames import receive_frame
 from rosemarystream._internal.utils.http_connection import (
     ClientConnection,
     ConnectionBrokenError,
@@ -228,7 +230,7 @@
     near, far = socket.socketpair()
     gevent.spawn(send_pieces, far, split(data, cuts))
     try:
-        frame = _receive_frame(near)
+        frame = receive_frame(near)
     except OSError:
         frame = None
     finally:
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -126,6 +126,11 @@
         "keep_pending_removals",
         f"{UNIT}test_replica.py -k pulled_meanwhile",
     ),
+    Row(
+        "entry-whole-lists",
+        "pass_changes_on_without_lists",
+        f"{UNIT}test_replica.py -k before_the_start",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -169,10 +169,10 @@
             supervisor=Supervisor(clock=lambda: 50.0),
         )
         monkeypatch.setattr(
-            state_pulls.socket, "create_connection", lambda address: _Opened()
+            state_pulls.socket, "create_connection", lambda *arguments: _Opened()
         )
-        monkeypatch.setattr(state_pulls, "_send_frame", lambda *arguments: None)
-        monkeypatch.setattr(state_pulls, "_receive_frame", lambda opened: answer)
+        monkeypatch.setattr(state_pulls, "send_frame", lambda *arguments: None)
+        monkeypatch.setattr(state_pulls, "receive_frame", lambda *arguments: answer)
 
     def pull(self):
         self.puller._pull("servers", IP, PullRequest(None, 0))
@@ -192,10 +192,14 @@
         "endpoints": endpoints,
         "removed": {},
         "revision": 9,
+        "contexts": [],
+        "blocks": [],
+        "lapsing": {},
+        "is_whole": False,
+        "grace_ms": 0,
         **changes,
     }
-    fields = [answer.get(name, []) for name in PullAnswer.__struct_fields__]
-    fields[-1] = answer.get("lapsing", {})
+    fields = [answer[name] for name in PullAnswer.__struct_fields__]
     return msgspec.msgpack.encode(fields)
 
 
--- a/tests/unit/test_replica.py
+++ b/tests/unit/test_replica.py
@@ -1,6 +1,10 @@
 """Late, repeated or reordered updates never revert the replicated state."""
 
-from rosemarystream._internal.decisions.replica import RECOVERY_GRACE_S, Replica
+from rosemarystream._internal.decisions.replica import (
+    MAX_TOMBSTONES,
+    RECOVERY_GRACE_S,
+    Replica,
+)
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.route import CallerLimits, FleetConfiguration
 
@@ -116,5 +120,93 @@
     return watcher, peer
 
 
-def pull(replica, source):
-    replica.accept_delta(source.select_delta(replica.revision))
+def pull(replica, source, now=100.0):
+    replica.accept_delta(source.select_delta(replica.revision), now)
+
+
+def list_names(replica):
+    return sorted(endpoint.name for endpoint in replica.list_endpoints())
+
+
+def make_listed(names, revision):
+    """Return a replica that has listed the store at a revision."""
+    replica = Replica()
+    entries = [make_endpoint(name, revision=at) for name, at in names.items()]
+    replica.accept_listing(entries, revision, now=1.0)
+    return replica
+
+
+def test_a_removal_before_the_start_of_a_host_reaches_those_that_pull_from_it():
+    # The host that started knows the revision, but not what was removed before it.
+    peer = make_listed({"s1": 3, "s2": 4}, 5)
+    started = make_listed({"s2": 4}, 9)
+    pull(peer, started)
+    assert list_names(peer) == ["s2"]
+    assert peer.revision == 9
+
+
+def test_a_removal_reaches_a_host_past_two_that_have_just_started():
+    peer = make_listed({"s1": 3, "s2": 4}, 5)
+    first, second = make_listed({"s2": 4}, 9), Replica()
+    pull(second, first)
+    pull(peer, second)
+    assert list_names(peer) == ["s2"]
+
+
+def test_the_removal_of_a_server_that_came_and_went_between_two_pulls_is_passed_on():
+    watcher = make_listed({"s2": 4}, 5)
+    peer, other = make_listed({"s2": 4}, 5), make_listed({"s2": 4}, 5)
+    watcher.accept_endpoint(make_endpoint("s1", revision=6))
+    watcher.advance(6)
+    pull(peer, watcher)
+    watcher.accept_removal("s1", 7)
+    watcher.advance(7)
+    pull(other, watcher)
+    pull(peer, other)
+    assert list_names(peer) == ["s2"]
+
+
+def test_an_older_list_that_comes_late_does_not_restore_a_removed_server():
+    older = make_listed({"s1": 3, "s2": 4}, 5).select_delta(0)
+    replica = make_listed({"s2": 4}, 9)
+    replica.accept_delta(older, now=1.0)
+    assert list_names(replica) == ["s2"]
+    assert replica.revision == 9
+
+
+def test_a_late_whole_list_keeps_what_has_come_since():
+    peer = make_listed({"s1": 3}, 5)
+    whole = make_listed({}, 7).select_delta(5)
+    peer.accept_endpoint(make_endpoint("s2", revision=8))
+    peer.advance(8)
+    peer.accept_delta(whole, now=1.0)
+    assert list_names(peer) == ["s2"]
+    assert peer.revision == 8
+
+
+def test_a_removal_that_is_no_longer_recorded_reaches_a_host_far_behind():
+    peer, watcher = make_listed({"s0": 3}, 5), make_listed({"s0": 3}, 5)
+    for number in range(MAX_TOMBSTONES + 1):
+        watcher.accept_removal(f"s{number}", 6 + number)
+    watcher.advance(6 + MAX_TOMBSTONES)
+    pull(peer, watcher)
+    assert list_names(peer) == []
+
+
+def test_entries_missing_from_a_whole_list_after_an_outage_are_kept_for_a_while():
+    peer = make_listed({"s1": 3, "s2": 4}, 5)
+    started = Replica()
+    started.begin_store_recovery(100.0)
+    started.accept_listing([make_endpoint("s2", revision=4)], 9, 100.0)
+    pull(peer, started)
+    assert list_names(peer) == ["s1", "s2"]
+    assert peer.expire(100.0 + RECOVERY_GRACE_S) == ["s1"]
+
+
+def test_only_changes_are_passed_on_to_a_host_that_is_little_behind():
+    watcher = make_listed({"s1": 3, "s2": 4}, 5)
+    watcher.accept_endpoint(make_endpoint("s3", revision=6))
+    watcher.advance(6)
+    delta = watcher.select_delta(5)
+    assert not delta.is_whole
+    assert [endpoint.name for endpoint in delta.endpoints] == ["s3"]
