--- a/src/rosemarystream/_internal/decisions/ignored_objects.py
+++ b/src/rosemarystream/_internal/decisions/ignored_objects.py
@@ -45,6 +45,10 @@
         """Remove an object that is valid now, or deleted."""
         self._objects.pop((kind, name), None)
 
+    def has(self, kind: str, name: str) -> bool:
+        """Return whether the last object of a name was ignored."""
+        return (kind, name) in self._objects
+
     def keep_listed(self, kind: str, listed: Iterable[tuple[str, int]]) -> None:
         """Remove the objects of a kind that are not among the listed ones.
 
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -17,6 +17,7 @@
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.pull_plan import PullPlan, StateKind
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.state_answers import StateAnswers, read_delta
@@ -42,19 +43,14 @@
 
 log = Logger(__name__)
 
-SERVERS_TIMEOUT_S = 1.0
-DOCUMENT_TIMEOUT_S = 4.0
-# Time after a failed pull in which no other one is started.
-FAILURE_PAUSE_S = 0.25
-# The same after an unexpected error, which the next answer may raise again.
-UNEXPECTED_ERROR_PAUSE_S = 1.0
+# Time for a whole pull, and the longest silence within one.
+PULL_TIMEOUT_S = 4.0
+SILENCE_TIMEOUT_S = 1.0
 # Hosts that a host asks for the map of cached prompt parts after its start.
 CONTEXT_PULLS = 3
 MAX_DOCUMENT_BYTES = 4_000_000
 # Kind of the entries of servers that other hosts pass on, in the state dump.
 PASSED_ON = "servers-passed-on"
-# Time after an invalid document in which no other one is pulled.
-REFUSED_PAUSE_S = 0.5
 
 _request_decoder = msgspec.msgpack.Decoder(PullRequest)
 _answer_decoder = msgspec.msgpack.Decoder(PullAnswer)
@@ -62,6 +58,10 @@
 _encode = msgspec.msgpack.encode
 
 
+class RefusedDocumentError(Exception):
+    """The configuration that a host has passed on can't be used."""
+
+
 class StatePuller:
     """Pulls newer state from other hosts, and serves their pulls.
 
@@ -98,9 +98,7 @@
         self._contexts_from: set[str] = set()
         self._on_change = on_change
         self._supervisor = supervisor
-        self._active_pulls: set[str] = set()
-        self._paused_until = 0.0
-        self._document_paused_until = 0.0
+        self._plan = PullPlan()
         self._answers = StateAnswers(
             clock=clock, replica=replica, contexts=contexts, blocks=blocks
         )
@@ -115,14 +113,14 @@
         self._server.stop()
 
     def pull_servers(self, ip: str) -> None:
-        """Pull changes of the servers from a host, unless a pull is in progress."""
-        self._start_pull("servers", ip, PullRequest(None, self._replica.revision))
+        """Pull changes of the servers from a host, if it is its turn."""
+        request = PullRequest(None, self._replica.revision)
+        self._start_pull(StateKind.SERVERS, ip, request)
 
     def pull_document(self, ip: str) -> None:
-        """Pull the configuration from a host, unless a pull is in progress."""
-        if self._clock() >= self._document_paused_until:
-            request = PullRequest(self._replica.version, None)
-            self._start_pull("document", ip, request)
+        """Pull the configuration from a host, if it is its turn."""
+        request = PullRequest(self._replica.version, None)
+        self._start_pull(StateKind.DOCUMENT, ip, request)
 
     def pull_contexts(self, ip: str) -> None:
         """Pull the map of cached prompt parts from the first hosts in contact.
@@ -132,51 +130,61 @@
         if ip in self._contexts_from or len(self._contexts_from) >= CONTEXT_PULLS:
             return
         request = PullRequest(None, None, wants_contexts=True)
-        if self._start_pull("contexts", ip, request):
+        if self._start_pull(StateKind.CONTEXTS, ip, request):
             self._contexts_from.add(ip)
 
-    def _start_pull(self, kind: str, ip: str, request: PullRequest) -> bool:
-        """Start a pull unless pulls are paused; return whether it was started."""
-        if kind in self._active_pulls or self._clock() < self._paused_until:
+    def _start_pull(self, kind: StateKind, ip: str, request: PullRequest) -> bool:
+        """Start a pull if it is the host's turn; return whether it was started."""
+        if not self._plan.begin(kind, ip, self._clock()):
             return False
-        self._active_pulls.add(kind)
         self._supervisor.start_task("pull", self._pull, kind, ip, request)
         return True
 
-    def _pull(self, kind: str, ip: str, request: PullRequest) -> None:
-        try:
-            self._exchange(kind, ip, request)
-        except Exception:
-            self._paused_until = self._clock() + UNEXPECTED_ERROR_PAUSE_S
-            raise
-
-    def _exchange(self, kind: str, ip: str, request: PullRequest) -> None:
-        timeout_s = _get_timeout(request)
+    def _pull(self, kind: StateKind, ip: str, request: PullRequest) -> None:
+        is_applied = False
         try:
-            with (
-                gevent.Timeout(timeout_s),
-                socket.create_connection((ip, self._port)) as connection,
-            ):
-                send_frame(connection, _encode(request))
-                answer = decode_message(_answer_decoder, receive_frame(connection))
-        except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
+            self._accept(self._exchange(kind, ip, request))
+            is_applied = True
+        except (
+            OSError,
+            gevent.Timeout,
+            msgspec.DecodeError,
+            RefusedDocumentError,
+        ) as error:
             write_log_entry(log, PullFailed(state=kind, ip=ip, error=str(error)))
-            self._paused_until = self._clock() + FAILURE_PAUSE_S
-            return
         finally:
-            self._active_pulls.discard(kind)
-        self._accept(answer)
+            if is_applied:
+                self._plan.record_success(kind, ip)
+            else:
+                self._plan.record_failure(kind, ip, self._clock())
+
+    def _exchange(self, kind: StateKind, ip: str, request: PullRequest) -> PullAnswer:
+        def record_progress() -> None:
+            self._plan.record_progress(kind, ip, self._clock())
+
+        with (
+            gevent.Timeout(PULL_TIMEOUT_S),
+            socket.create_connection((ip, self._port), SILENCE_TIMEOUT_S) as connection,
+        ):
+            send_frame(connection, _encode(request))
+            frame = receive_frame(connection, record_progress)
+        return decode_message(_answer_decoder, frame)
 
     def _accept(self, answer: PullAnswer) -> None:
+        """Apply an answer.
+
+        Raises
+        ------
+        RefusedDocumentError
+            If its configuration is invalid; the rest has been applied.
+        """
+        now = self._clock()
         changed = []
-        if answer.document:
-            if self._accept_document(answer.document):
-                changed.append(f"version {self._replica.version}")
-            else:
-                self._document_paused_until = self._clock() + REFUSED_PAUSE_S
+        if answer.document and self._accept_document(answer.document):
+            changed.append(f"version {self._replica.version}")
         endpoints = self._decode_endpoints(answer.endpoints)
-        delta = read_delta(answer, endpoints, self._clock())
-        changed += self._replica.accept_delta(delta, self._clock())
+        delta = read_delta(answer, endpoints, now)
+        changed += self._replica.accept_delta(delta, now)
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
@@ -189,6 +197,12 @@
                 log, UpdatesPulled(updates=changed, revision=answer.revision)
             )
             self._on_change()
+        if answer.document and self._is_refused():
+            raise RefusedDocumentError("the configuration is invalid")
+
+    def _is_refused(self) -> bool:
+        """Return whether the configuration that came last is invalid."""
+        return self._ignored.has(CONFIGURATION, CONFIGURATION_NAME)
 
     def _decode_endpoints(self, rows: list[msgspec.Raw]) -> list[Endpoint]:
         """Return the valid entries; each is checked as one of the store."""
@@ -224,15 +238,10 @@
     def _serve(self, connection: socket.socket, _: object) -> None:
         try:
             with connection:
-                with gevent.Timeout(SERVERS_TIMEOUT_S):
-                    request = decode_message(
-                        _request_decoder, receive_frame(connection)
-                    )
-                with gevent.Timeout(_get_timeout(request)):
+                with gevent.Timeout(SILENCE_TIMEOUT_S):
+                    frame = receive_frame(connection)
+                    request = decode_message(_request_decoder, frame)
+                with gevent.Timeout(PULL_TIMEOUT_S):
                     send_frame(connection, _encode(self._answers.select(request)))
         except (OSError, gevent.Timeout, msgspec.DecodeError) as error:
             write_log_entry(log, PullUnanswered(error=str(error)))
-
-
-def _get_timeout(request: PullRequest) -> float:
-    return SERVERS_TIMEOUT_S if request.version is None else DOCUMENT_TIMEOUT_S
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -276,6 +276,17 @@
     Replica.select_delta = select_changes
 
 
+def wait_for_silent_hosts():
+    from rosemarystream._internal.decisions.pull_plan import _KindPulls
+
+    may_begin = _KindPulls.may_begin
+
+    def may_begin_alone(self, ip, now):
+        return not self.active and may_begin(self, ip, now)
+
+    _KindPulls.may_begin = may_begin_alone
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -312,6 +323,7 @@
         send_without_permission,
         keep_pending_removals,
         pass_changes_on_without_lists,
+        wait_for_silent_hosts,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -131,6 +131,11 @@
         "pass_changes_on_without_lists",
         f"{UNIT}test_replica.py -k before_the_start",
     ),
+    Row(
+        "entry-silent-hosts",
+        "wait_for_silent_hosts",
+        f"{UNIT}test_state_pulls.py -k suspended",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -9,6 +9,7 @@
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.pull_plan import StateKind
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway import state_pulls
 from rosemarystream._internal.gateway.state_pulls import StatePuller
@@ -175,7 +176,7 @@
         monkeypatch.setattr(state_pulls, "receive_frame", lambda *arguments: answer)
 
     def pull(self):
-        self.puller._pull("servers", IP, PullRequest(None, 0))
+        self.puller._pull(StateKind.SERVERS, IP, PullRequest(None, 0))
 
 
 class _Opened:
--- a/tests/unit/test_state_pulls.py
+++ b/tests/unit/test_state_pulls.py
@@ -3,6 +3,9 @@
 import time
 
 import gevent
+import msgspec
+import pytest
+from gevent import socket
 
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
@@ -10,9 +13,16 @@
 from rosemarystream._internal.gateway.state_pulls import StatePuller
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
+from rosemarystream._internal.models.route import CallerLimits, FleetConfiguration
+from tests.lib.entry_world import make_configuration
 
 PORT = 18_097
-SOURCE_IP, PEER_IP = "127.0.0.61", "127.0.0.62"
+SOURCE_IP, PEER_IP, SUSPENDED_IP = "127.0.0.61", "127.0.0.62", "127.0.0.63"
+# Interval at which hosts announce their state.
+ANNOUNCED_EVERY_S = 0.1
+# A change has to be in force this long after the store has accepted it; half of that is
+# left once the host that heard of it first has been suspended.
+IN_FORCE_S = 2.0
 
 
 def make_puller(ip, replica, clock):
@@ -56,3 +66,38 @@
     removed_at = now + offset_s + RECOVERY_GRACE_S
     assert peer.expire(removed_at - 0.1) == []
     assert peer.expire(removed_at + 1.0) == ["s1"]
+
+
+@pytest.fixture
+def suspended():
+    """A host that is suspended: its system accepts connections, and nothing follows."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((SUSPENDED_IP, PORT))
+        listener.listen()
+        yield SUSPENDED_IP
+
+
+@pytest.mark.parametrize("kind", ["document", "servers"])
+def test_a_suspended_host_does_not_keep_newer_state_of_others_away(suspended, kind):
+    source, peer = Replica(), Replica()
+    document = msgspec.json.encode(make_configuration(7))
+    source.accept_configuration(
+        FleetConfiguration(7, {}, {}, CallerLimits(), {}), document
+    )
+    endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
+    source.accept_listing([endpoint], 9, time.monotonic())
+    pullers = [
+        make_puller(SOURCE_IP, source, time.monotonic),
+        make_puller(PEER_IP, peer, time.monotonic),
+    ]
+    pull = getattr(pullers[1], f"pull_{kind}")
+    try:
+        with gevent.Timeout(IN_FORCE_S / 2):
+            while not (peer.version if kind == "document" else peer.revision):
+                pull(suspended)
+                pull(SOURCE_IP)
+                gevent.sleep(ANNOUNCED_EVERY_S)
+    finally:
+        for puller in pullers:
+            puller.stop()
