--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -47,6 +47,9 @@
         The server it is sent to.
     on_head : callable
         Called with the head of each answer to this request, also of a refusal.
+    used_connections : list of ClientConnection
+        Connections on which the request was sent before; this attempt adds its own. A
+        second copy of an answer may still come on them, with the request's own id.
 
     Attributes
     ----------
@@ -73,12 +76,14 @@
         pool: ConnectionPool,
         clock: Callable[[], float],
         on_head: Callable[[AnswerHead], None],
+        used_connections: list[ClientConnection],
     ) -> None:
         self.endpoint = endpoint
         self.call = call
         self._pool = pool
         self._clock = clock
         self._on_head = on_head
+        self._used_connections = used_connections
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         # Whether the rest of a late answer to an earlier request comes first.
@@ -119,7 +124,7 @@
         OutcomeUnknownError
             If the connection broke while sending.
         """
-        connection = self._pool.take(self.endpoint)
+        connection = self._pool.take(self.endpoint, excluded=self._used_connections)
         self.reused = connection is not None
         if connection is None:
             try:
@@ -127,6 +132,7 @@
             except ConnectError as error:
                 raise NotRunError(str(error), sent=False) from error
         self._connection = connection
+        self._used_connections.append(connection)
         headers = encode_call(
             self.call,
             wait_s=deadline - self._clock(),
--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -1,6 +1,6 @@
 """Idle connections to backend servers, kept for reuse."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.utils.http_connection import ClientConnection
@@ -22,12 +22,22 @@
         self._idle: dict[tuple[str, str, int], list[ClientConnection]] = {}
         self._max_idle_s: dict[str, float] = {}
 
-    def take(self, endpoint: Endpoint) -> ClientConnection | None:
-        """Return an idle connection that is open and has no stray bytes, if any."""
+    def take(
+        self, endpoint: Endpoint, *, excluded: Collection[ClientConnection] = ()
+    ) -> ClientConnection | None:
+        """Return an idle connection that is open and has no stray bytes, if any.
+
+        Parameters
+        ----------
+        excluded : collection of ClientConnection
+            Connections that stay idle.
+        """
         idle = self._idle.get(_key(endpoint), [])
         max_idle_s = self._max_idle_s.get(endpoint.name, DEFAULT_KEEP_ALIVE_S)
-        while idle:
-            connection = idle.pop()
+        for connection in idle[::-1]:
+            if connection in excluded:
+                continue
+            idle.remove(connection)
             fresh = self._clock() - connection.idle_since < max_idle_s
             if fresh and connection.is_reusable():
                 return connection
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -44,6 +44,7 @@
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.route import Route
 from rosemarystream._internal.platform.headers import AnswerHead
+from rosemarystream._internal.utils.http_connection import ClientConnection
 
 
 class Exchange:
@@ -97,6 +98,7 @@
         self._attempts: AttemptSequence | None = None
         self._current: CountedAttempt | None = None
         self._failover: Failover | None = None
+        self._used_connections: list[ClientConnection] = []
         self._relay: AnswerRelay | None = None
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
 
@@ -250,6 +252,7 @@
             pool=self._pool,
             clock=self._clock,
             on_head=partial(self._router.statements.record, placement.endpoint),
+            used_connections=self._used_connections,
         )
         counted = CountedAttempt(
             attempt=attempt, placement=placement, router=self._router
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -143,6 +143,9 @@
         If set, it turns each request away with this value of Retry-After.
     refusal_delays_s : list of float
         Times until the next of these refusals, one each, in seconds.
+    repeats_refusals : bool
+        Whether a second copy of a refusal comes before the next answer on its
+        connection.
     born : int
         Start time of its process, in milliseconds since the epoch.
     arrived_at : list of float
@@ -177,6 +180,8 @@
         self.states_leaving_in_earlier_answers = False
         self.retry_after: str | None = None
         self.refusal_delays_s: list[float] = []
+        self.repeats_refusals = False
+        self._late_copies: dict[socket.socket, bytes] = {}
         self.born = 1_000
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
@@ -233,6 +238,7 @@
             return
         finally:
             self._open.discard(connection)
+            self._late_copies.pop(connection, None)
             connection.close()
 
     def _serve_next(self, connection: socket.socket) -> bool:
@@ -242,6 +248,7 @@
             return False
         self.arrivals += 1
         self.arrived_at.append(time.monotonic())
+        connection.sendall(self._late_copies.pop(connection, b""))
         headers = dict(request.headers)
         request_id = headers.get(b"x-rosemarystream-attempt-id", b"")
         expected = headers.get(b"x-rosemarystream-expect-instance", b"").decode()
@@ -258,7 +265,11 @@
                 gevent.sleep(self.refusal_delays_s.pop(0))
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             identity.append((b"retry-after", self.retry_after.encode()))
-            return _answer(connection, protocol, 503, identity, b"")
+            refusal = _encode_answer(protocol, 503, identity, b"")
+            if self.repeats_refusals:
+                self._late_copies[connection] = refusal
+            connection.sendall(refusal)
+            return True
         if fault is Fault.TURN_AWAY:
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             return _answer(connection, protocol, 503, identity, b"")
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -287,6 +287,13 @@
     _KindPulls.may_begin = may_begin_alone
 
 
+def use_any_connection():
+    from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+
+    take = ConnectionPool.take
+    ConnectionPool.take = lambda self, endpoint, *, excluded=(): take(self, endpoint)
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -324,6 +331,7 @@
         keep_pending_removals,
         pass_changes_on_without_lists,
         wait_for_silent_hosts,
+        use_any_connection,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -136,6 +136,11 @@
         "wait_for_silent_hosts",
         f"{UNIT}test_state_pulls.py -k suspended",
     ),
+    Row(
+        "entry-late-refusals",
+        "use_any_connection",
+        "python -m pytest -x -q tests/functional/test_late_refusals.py -k not_passed",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
