Exchanges of serve: bounds on the bytes and the time of an answer

What callers would see: a server that sends bytes without end, in a head, a body or a line, takes the memory of a host of the older command, and its event loop while they last.

Cause: the response parser reads from its socket for as long as something comes; the time limit held for single reads.

Ruled out: the entry host, whose reads are bounded (test_endless_bytes.py).

Change: the parser gets a socket with bounds on bytes, a moment as its deadline, and pauses.

--- a/src/rosemarystream/_internal/utils/http_exchange.py
+++ b/src/rosemarystream/_internal/utils/http_exchange.py
@@ -6,24 +6,71 @@
 """
 
 from collections.abc import Callable, Mapping
+from operator import methodcaller
 
 from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from rosemarystream._internal.exceptions import BackendError, ConnectError
 from rosemarystream._internal.utils.address import split_address
+from rosemarystream._internal.utils.loop_share import LoopShare
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MIN_WAIT_SECONDS = 0.001
 USER_TIMEOUT_MS = 10_000
 KEEPALIVE_IDLE_SECONDS = 10
 BLOCK_BYTES = 16_384
+# Most bytes of an answer: until the end of its head, of its whole body, and until the
+# next separator in it.
+MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 8_000_000
+MAX_LINE_BYTES = 1_000_000
 
 
 class ExchangeError(BackendError):
     """The exchange failed after bytes may have been sent."""
 
 
+class _AnswerTooLongError(OSError):
+    """An answer exceeds a bound, and may have no end."""
+
+
+class _BoundedSocket:
+    """The part of a socket that the response parser uses, with bounds on what it reads.
+
+    The parser itself reads for as long as something comes.
+    """
+
+    def __init__(self, opened: socket.socket, clock: Callable[[], float]) -> None:
+        self._opened = opened
+        self._clock = clock
+        self._loop_share = LoopShare()
+        self._deadline = 0.0
+        self._left_bytes = 0
+
+    def limit(self, most_bytes: int, deadline: float) -> None:
+        """Set how many bytes may be read from now on, and until when."""
+        self._left_bytes = most_bytes
+        self._deadline = deadline
+
+    def recv(self, size: int) -> bytes:
+        """Read what has arrived, or wait for it until the deadline."""
+        self._loop_share.take_step()
+        wait_s = self._deadline - self._clock()
+        if wait_s <= 0.0:
+            raise TimeoutError("still sending at the deadline")
+        if self._left_bytes <= 0:
+            raise _AnswerTooLongError("the answer is too long")
+        self._opened.settimeout(max(MIN_WAIT_SECONDS, wait_s))
+        data = self._opened.recv(size)
+        self._left_bytes -= len(data)
+        return data
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._opened.close()
+
+
 class Exchange:
     """A request and its answer over a new connection.
 
@@ -39,6 +86,7 @@
         self._address = address
         self._clock = clock
         self._socket: socket.socket | None = None
+        self._source: _BoundedSocket | None = None
         self._response: HTTPSocketResponse | None = None
 
     def connect(self, deadline: float) -> None:
@@ -92,8 +140,10 @@
         try:
             self._socket.settimeout(self._remaining(deadline))
             self._socket.sendall(head + body)
+            self._source = _BoundedSocket(self._socket, self._clock)
+            self._source.limit(MAX_HEAD_BYTES, deadline)
             self._response = HTTPSocketResponse(
-                self._socket, block_size=BLOCK_BYTES, method=method
+                self._source, block_size=BLOCK_BYTES, method=method
             )
         except (OSError, HTTPParseError) as error:
             raise self._close_and_convert(error) from error
@@ -124,9 +174,10 @@
         Raises
         ------
         ExchangeError
-            If the answer is cut off or incomplete by `deadline`.
+            If the answer is cut off, too long, or incomplete by `deadline`.
         """
-        return self._read(lambda answer: answer.readline(separator), deadline)
+        read_line = methodcaller("readline", separator)
+        return self._read(read_line, MAX_LINE_BYTES, deadline)
 
     def read_all(self, deadline: float) -> bytes:
         """Read the whole body.
@@ -134,17 +185,21 @@
         Raises
         ------
         ExchangeError
-            If the answer is cut off or incomplete by `deadline`.
+            If the answer is cut off, too long, or incomplete by `deadline`.
         """
-        return self._read(lambda answer: answer.read(), deadline)
+        return self._read(methodcaller("read"), MAX_BODY_BYTES, deadline)
 
     def _read(
-        self, read_body: Callable[[HTTPSocketResponse], bytes], deadline: float
+        self,
+        read_body: Callable[[HTTPSocketResponse], bytes],
+        most_bytes: int,
+        deadline: float,
     ) -> bytes:
-        assert self._socket is not None
+        assert self._source is not None
         assert self._response is not None
         try:
-            self._socket.settimeout(self._remaining(deadline))
+            # What has arrived counts also when this host is late.
+            self._source.limit(most_bytes, self._clock() + self._remaining(deadline))
             return read_body(self._response)
         except (OSError, HTTPParseError) as error:
             raise self._close_and_convert(error) from error
