Watches: the removal of an odd name is not passed on

Cause: since the removals of unknown entries are recorded; an entry with an unreadable name leaves an empty one, which no host can read among the removals of an answer.

--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -32,6 +32,7 @@
     DocumentError,
     decode_configuration,
     decode_endpoint,
+    is_server_name,
 )
 from rosemarystream._internal.platform.store import (
     CONFIGURATION,
@@ -291,7 +292,10 @@
     def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
         if deleted:
             self._ignored.remove(self.kind, item.name)
-            changed = self._replica.accept_removal(item.name, revision)
+            # The removal of an unknown entry is passed on, so its name has to be sound.
+            changed = is_server_name(item.name) and self._replica.accept_removal(
+                item.name, revision
+            )
             if changed:
                 write_log_entry(log, ServerRemoved(server=item.name, revision=revision))
         else:
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -228,6 +228,11 @@
     return endpoint
 
 
+def is_server_name(name: str) -> bool:
+    """Return whether an entry of this name can be one of a server."""
+    return bool(_HEADER_NAME.fullmatch(name))
+
+
 def check_endpoint(endpoint: Endpoint) -> None:
     """Check what a server is called and where it is, from whichever source.
 
@@ -236,7 +241,7 @@
     DocumentError
         If its name can't be sent to it in a header, or its address is unusable.
     """
-    if not _HEADER_NAME.fullmatch(endpoint.name):
+    if not is_server_name(endpoint.name):
         raise DocumentError(f"server entry {endpoint.name!r} has an unusable name")
     if not is_server_address(endpoint.address):
         raise DocumentError(f"server entry {endpoint.name!r} has an unusable address")
