--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,9 +21,11 @@
 ENGINE_DEFAULTS = {"slots": 8, "token_ms": 5}
 WORKSPACE_KEY = "demo-key"
 OPERATOR_KEY = "operator-key"
-# Below the ephemeral range from which the kernel picks ports of outgoing connections.
-_FIRST_PORT = 10_000 + (os.getpid() % 100) * 200
-_PORTS = itertools.count(_FIRST_PORT)
+# Ports of one process, below the ephemeral range from which the kernel picks those of
+# outgoing connections.
+FIRST_PORT, PORTS_OF_PROCESS, PROCESSES = 10_000, 200, 100
+_held: list[socket.socket] = []
+_ports: list[Iterator[int]] = []
 
 HOST_PROGRAM = os.environ.get(
     "ROSEMARYSTREAM_PROGRAM", f"{sys.executable} -m rosemarystream"
@@ -53,8 +55,10 @@
 
 def take_port() -> int:
     """Return a loopback port on which nothing listens."""
+    if not _ports:
+        _ports.append(itertools.count(_take_ports()))
     while True:
-        port = next(_PORTS)
+        port = next(_ports[0])
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -64,6 +68,25 @@
             return port
 
 
+def _take_ports() -> int:
+    """Return the first of the ports that this process uses.
+
+    The port before it is held, so that no other process takes the same ones.
+    """
+    for offset in range(PROCESSES):
+        number = (os.getpid() + offset) % PROCESSES
+        first = FIRST_PORT + number * PORTS_OF_PROCESS
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", first))
+        except OSError:
+            held.close()
+            continue
+        _held.append(held)
+        return first + 1
+    raise RuntimeError("the ports of all processes are taken; end other runs")
+
+
 def wait_until(check: Callable[[], Any], *, seconds: float, what: str) -> Any:
     """Call a check until its result is true and return that result.
 
--- a/tests/functional/test_endless_answers_of_serve.py
+++ b/tests/functional/test_endless_answers_of_serve.py
@@ -11,8 +11,9 @@
 from gevent.server import StreamServer
 
 from rosemarystream._internal.utils.http_exchange import Exchange, ExchangeError
+from tests.lib.networks import take_network
 
-ADDRESS = ("127.0.0.71", 18_098)
+ADDRESS = (f"{take_network()}.1", 18_098)
 # Bytes after which the server stops, so that the test ends if nothing bounds them.
 MOST_SENT_BYTES = 48_000_000
 # An answer may have 8 MB; what the sockets hold comes on top.
@@ -95,6 +96,7 @@
     return time.monotonic() - began_at
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize("reader", READERS)
 @pytest.mark.parametrize("answer", ANSWERS)
 def test_an_answer_without_end_is_given_up(answer, reader):
@@ -118,6 +120,7 @@
     assert longest_s < TURN_S
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize("reader", READERS)
 @pytest.mark.parametrize(
     "start", [HEAD, HEAD + b"\r\n"], ids=["in_the_head", "in_the_body"]
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -54,6 +54,9 @@
 ]
 STREAMS = {"event", "repeated_events", "comments"}
 
+# The bounds on times and memory hold for a host that has the machine's share.
+pytestmark = pytest.mark.alone
+
 
 @pytest.fixture
 def world():
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -4,7 +4,6 @@
 """
 
 import itertools
-import os
 import time
 from pathlib import Path
 from typing import NamedTuple
@@ -20,15 +19,12 @@
 from rosemarystream._internal.utils.address import split_address
 from standins.backend_server import BackendServer
 from standins.object_store import ObjectStore
+from tests.lib.networks import take_network
 
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 18_080, 18_081, 18_082, 18_083
 STORE_PORT, SERVER_PORT = 18_084, 18_085
-# Second octet of the first network on loopback, and the number of networks.
-NETWORKS = (10, 200)
 KEY = "key-of-w1"
 HOST = "chats.example"
-# Third octets of the networks, used again in turn: most worlds are gone long before.
-_numbers = itertools.cycle(range(1, 251))
 _request_ids = itertools.count(1)
 
 
@@ -87,8 +83,7 @@
     """Object store, backend servers and entry hosts of a small deployment."""
 
     def __init__(self):
-        # Test processes that run at the same time need different networks too.
-        self.net = f"127.{NETWORKS[0] + os.getpid() % NETWORKS[1]}.{next(_numbers)}"
+        self.net = take_network()
         self.store = ObjectStore(address=(f"{self.net}.1", STORE_PORT))
         self.servers = {}
         self.hosts = {}
--- a/tests/unit/test_state_pulls.py
+++ b/tests/unit/test_state_pulls.py
@@ -15,9 +15,11 @@
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.route import CallerLimits, FleetConfiguration
 from tests.lib.entry_world import make_configuration
+from tests.lib.networks import take_network
 
 PORT = 18_097
-SOURCE_IP, PEER_IP, SUSPENDED_IP = "127.0.0.61", "127.0.0.62", "127.0.0.63"
+NET = take_network()
+SOURCE_IP, PEER_IP, SUSPENDED_IP = (f"{NET}.{number}" for number in (1, 2, 3))
 # Interval at which hosts announce their state.
 ANNOUNCED_EVERY_S = 0.1
 # A change has to be in force this long after the store has accepted it; half of that is
