--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -32,8 +32,9 @@
 MAX_CRASHES = 256
 # Most crashes of single requests that are kept to recognize repeated reports.
 MAX_KNOWN = 4_096
-# Shared parts of a prompt that are looked at; prompts of real callers have a few.
-MAX_PARTS_OF_PROMPT = 8
+# Shared parts of a prompt that are looked at; prompts of real callers have a few, and
+# the crashes that a message reports fit into a datagram.
+MAX_PARTS_OF_PROMPT = 128
 
 
 class Crash(NamedTuple):
@@ -129,7 +130,7 @@
             return False
         first_at = min(crash.at for crash in crashes)
         return self._serve_others(first_at) and (
-            len(crashes) >= MIN_CRASH_SHARE * self._count_crashes_since(first_at)
+            len(crashes) >= MIN_CRASH_SHARE * self.count_crashes_since(first_at)
         )
 
     def _list_crashes(self, part: int, now: float) -> list[Crash]:
@@ -145,9 +146,28 @@
         answers = self._last_answers
         return len(answers) == MIN_OTHER_ANSWERS and answers[0] > since
 
-    def _count_crashes_since(self, since: float) -> int:
+    def count_crashes_since(self, since: float) -> int:
+        """Return the number of servers that have crashed since a time."""
         return sum(at >= since for at in self._crashes.values())
 
+    def list_unanswered_crashes(
+        self, now: float, *, since: float, least: int
+    ) -> dict[int, list[float]]:
+        """Return the times of the crashes under each part since the last answer on it.
+
+        Parameters
+        ----------
+        since : float
+            Time from which crashes count.
+        least : int
+            Parts with fewer crashes are left out.
+        """
+        times = {
+            part: sorted(c.at for c in self._list_crashes(part, now) if c.at >= since)
+            for part in self._suspects
+        }
+        return {part: at for part, at in times.items() if len(at) >= least}
+
     def may_be_sound(self, part: int, now: float) -> bool:
         """Return whether one other part may be to blame for all crashes of a part.
 
--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -5,21 +5,22 @@
 repeat the blocks in force for hosts that missed them.
 """
 
-import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from math import inf
 from typing import NamedTuple
 
-from xxhash import xxh3_64_intdigest
-
 from rosemarystream._internal.decisions.bounded_dict import BoundedDict
 from rosemarystream._internal.decisions.crash_evidence import (
     MAX_PARTS_OF_PROMPT,
     Crash,
     CrashEvidence,
 )
+from rosemarystream._internal.decisions.crash_holds import (
+    FIRST_TRIAL_S,
+    CrashHolds,
+    HostTurn,
+)
 from rosemarystream._internal.decisions.pending_updates import PendingUpdates
-from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.gossip import CrashUpdates
 
 # Time for which a part is blocked. The crashes count for longer, so that the first one
@@ -39,7 +40,6 @@
 # Rounds after which collectors repeat the blocks in force.
 REPEAT_BLOCKS_EVERY_ROUNDS = 10
 _MS_PER_S = 1000
-_PART_NUMBER = re.compile(r"[0-9a-f]{1,16}")
 
 
 class Block(NamedTuple):
@@ -58,41 +58,23 @@
     left_s: float
 
 
-def hash_shared_parts(parts: Sequence[PromptPart]) -> tuple[int, ...]:
-    """Return the numbers of the parts but the last, which is the request's own.
-
-    They are sent and stored instead of the names, and long enough that two names with
-    the same number are not met.
-    """
-    return tuple(
-        xxh3_64_intdigest(part.name.encode())
-        for part in parts[:-1][:MAX_PARTS_OF_PROMPT]
-    )
-
-
-def format_part(part: int) -> str:
-    """Return the number of a part as it stands in logs, state dump and store."""
-    return f"{part:016x}"
-
-
-def parse_part(text: str) -> int:
-    """Return the number that `format_part` has written.
+class PromptBlocks:
+    """Blocked prompt parts, and the evidence and the updates for other hosts.
 
-    Raises
-    ------
-    ValueError
-        If the text is no such number.
+    Parameters
+    ----------
+    find_turn : callable
+        Returns the turn of this host at a time, among those that let requests through
+        for a trial.
     """
-    if not _PART_NUMBER.fullmatch(text):
-        raise ValueError(f"{text!r} is no number of a prompt part")
-    return int(text, 16)
 
-
-class PromptBlocks:
-    """Blocked prompt parts, and the evidence and the updates for other hosts."""
-
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        find_turn: Callable[[float], HostTurn] = lambda now: HostTurn(0, 1),
+    ) -> None:
         self._evidence = CrashEvidence()
+        self._holds = CrashHolds(evidence=self._evidence, find_turn=find_turn)
         self._blocks: dict[int, Block] = {}
         self._ended_at = BoundedDict[int, float](most=MAX_BLOCKS)
         self._trials: dict[int, float] = {}
@@ -128,7 +110,7 @@
         if len(blocked) == 1 and self._may_try(blocked[0], now):
             self._trials[blocked[0]] = now
             return None
-        return blocked[0] if blocked else None
+        return blocked[0] if blocked else self._holds.find_held(parts, now)
 
     def _judge(self, part: int, now: float) -> bool:
         """Return whether a part is blocked; the evidence may begin its block."""
@@ -137,6 +119,8 @@
             return True
         # After a block it takes another crash.
         since = self._ended_at.get(part, -inf)
+        if self._holds.is_unproved(part, now):
+            return False
         if not self._evidence.is_to_blame(part, now, since=since):
             return False
         self._begin_block(Block(part, now, now + BLOCK_S), now)
@@ -206,9 +190,9 @@
             self._accept_answer(part, now, is_forwarded=True)
 
     def measure_left(self, part: int, now: float) -> float:
-        """Return the time until the end of a part's block, in seconds."""
+        """Return the time until the end of a part's block or a trial, in seconds."""
         block = self._blocks.get(part)
-        return max(0.0, block.until - now) if block else 0.0
+        return max(0.0, block.until - now) if block else FIRST_TRIAL_S
 
     def take_changes(self) -> list[BlockChange]:
         """Return the blocks that have begun or ended since the last call."""
@@ -251,6 +235,8 @@
         block = self._blocks.get(part)
         is_lifted = block is not None and at > block.began_at
         is_cleared = self._evidence.record_answer(part, at)
+        if is_cleared:
+            self._holds.reset()
         if is_lifted:
             self._lift(part)
         if (is_lifted or is_cleared) and is_forwarded:
--- a/src/rosemarystream/_internal/gateway/block_records.py
+++ b/src/rosemarystream/_internal/gateway/block_records.py
@@ -7,12 +7,8 @@
 import gevent
 from logbook import Logger
 
-from rosemarystream._internal.decisions.prompt_blocks import (
-    Block,
-    PromptBlocks,
-    format_part,
-    parse_part,
-)
+from rosemarystream._internal.decisions.prompt_blocks import Block, PromptBlocks
+from rosemarystream._internal.decisions.prompt_parts import format_part, parse_part
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import StoreWatch
 from rosemarystream._internal.models.log_entries.store import (
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -9,10 +9,8 @@
 from functools import partial
 
 from rosemarystream._internal.decisions.placement import Placement
-from rosemarystream._internal.decisions.prompt_blocks import (
-    PromptBlocks,
-    hash_shared_parts,
-)
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.prompt_parts import hash_shared_parts
 from rosemarystream._internal.decisions.timeouts import compute_attempt_deadline
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_relay import (
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -7,10 +7,8 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.peer_table import PeerTable
-from rosemarystream._internal.decisions.prompt_blocks import (
-    PromptBlocks,
-    format_part,
-)
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.prompt_parts import format_part
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.peering import Peering
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -13,6 +13,8 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.crash_holds import HostTurn
+from rosemarystream._internal.decisions.hashing import hash_name_32
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.live_hosts import Peer
 from rosemarystream._internal.decisions.load_table import LoadTable
@@ -116,7 +118,7 @@
         self._peer_table = PeerTable(name=host.name, data_centre=host.data_centre)
         self._loads = LoadTable()
         self._contexts = ContextMap()
-        self._blocks = PromptBlocks()
+        self._blocks = PromptBlocks(find_turn=self._find_turn)
         self._supervisor = supervisor or Supervisor(clock=self._clock)
         self._metrics = self._supervisor.metrics
         self._left_out = IgnoredObjects(on_new=self._metrics.count_left_out)
@@ -332,6 +334,10 @@
             watch.stop()
         gevent.killall(self._tasks)
 
+    def _find_turn(self, now: float) -> HostTurn:
+        hosts = self._peer_table.count_live(now)
+        return HostTurn(hash_name_32(self._this_host.name), hosts)
+
     def _is_watcher(self) -> bool:
         now = self._clock()
         lost = self._peering.list_lost_stores(now)
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -6,10 +6,8 @@
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
-from rosemarystream._internal.decisions.prompt_blocks import (
-    PromptBlocks,
-    format_part,
-)
+from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.prompt_parts import format_part
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.host_times import HostTimes
 from rosemarystream._internal.gateway.metrics import HostGauges
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -294,6 +294,12 @@
     ConnectionPool.take = lambda self, endpoint, *, excluded=(): take(self, endpoint)
 
 
+def hold_no_requests():
+    from rosemarystream._internal.decisions.crash_holds import CrashHolds
+
+    CrashHolds.find_held = lambda self, parts, now: None
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -332,6 +338,7 @@
         pass_changes_on_without_lists,
         wait_for_silent_hosts,
         use_any_connection,
+        hold_no_requests,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -141,6 +141,11 @@
         "use_any_connection",
         "python -m pytest -x -q tests/functional/test_late_refusals.py -k not_passed",
     ),
+    Row(
+        "entry-crash-holds",
+        "hold_no_requests",
+        f"{UNIT}test_crash_holds.py",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
--- a/tests/unit/test_prompt_blocks.py
+++ b/tests/unit/test_prompt_blocks.py
@@ -7,13 +7,17 @@
     MIN_CRASHES,
     MIN_CRASHES_AFTER_ANSWER,
 )
+from rosemarystream._internal.decisions.crash_holds import (
+    LONGEST_TRIAL_PAUSE_S,
+    TURN_S,
+)
 from rosemarystream._internal.decisions.prompt_blocks import (
     BLOCK_S,
     TRIAL_INTERVAL_S,
     Block,
     PromptBlocks,
-    hash_shared_parts,
 )
+from rosemarystream._internal.decisions.prompt_parts import hash_shared_parts
 from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.gossip import CrashUpdates
 
@@ -91,9 +95,21 @@
     for server in range(40):
         fleet.now += 0.1
         fleet.hosts[0].record_crash(server, (ROOT, BAD), fleet.now)
+    # Requests are held back, and one is let through now and then: see test_crash_holds.
+    until = fleet.now + LONGEST_TRIAL_PAUSE_S + 2 * TURN_S
+    while fleet.is_blocked(ROOT, BAD):
+        assert fleet.now < until
+        fleet.now += TURN_S / 2
+    assert fleet.hosts[0].list_blocks() == []
+    fleet.answer(ROOT, BAD)
     assert not fleet.is_blocked(ROOT, BAD)
 
 
+def test_all_parts_of_a_long_prompt_are_looked_at():
+    parts = [PromptPart(f"part{number}", 9) for number in range(40)]
+    assert len(hash_shared_parts(parts)) == 39
+
+
 def test_parts_with_a_small_share_of_many_crashes_are_not_blocked():
     fleet = Fleet()
     for number in range(60):
