Watches: each change with its own revision, and the last one at the end

Cause: a removal was applied with the revision of the whole answer, above that of the new entry, which counted as an older one.

Change: a removal holds until the same name is written again in the answer; the replica advances once all changes of the answer are applied.

Names in two tests follow the move, no check changed.

--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -42,6 +42,7 @@
 from rosemarystream._internal.gateway.relay import Relay
 from rosemarystream._internal.gateway.request_ledger import RequestLedger
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.server_watch import ServerWatch
 from rosemarystream._internal.gateway.service_probes import ServiceProbes
 from rosemarystream._internal.gateway.settings import (
     RESTART_SECTIONS,
@@ -54,7 +55,6 @@
 from rosemarystream._internal.gateway.state_pulls import StatePuller
 from rosemarystream._internal.gateway.store_watches import (
     ConfigurationWatch,
-    ServerWatch,
 )
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.gateway.unexpected_errors import (
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/server_watch.py
@@ -0,0 +1,73 @@
+"""Watch of the registered servers in the platform's store."""
+
+from logbook import Logger
+
+from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.store_watches import StoreWatch
+from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.log_entries.servers import (
+    ServerChanged,
+    ServerEntryInvalid,
+    ServerRemoved,
+    ServersListed,
+)
+from rosemarystream._internal.platform.documents import (
+    DocumentError,
+    decode_endpoint,
+    is_server_name,
+)
+from rosemarystream._internal.platform.store import SERVERS
+from rosemarystream._internal.platform.store_answers import StoredObject
+
+log = Logger(__name__)
+
+
+class ServerWatch(StoreWatch):
+    """Watches the registered servers."""
+
+    kind = SERVERS
+    loop = "server_watch"
+
+    def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
+        if self.lost_at is not None:
+            self._replica.begin_store_recovery(self._clock())
+        decoded = [
+            self._supervisor.run_step(self.loop, self._decode, item) for item in objects
+        ]
+        endpoints = [endpoint for endpoint in decoded if endpoint is not None]
+        changed = self._replica.accept_listing(endpoints, revision, self._clock())
+        if changed:
+            write_log_entry(log, ServersListed(updates=changed, revision=revision))
+            self._on_change()
+
+    def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
+        if deleted:
+            self._ignored.remove(self.kind, item.name)
+            # The removal of an unknown entry is passed on, so its name has to be sound.
+            changed = is_server_name(item.name) and self._replica.accept_removal(
+                item.name, revision
+            )
+            if changed:
+                write_log_entry(log, ServerRemoved(server=item.name, revision=revision))
+        else:
+            endpoint = self._decode(item)
+            changed = endpoint is not None and self._replica.accept_endpoint(endpoint)
+            if changed:
+                entry = ServerChanged(
+                    server=item.name, state=endpoint.state, revision=item.revision
+                )
+                write_log_entry(log, entry)
+        return bool(changed)
+
+    def _accept_end(self, revision: int) -> None:
+        self._replica.advance(revision)
+
+    def _decode(self, item: StoredObject) -> Endpoint | None:
+        try:
+            endpoint = decode_endpoint(item.name, item.read_spec(), item.revision)
+        except DocumentError as error:
+            if self._ignored.add(self.kind, item.name, item.revision, str(error)):
+                write_log_entry(log, ServerEntryInvalid(error=str(error)))
+            return None
+        self._ignored.remove(self.kind, item.name)
+        return endpoint
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -14,13 +14,6 @@
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.supervisor import Supervisor
-from rosemarystream._internal.models.endpoint import Endpoint
-from rosemarystream._internal.models.log_entries.servers import (
-    ServerChanged,
-    ServerEntryInvalid,
-    ServerRemoved,
-    ServersListed,
-)
 from rosemarystream._internal.models.log_entries.store import (
     ConfigurationActivated,
     ConfigurationInvalid,
@@ -31,17 +24,19 @@
 from rosemarystream._internal.platform.documents import (
     DocumentError,
     decode_configuration,
-    decode_endpoint,
-    is_server_name,
 )
 from rosemarystream._internal.platform.store import (
     CONFIGURATION,
     CONFIGURATION_NAME,
-    SERVERS,
     HistoryGoneError,
     Store,
 )
-from rosemarystream._internal.platform.store_answers import StoredObject, StoreError
+from rosemarystream._internal.platform.store_answers import (
+    Change,
+    Changes,
+    StoredObject,
+    StoreError,
+)
 
 log = Logger(__name__)
 
@@ -74,6 +69,22 @@
     return replica.accept_configuration(configuration, document)
 
 
+def _list_in_order(changes: Changes) -> list[tuple[Change, int]]:
+    """Return each change with the last revision at which it certainly holds.
+
+    The store doesn't tell at which revision an object was removed. That is the one of
+    the whole answer, unless an object of that name was written again in it.
+    """
+    holds_until: dict[str, int] = {}
+    ordered = []
+    for change in reversed(changes.changes):
+        name = change.object.name
+        ordered.append((change, holds_until.get(name, changes.revision)))
+        if not change.deleted:
+            holds_until[name] = change.object.revision - 1
+    return ordered[::-1]
+
+
 class StoreWatch:
     """Keeps one kind of the store's objects current while this host is a watcher.
 
@@ -181,16 +192,21 @@
         finally:
             overdue.kill(block=False)
         changed = [
-            self._accept_safely(change.object, change.deleted, changes.revision)
-            for change in changes.changes
+            self._accept_safely(change.object, change.deleted, revision)
+            for change, revision in _list_in_order(changes)
         ]
         # What an error excluded is read once more, with a new listing.
         self._revision = None if None in changed else changes.revision
+        if self._revision is not None:
+            self._accept_end(changes.revision)
         if any(changed):
             self._on_change()
         # Changes that follow closely then arrive in one call.
         gevent.sleep(BATCH_S)
 
+    def _accept_end(self, revision: int) -> None:
+        """Record that all changes up to a revision have been applied."""
+
     def _accept_safely(
         self, item: StoredObject, deleted: bool, revision: int
     ) -> bool | None:
@@ -269,52 +285,3 @@
         if changed:
             write_log_entry(log, ConfigurationActivated(version=self._replica.version))
         return changed
-
-
-class ServerWatch(StoreWatch):
-    """Watches the registered servers."""
-
-    kind = SERVERS
-    loop = "server_watch"
-
-    def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
-        if self.lost_at is not None:
-            self._replica.begin_store_recovery(self._clock())
-        decoded = [
-            self._supervisor.run_step(self.loop, self._decode, item) for item in objects
-        ]
-        endpoints = [endpoint for endpoint in decoded if endpoint is not None]
-        changed = self._replica.accept_listing(endpoints, revision, self._clock())
-        if changed:
-            write_log_entry(log, ServersListed(updates=changed, revision=revision))
-            self._on_change()
-
-    def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
-        if deleted:
-            self._ignored.remove(self.kind, item.name)
-            # The removal of an unknown entry is passed on, so its name has to be sound.
-            changed = is_server_name(item.name) and self._replica.accept_removal(
-                item.name, revision
-            )
-            if changed:
-                write_log_entry(log, ServerRemoved(server=item.name, revision=revision))
-        else:
-            endpoint = self._decode(item)
-            changed = endpoint is not None and self._replica.accept_endpoint(endpoint)
-            if changed:
-                entry = ServerChanged(
-                    server=item.name, state=endpoint.state, revision=item.revision
-                )
-                write_log_entry(log, entry)
-        self._replica.advance(revision)
-        return bool(changed)
-
-    def _decode(self, item: StoredObject) -> Endpoint | None:
-        try:
-            endpoint = decode_endpoint(item.name, item.read_spec(), item.revision)
-        except DocumentError as error:
-            if self._ignored.add(self.kind, item.name, item.revision, str(error)):
-                write_log_entry(log, ServerEntryInvalid(error=str(error)))
-            return None
-        self._ignored.remove(self.kind, item.name)
-        return endpoint
--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -11,7 +11,7 @@
 
 from rosemarystream._internal.cli.host import describe_state
 from rosemarystream._internal.decisions.prompt_blocks import BLOCK_S, Block
-from rosemarystream._internal.gateway import process, store_watches
+from rosemarystream._internal.gateway import process, server_watch
 from rosemarystream._internal.gateway.metrics import StatsdSender
 from rosemarystream._internal.gateway.supervisor import (
     FAILING_BOUND_S,
@@ -253,7 +253,7 @@
 def test_an_entry_of_the_store_that_raises_keeps_no_other_from_use(world, monkeypatch):
     failing = FailingCall(
         monkeypatch,
-        store_watches,
+        server_watch,
         "decode_endpoint",
         concerns=lambda name, *_: name == "odd",
     )
--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from rosemarystream._internal.gateway import store_watches
+from rosemarystream._internal.gateway import server_watch, store_watches
 from rosemarystream._internal.models.log_entries.servers import ServerEntryInvalid
 from rosemarystream._internal.models.log_entries.store import HistoryGone
 from standins.object_store import StoreFault
@@ -76,9 +76,10 @@
 @pytest.mark.parametrize("odd", ["nested_1500", "port_too_large", "deep_status"])
 def test_an_odd_entry_is_named_and_logged_once_a_revision(world, monkeypatch, odd):
     entries = []
-    monkeypatch.setattr(
-        store_watches, "write_log_entry", lambda log, entry: entries.append(entry)
-    )
+    for module in (store_watches, server_watch):
+        monkeypatch.setattr(
+            module, "write_log_entry", lambda log, entry: entries.append(entry)
+        )
     host = world.add_host("h1")
     write_odd(world.store, "p5", odd)
     wait_until(lambda: host.read_state()["left_out"])
--- a/tests/unit/test_store_watches.py
+++ b/tests/unit/test_store_watches.py
@@ -3,12 +3,11 @@
 import time
 
 import gevent
+import msgspec
 
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.gateway.store_watches import (
-    ConfigurationWatch,
-    ServerWatch,
-)
+from rosemarystream._internal.gateway.server_watch import ServerWatch
+from rosemarystream._internal.gateway.store_watches import ConfigurationWatch
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.platform.store import Listing
 from rosemarystream._internal.platform.store_answers import (
@@ -99,3 +98,54 @@
     replica = follow(ChangingStore(Changes(removals, 6)))
     assert replica.select_delta(0).removed == {"gone": 6}
     assert replica.revision == 6
+
+
+def make_change(name, revision, *, deleted=False):
+    entry = {
+        "service": "pool",
+        "address": "127.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+        "born": 1_000,
+    }
+    spec = b"" if deleted else msgspec.json.encode(entry)
+    return Change(StoredObject(name, revision, spec), deleted)
+
+
+def test_a_server_removed_and_registered_again_within_one_answer_is_used():
+    # Whether a removed object bears the revision of its removal or of its last change.
+    for removed_at in (2, 5):
+        again = [make_change("s1", removed_at, deleted=True), make_change("s1", 6)]
+        replica = follow(
+            ChangingStore(
+                Changes([make_change("s1", 2)], 2),
+                Changes([*again, make_change("s2", 7)], 7),
+            )
+        )
+        revisions = {entry.name: entry.revision for entry in replica.list_endpoints()}
+        assert revisions == {"s1": 6, "s2": 7}
+
+
+def test_a_server_written_and_removed_within_one_answer_is_gone():
+    changes = [make_change("s1", 5), make_change("s1", 5, deleted=True)]
+    replica = follow(ChangingStore(Changes(changes, 6)))
+    assert replica.list_endpoints() == []
+    assert replica.select_delta(5).removed == {"s1": 6}
+
+
+def test_a_revision_is_not_passed_on_before_all_its_changes_are_applied(monkeypatch):
+    revisions = []
+    accept = Replica.accept_endpoint
+
+    def accept_and_note(replica, endpoint):
+        revisions.append(replica.revision)
+        return accept(replica, endpoint)
+
+    monkeypatch.setattr(Replica, "accept_endpoint", accept_and_note)
+    changes = [make_change("s1", 5), make_change("s2", 6)]
+    replica = follow(ChangingStore(Changes(changes, 6)))
+    assert revisions == [1, 1]
+    assert replica.revision == 6
