Start and settings: signals wait for the host, times may have fractions

Cause: the launcher loads the program before any handler is set, and SIGHUP's default is the end of the process.

Change: the launcher holds SIGHUP and SIGTERM from its first line; the host releases them once its handlers are set, so that SIGHUP reloads and SIGTERM is a planned stop at any moment. bounds.shutdown_s and retry_window_s take seconds as the platform writes them, the old keys stay; slack may have a fraction. A value that can't be used is named, with its bound.

Evidence: the tests of test_launch wait until the process holds SIGHUP, which it never did before; tests of both keys. What comes before the first line (the interpreter's own start) can't be held.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,9 +1,14 @@
 """Start an entry host from a checkout, importing only what it needs."""
 
-import gc
-import os
-import sys
-from pathlib import Path
+import signal
+
+# Signals wait until the host can handle them, so that none ends a process that starts.
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM))
+
+import gc  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 sys.path.pop(1)
--- a/src/rosemarystream/_internal/decisions/retry_budget.py
+++ b/src/rosemarystream/_internal/decisions/retry_budget.py
@@ -24,11 +24,11 @@
         Retries allowed per request.
     window_s : float
         Length of the sliding window in seconds.
-    slack : int
+    slack : float
         Retries that the whole fleet may make per window in addition to the ratio.
     """
 
-    def __init__(self, *, ratio: float, window_s: float, slack: int) -> None:
+    def __init__(self, *, ratio: float, window_s: float, slack: float) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -79,7 +79,6 @@
 FIRST_START_SEED_ANSWER_S = 0.6
 # Interval of reports to a statsd server.
 STATSD_INTERVAL_S = 10.0
-_MS_PER_S = 1000
 
 
 class Gateway:
@@ -294,6 +293,8 @@
         gevent.signal_handler(
             signal.SIGHUP, self._supervisor.run_task, "reload", self._reload
         )
+        # The launcher holds them back while the modules load.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM))
         self.start()
         gc.freeze()
         self._leaving.wait()
@@ -430,7 +431,7 @@
         """Finish the requests in progress, at most for the shutdown time, then stop."""
         self._times.record_stop()
         self._leaving.set()
-        shutdown_s = self._settings.bounds.shutdown_ms / _MS_PER_S
+        shutdown_s = self._settings.bounds.get_shutdown_s()
         Shutdown(
             plan=make_shutdown_plan(began_at=self._clock(), shutdown_s=shutdown_s),
             listener=self._caller_listener,
--- a/src/rosemarystream/_internal/gateway/retry_budgets.py
+++ b/src/rosemarystream/_internal/gateway/retry_budgets.py
@@ -6,8 +6,6 @@
 from rosemarystream._internal.decisions.retry_budget import RetryBudget
 from rosemarystream._internal.gateway.settings import BoundsSection
 
-_MS_PER_S = 1000
-
 
 class RetryBudgets:
     """Keeps a retry budget a service.
@@ -65,7 +63,7 @@
         if budget is None:
             budget = RetryBudget(
                 ratio=self._bounds.retry_ratio,
-                window_s=self._bounds.retry_window_ms / _MS_PER_S,
+                window_s=self._bounds.get_retry_window_s(),
                 slack=self._bounds.retry_slack,
             )
             self._budgets[service] = budget
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -12,7 +12,9 @@
 Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_MS_PER_S = 1000
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.001, le=86_400.0)]
 
 
 class HostSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -36,13 +38,30 @@
 
 
 class BoundsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Shutdown time, retry budget and load bound; times in milliseconds."""
+    """Shutdown time, retry budget and load bound.
+
+    Times are in milliseconds, or in seconds with a fraction, which go first.
+    """
 
     shutdown_ms: Milliseconds = 8_000
     retry_ratio: Annotated[float, msgspec.Meta(ge=0.0, le=10.0)] = 0.2
     retry_window_ms: Milliseconds = 10_000
-    retry_slack: Annotated[int, msgspec.Meta(ge=0)] = 16
+    retry_slack: Annotated[float, msgspec.Meta(ge=0.0)] = 16
     load_multiple: Annotated[float, msgspec.Meta(ge=1.0)] = 2.0
+    shutdown_s: Seconds | None = None
+    retry_window_s: Seconds | None = None
+
+    def get_shutdown_s(self) -> float:
+        """Return the time that a planned stop may take, in seconds."""
+        return _choose_seconds(self.shutdown_s, self.shutdown_ms)
+
+    def get_retry_window_s(self) -> float:
+        """Return the time over which the retry budget counts, in seconds."""
+        return _choose_seconds(self.retry_window_s, self.retry_window_ms)
+
+
+def _choose_seconds(seconds: float | None, milliseconds: int) -> float:
+    return milliseconds / _MS_PER_S if seconds is None else seconds
 
 
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/functional/test_launch.py
+++ b/tests/functional/test_launch.py
@@ -1,10 +1,16 @@
 """The start of an entry host from a checkout."""
 
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
+import pytest
+
+from tests.lib.entry_world import World, wait_until
+from tests.lib.host_process import make_single_host
+
 ROOT = Path(__file__).resolve().parents[2]
 # Runs the launcher without settings, so that it ends once all modules are loaded.
 LAUNCH = """
@@ -36,3 +42,42 @@
         check=True,
     )
     assert ended.stdout.splitlines()[-1:] == ["0 True"]
+
+
+@pytest.fixture
+def starting(tmp_path):
+    """A host that starts, as soon as it has run its first line."""
+    world = World()
+    world.add_server("p1")
+    host = make_single_host(world, tmp_path)
+    host.start()
+    status = Path(f"/proc/{host.process.pid}/status")
+
+    def holds_signals():
+        lines = dict(line.split(":", 1) for line in status.read_text().splitlines())
+        return int(lines["SigBlk"], 16) & 1 << (signal.SIGHUP - 1)
+
+    wait_until(holds_signals)
+    yield host
+    host.stop()
+    world.stop()
+
+
+def test_a_host_that_is_told_to_reload_while_it_loads_does_not_end(starting):
+    starting.send(signal.SIGHUP)
+    wait_until(starting.is_ready, seconds=10.0)
+    assert starting.process.poll() is None
+    wait_until(lambda: b"settings reloaded" in starting.log.read_bytes())
+
+
+def test_a_host_that_is_told_to_stop_while_it_loads_stops_as_planned(starting):
+    starting.send(signal.SIGTERM)
+    wait_until(lambda: starting.process.poll() is not None, seconds=10.0)
+    assert starting.process.returncode == 0
+
+
+def test_a_host_that_has_started_holds_no_signals(starting):
+    wait_until(starting.is_ready, seconds=10.0)
+    starting.send(signal.SIGTERM)
+    wait_until(lambda: starting.process.poll() is not None, seconds=10.0)
+    assert starting.process.returncode == 0
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -2,6 +2,8 @@
 
 import subprocess
 import sys
+import tomllib
+from pathlib import Path
 
 import pytest
 
@@ -76,3 +78,30 @@
 def test_missing_settings_file_is_reported(tmp_path):
     with pytest.raises(SettingsError, match="name an existing file"):
         load_gateway_settings(tmp_path / "none.toml")
+
+
+def test_times_with_a_fraction_are_read(tmp_path):
+    bounds = "[bounds]\nshutdown_s = 7.5\nretry_window_s = 0.5\nretry_slack = 2.5\n"
+    settings = load(tmp_path, GOOD + bounds)
+    assert settings.bounds.get_shutdown_s() == 7.5
+    assert settings.bounds.get_retry_window_s() == 0.5
+    assert settings.bounds.retry_slack == 2.5
+
+
+def test_the_template_takes_times_as_the_platform_writes_them(tmp_path):
+    template = (Path(__file__).parents[2] / "deploy/settings.toml").read_text()
+    for written, expected in (("8", 8.0), ("7.5", 7.5)):
+        text = template.replace("{{bounds.grace-s}}", written)
+        text = text.replace("{{bounds.budget-window-s}}", written)
+        section = text[text.index("[bounds]") :]
+        section = section.replace("{{", "'").replace("}}", "'")
+        bounds = tomllib.loads(section)["bounds"]
+        assert bounds["shutdown_s"] == expected
+        assert bounds["retry_window_s"] == expected
+
+
+def test_a_time_that_cannot_be_used_is_named(tmp_path):
+    with pytest.raises(SettingsError) as error:
+        load(tmp_path, GOOD + "[bounds]\nshutdown_s = 0\n")
+    assert "bounds.shutdown_s" in str(error.value)
+    assert "0.001" in str(error.value)
