--- a/tests/functional/test_closes_of_idle_connections.py
+++ b/tests/functional/test_closes_of_idle_connections.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 
 import gevent
 import pytest
@@ -11,7 +12,9 @@
 # Turns of the event loop between a request and the close: a request is read in a few.
 TURNS = range(6)
 CLIENTS = 12
-STORM_S = 2.0
+# The closes go on until more requests than these have been answered, in a given time.
+ENOUGH = 10 * CLIENTS
+STORM_S, LONGEST_STORM_S = 2.0, 20.0
 # Longest time between two closes, and before a request.
 CLOSE_S = 0.002
 REQUEST_S = 0.004
@@ -121,6 +124,10 @@
                 caller = Caller(self._ip)
 
 
+def count_answered(clients):
+    return sum(len(client.answered) for client in clients)
+
+
 def test_no_request_that_was_read_loses_its_answer_to_many_closes(world, listener):
     """One that crosses a close hasn't been read, and no server gets it."""
     read = []
@@ -134,14 +141,15 @@
     clients = [Client(world.hosts["h1"].ip, number) for number in range(CLIENTS)]
     running = [gevent.spawn(client.run) for client in clients]
     draw = random.Random(1)
-    with gevent.Timeout(STORM_S, False):
-        while True:
+    ends_at = time.monotonic() + STORM_S
+    with gevent.Timeout(LONGEST_STORM_S, False):
+        while time.monotonic() < ends_at or count_answered(clients) <= ENOUGH:
             gevent.sleep(draw.uniform(0, CLOSE_S))
             listener.close_idle()
     gevent.sleep(0.1)
     gevent.killall(running)
     run = {run.request_id for run in world.servers["p1"].runs}
     unanswered = {name for client in clients for name in client.unanswered}
-    assert sum(len(client.answered) for client in clients) > 10 * CLIENTS
+    assert count_answered(clients) > ENOUGH
     assert unanswered & {*read} == set()
     assert unanswered & run == set()
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -349,6 +349,7 @@
         gevent.sleep(0.5)
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize(
     "disturb", [disturb_nothing, signal_again, change_configuration]
 )
--- a/tests/functional/test_prompt_part_crashes.py
+++ b/tests/functional/test_prompt_part_crashes.py
@@ -107,6 +107,7 @@
     assert len(served) >= 20
 
 
+@pytest.mark.alone
 def test_a_restarted_host_knows_the_prompt_parts_that_crash_servers(trouble):
     trouble.stop_callers()
     before = trouble.count_crashing_requests()
@@ -117,6 +118,7 @@
     assert trouble.count_crashing_requests() == before
 
 
+@pytest.mark.alone
 def test_hosts_restarted_together_know_the_prompt_parts_that_crash_servers(trouble):
     trouble.stop_callers()
     for host in trouble.world.hosts.values():
