--- a/tests/unit/test_crash_holds.py
+++ b/tests/unit/test_crash_holds.py
@@ -14,6 +14,7 @@
     HostTurn,
 )
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from tests.lib.block_hosts import exchange_updates
 
 ROOT, BAD, OTHER = 1, 2, 3
 # Requests with a part that crashes servers that may reach them after the fifth crash.
@@ -33,11 +34,7 @@
         self._servers = 0
 
     def exchange(self):
-        for host in self.hosts:
-            updates = host.take_updates(self.now, repeats_blocks=False)
-            for other in self.hosts:
-                if updates is not None and other is not host:
-                    other.accept_updates(updates, self.now, is_forwarded=False)
+        exchange_updates(self.hosts, self.now)
 
     def crash(self, *prompts):
         """Crash a server under requests with these parts, each of another host."""
--- a/tests/unit/test_prompt_blocks.py
+++ b/tests/unit/test_prompt_blocks.py
@@ -20,6 +20,7 @@
 from rosemarystream._internal.decisions.prompt_parts import hash_shared_parts
 from rosemarystream._internal.models.call import PromptPart
 from rosemarystream._internal.models.gossip import CrashUpdates
+from tests.lib.block_hosts import exchange_updates
 
 ROOT, BAD, OTHER, COMPANION = 1, 2, 3, 4
 
@@ -47,11 +48,7 @@
                 self.answer(ROOT, OTHER, host=number)
 
     def exchange(self):
-        for host in self.hosts:
-            updates = host.take_updates(self.now, repeats_blocks=False)
-            for other in self.hosts:
-                if updates is not None and other is not host:
-                    other.accept_updates(updates, self.now, is_forwarded=False)
+        exchange_updates(self.hosts, self.now)
 
     def is_blocked(self, *parts, host=0):
         return self.hosts[host].find_blocked(parts, self.now) is not None
