Evacuated data centres: no host sends requests to servers there

Cause: hosts didn't know the operator's objects of the kind evacuations, and sent requests to the servers of an evacuated data centre until their entries went.

The records (data centre, store revision, whether in force) are watched by the hosts that watch the store, and travel in each gossip message and each answer to a pull. The highest revision wins; a listing ends what it lacks. A host that starts isn't ready, and serves no request, before the store or a host that knows has told it. Right before a request is sent, also after connecting, its server is checked once more; such an attempt counts against nobody. Contexts held only there count as not held; a service with no other server refuses at once as no_backend, not run, with Retry-After of 1 s.

--- a/src/rosemarystream/_internal/decisions/context_map.py
+++ b/src/rosemarystream/_internal/decisions/context_map.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from math import inf
 from typing import NamedTuple
 
@@ -133,10 +133,14 @@
         while len(self._holders) > MAX_PARTS:
             self._holders.popitem(last=False)
 
-    def is_held(self, part: int, now: float) -> bool:
-        """Return whether any server is known to hold a part."""
+    def is_held(self, part: int, now: float, *, excluded: Collection[int] = ()) -> bool:
+        """Return whether any server is known to hold a part, `excluded` not counted."""
         holders = self._holders.get(part, {})
-        return any(now - known.used_at <= HOLDING_TTL_S for known in holders.values())
+        return any(
+            now - known.used_at <= HOLDING_TTL_S
+            for server, known in holders.items()
+            if server not in excluded
+        )
 
     def count_uncached_tokens(
         self,
--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/evacuations.py
@@ -0,0 +1,195 @@
+"""Data centres to whose servers an operator wants no more requests to be sent.
+
+Handles an operator's order that has to be in force on all hosts while the store is
+slow, down or rejects some of them. Hosts learn of it from the store and from each
+other, late, twice and in any order: the highest revision of the store wins. Records
+that are no longer in force are kept, so that late ones of the same data centre don't
+restore an evacuation.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+# Records that are kept and sent, at least: three times the planned data centres. Beyond
+# that the oldest ones that are not in force are dropped.
+MAX_RECORDS = 64
+# Source of what this host has read from the store itself.
+STORE = "store"
+_MS_PER_S = 1000
+
+# Data centre, revision, whether it is in force, and the time since a host read it from
+# the store in milliseconds.
+EvacuationRow = tuple[str, int, bool, int]
+
+
+class EvacuationRecord(NamedTuple):
+    """What is known of the evacuation of a data centre.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store at which it was last written, or was seen to be removed.
+    read_at : float
+        When a host read this from the store, by this host's clock.
+    """
+
+    data_centre: str
+    revision: int
+    is_in_force: bool
+    read_at: float
+
+    def is_newer(self, other: "EvacuationRecord") -> bool:
+        """Return whether this record replaces another one of its data centre.
+
+        The store gives no revision to two changes; if records differ all the same, the
+        one in force wins on every host.
+        """
+        return (self.revision, self.is_in_force) > (other.revision, other.is_in_force)
+
+
+class EvacuationChange(NamedTuple):
+    """An evacuation that has begun or ended for this host.
+
+    Attributes
+    ----------
+    source : str
+        `STORE`, or the host that has passed it on.
+    age_s : float
+        Time since a host read it from the store, in seconds.
+    """
+
+    data_centre: str
+    is_in_force: bool
+    revision: int
+    source: str
+    age_s: float
+
+
+class Evacuations:
+    """Evacuated data centres, merged from the store and from other hosts.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether the store, or a host that knows them, has told all records.
+    """
+
+    def __init__(self) -> None:
+        self.is_known = False
+        self._records: dict[str, EvacuationRecord] = {}
+        self._in_force: frozenset[str] = frozenset()
+        # Revision of the last listing: what it lacked isn't in force as of it.
+        self._listed_at = 0
+        self._changes: list[EvacuationChange] = []
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no data centre is evacuated."""
+        return not self._in_force
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether no request may be sent to the servers of a data centre."""
+        return data_centre in self._in_force
+
+    def accept(self, record: EvacuationRecord, *, source: str, now: float) -> bool:
+        """Store a record if it is newer; return whether one was stored."""
+        known = self._records.get(record.data_centre)
+        if known is None and record.revision <= self._listed_at:
+            # Its sender doesn't know of the end, and others may not either.
+            record = record._replace(revision=self._listed_at, is_in_force=False)
+        if known is not None and not record.is_newer(known):
+            return False
+        self._records[record.data_centre] = record
+        self._update_in_force(record, source, now)
+        self._drop_oldest()
+        return True
+
+    def _update_in_force(
+        self, record: EvacuationRecord, source: str, now: float
+    ) -> None:
+        if record.is_in_force == self.is_evacuated(record.data_centre):
+            return
+        self._in_force ^= {record.data_centre}
+        change = EvacuationChange(
+            record.data_centre,
+            record.is_in_force,
+            record.revision,
+            source,
+            max(0.0, now - record.read_at),
+        )
+        self._changes.append(change)
+
+    def _drop_oldest(self) -> None:
+        if len(self._records) <= MAX_RECORDS:
+            return
+        ended = [record for record in self._records.values() if not record.is_in_force]
+        if ended:
+            oldest = min(ended, key=lambda record: record.revision)
+            del self._records[oldest.data_centre]
+
+    def accept_listing(
+        self, listed: Mapping[str, int], revision: int, now: float
+    ) -> bool:
+        """Apply a complete list of the store; return whether anything is new.
+
+        Parameters
+        ----------
+        listed : mapping of str to int
+            Revisions by data centre.
+        revision : int
+            Revision as of which nothing else is in force.
+        """
+        records = [EvacuationRecord(name, at, True, now) for name, at in listed.items()]
+        records += [
+            EvacuationRecord(name, revision, False, now)
+            for name in self._records
+            if name not in listed
+        ]
+        accepted = [self.accept(record, source=STORE, now=now) for record in records]
+        self._listed_at = max(self._listed_at, revision)
+        self.is_known = True
+        return any(accepted)
+
+    def accept_rows(
+        self, rows: Iterable[EvacuationRow], *, source: str, now: float
+    ) -> bool:
+        """Apply all records of another host; return whether any is new."""
+        accepted = [
+            self.accept(
+                EvacuationRecord(name, revision, is_in_force, now - age_ms / _MS_PER_S),
+                source=source,
+                now=now,
+            )
+            for name, revision, is_in_force, age_ms in rows
+        ]
+        self.is_known = True
+        return any(accepted)
+
+    def list_records(self) -> list[EvacuationRecord]:
+        """Return all records, those in force first, then the newest."""
+        return sorted(
+            self._records.values(),
+            key=lambda record: (not record.is_in_force, -record.revision),
+        )
+
+    def list_rows(self, now: float) -> list[EvacuationRow] | None:
+        """Return the records for other hosts; None if this host doesn't know all."""
+        if not self.is_known:
+            return None
+        if not self._records:
+            return []
+        return [
+            (name, revision, is_in_force, max(0, int((now - read_at) * _MS_PER_S)))
+            for name, revision, is_in_force, read_at in self.list_records()[
+                :MAX_RECORDS
+            ]
+        ]
+
+    def count_in_force(self) -> int:
+        """Return the number of evacuated data centres."""
+        return len(self._in_force)
+
+    def take_changes(self) -> list[EvacuationChange]:
+        """Return the evacuations that have begun or ended since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -1,8 +1,8 @@
 """Whether a backend server may get a request now, and if not, when.
 
-Combines what servers state (that they leave, when they want the next request, which
-limit they set) with what a host has observed (unreachable servers and unresponsive
-data centres).
+Combines what an operator wants (data centres that are evacuated), what servers state
+(that they leave, when they want the next request, which limit they set) and what a host
+has observed (unreachable servers and unresponsive data centres).
 """
 
 from collections.abc import Collection, Iterable, Sequence
@@ -10,6 +10,7 @@
 from math import inf
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.health import ServerHealth
 from rosemarystream._internal.decisions.leaving_servers import LeavingServers
 from rosemarystream._internal.decisions.reachability import Reachability
@@ -28,11 +29,14 @@
     EJECTED = "ejected"
     UNRESPONSIVE_DATA_CENTRE = "unresponsive_data_centre"
     LIMIT = "limit"
+    EVACUATED = "evacuated"
 
 
 # A service none of whose servers can be reached is probed with some of its requests,
-# but never against what a server has stated.
+# but never against what a server has stated or an operator wants.
 _PROBED = (Obstacle.EJECTED, Obstacle.UNRESPONSIVE_DATA_CENTRE)
+# What holds also for a request that was placed a moment ago.
+_UNWANTED = (Obstacle.EVACUATED, Obstacle.LEAVING, Obstacle.RETRY_AFTER)
 
 
 class Availability(NamedTuple):
@@ -58,6 +62,7 @@
         self.limits = ServerLimits()
         self.leaving = LeavingServers()
         self.retries = RetryDeadlines()
+        self.evacuations = Evacuations()
 
     def check(self, endpoint: Endpoint, now: float) -> Availability:
         """Return whether a server may get a request now, else why not and when."""
@@ -74,7 +79,12 @@
         return Availability(obstacle, until)
 
     def _find_obstacle(self, endpoint: Endpoint, now: float) -> Obstacle:
-        """Return why a server may not get a request; its own statements come first."""
+        """Return why a server may not get a request.
+
+        The operator's order comes first, then the server's own statements.
+        """
+        if self.is_evacuated(endpoint):
+            return Obstacle.EVACUATED
         if self.leaving.is_leaving(endpoint):
             return Obstacle.LEAVING
         if now < self.retries.find(endpoint):
@@ -88,17 +98,34 @@
         return Obstacle.NONE
 
     def is_wanted(self, endpoint: Endpoint, now: float) -> bool:
-        """Return whether a server has stated nothing against requests at this time."""
+        """Return whether neither a server nor an operator is against a request now."""
         obstacle = self._find_obstacle(endpoint, now)
-        return obstacle not in (Obstacle.LEAVING, Obstacle.RETRY_AFTER)
+        return obstacle not in _UNWANTED
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether an operator wants no requests to be sent to a server."""
+        return self.evacuations.is_evacuated(endpoint.data_centre)
 
     def list_ready(self, service: str) -> list[Endpoint]:
-        """Return the servers of a service that don't drain or leave."""
+        """Return the servers of a service that don't drain, leave or are evacuated."""
         ready = self._replica.list_ready(service)
+        if not self.evacuations.is_empty:
+            ready = [e for e in ready if not self.is_evacuated(e)]
         if self.leaving.is_empty:
             return ready
         return [e for e in ready if not self.leaving.is_leaving(e)]
 
+    def list_evacuated(self, service: str) -> list[Endpoint]:
+        """Return the servers of a service that would be ready but for evacuations."""
+        if self.evacuations.is_empty:
+            return []
+        ready = self._replica.list_ready(service)
+        return [e for e in ready if self.is_evacuated(e)]
+
+    def is_all_evacuated(self, service: str) -> bool:
+        """Return whether evacuations leave a service without servers."""
+        return bool(self.list_evacuated(service)) and not self.list_ready(service)
+
     def select_open(
         self,
         service: str,
--- a/src/rosemarystream/_internal/gateway/attempt_errors.py
+++ b/src/rosemarystream/_internal/gateway/attempt_errors.py
@@ -16,13 +16,16 @@
     ----------
     sent : bool
         Whether the server received the request and refused it.
+    withheld : bool
+        Whether this host decided not to send it, through no fault of the server.
     """
 
     default_kind = ErrorKind.NO_BACKEND
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(self, message: str, *, sent: bool, withheld: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.withheld = withheld
 
 
 class OutcomeUnknownError(BackendError):
--- a/src/rosemarystream/_internal/gateway/attempt_outcomes.py
+++ b/src/rosemarystream/_internal/gateway/attempt_outcomes.py
@@ -70,7 +70,7 @@
         write_log_entry(log, entry)
         if error.sent:
             self._router.record_rejected(attempt.endpoint)
-        else:
+        elif not error.withheld:
             self._router.record_unreachable(attempt.endpoint)
 
     def record_unknown(self, attempt: Attempt, error: OutcomeUnknownError) -> None:
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -26,6 +26,9 @@
 LEAST_ANSWER_TIME_S = 0.05
 # Longest wait before another look, as a server may want requests earlier than it said.
 MAX_WAIT_STEP_S = 0.25
+# Delay advised to a caller whose request has only evacuated servers. The end of an
+# evacuation is not known; callers repeat once, so an early repeat would be lost.
+EVACUATED_RETRY_S = 1.0
 
 
 class AttemptSequence:
@@ -192,8 +195,14 @@
         """Return whether a server that was chosen a moment ago still wants requests."""
         return self._router.availability.is_wanted(endpoint, self._clock())
 
+    def may_send(self, endpoint: Endpoint) -> bool:
+        """Return whether a server that is connected may still be sent the request."""
+        return not self._router.availability.is_evacuated(endpoint)
+
     def _make_unplaced_error(self) -> RequestEndedError:
         service = self._service
+        if self._router.availability.is_all_evacuated(service):
+            return self.make_final_error(f"all servers of {service} are evacuated")
         wait_s = self._measure_wait()
         if wait_s is None:
             error = self.make_final_error(f"no server of {service} can be reached")
@@ -295,6 +304,8 @@
         availability = self._router.availability
         retry_at = availability.find_retry_time(self._service, now)
         advised_s = self._router.suggest_retry_after()
+        if availability.is_all_evacuated(self._service):
+            return max(advised_s, EVACUATED_RETRY_S)
         if retry_at is None or availability.has_accepting(self._service, now):
             return advised_s
         return max(advised_s, retry_at - now)
--- a/src/rosemarystream/_internal/gateway/context_placer.py
+++ b/src/rosemarystream/_internal/gateway/context_placer.py
@@ -21,7 +21,7 @@
     ServerAvailability,
 )
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
-from rosemarystream._internal.models.call import Call
+from rosemarystream._internal.models.call import Call, PromptPart
 from rosemarystream._internal.models.endpoint import Endpoint
 
 _MS_PER_S = 1000
@@ -88,7 +88,7 @@
             [load.counts[e.number] for e in ready], load_multiple
         )
         presumed_loads = loads
-        if not self._contexts.is_held(hash_part(call.model, shared[-1]), now):
+        if not self._is_held(call, shared[-1], ready, now):
             own_tokens = sum(part.tokens for part in call.parts[len(shared) :])
             presumed_loads = assume_cached_at_home(loads, home, own_tokens)
         name = place_by_context(
@@ -113,6 +113,17 @@
             slowness=chosen_load.slowness,
         )
 
+    def _is_held(
+        self, call: Call, part: PromptPart, ready: Sequence[Endpoint], now: float
+    ) -> bool:
+        """Return whether a server that isn't evacuated holds a part of the prompt."""
+        evacuated: set[int] = set()
+        if ready:
+            servers = self._availability.list_evacuated(ready[0].service)
+            evacuated = {endpoint.number for endpoint in servers}
+        number = hash_part(call.model, part)
+        return self._contexts.is_held(number, now, excluded=evacuated)
+
     def _measure_loads(
         self,
         call: Call,
--- /dev/null
+++ b/src/rosemarystream/_internal/gateway/evacuation_watch.py
@@ -0,0 +1,99 @@
+"""Watch of the evacuated data centres in the platform's store.
+
+A host may not be ready before it knows them, so one that no other host has told lists
+them itself, once, though it is no watcher.
+"""
+
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+from logbook import Logger
+
+from rosemarystream._internal.decisions.evacuations import (
+    STORE,
+    EvacuationRecord,
+    Evacuations,
+)
+from rosemarystream._internal.gateway.logs import write_log_entry
+from rosemarystream._internal.gateway.store_watches import StoreWatch
+from rosemarystream._internal.models.log_entries.store import EvacuationInvalid
+from rosemarystream._internal.platform.store import EVACUATIONS
+from rosemarystream._internal.platform.store_answers import StoredObject
+
+log = Logger(__name__)
+
+# Time for other hosts to tell a host that starts. In a fleet that starts as a whole the
+# watchers list first; their news needs about 0.3 s.
+OTHERS_TELL_S = 1.0
+# Time for which the store gives no answer until a host goes without, as it does without
+# the list of servers. No host that knows the evacuations is in contact then.
+GO_WITHOUT_AFTER_S = 2.0
+
+
+class EvacuationWatch(StoreWatch):
+    """Watches the evacuated data centres.
+
+    Parameters
+    ----------
+    evacuations : Evacuations
+        Takes the records.
+    """
+
+    kind = EVACUATIONS
+    loop = "evacuation_watch"
+
+    def __init__(
+        self,
+        *,
+        evacuations: Evacuations,
+        is_watcher: Callable[[], bool],
+        **arguments: Any,
+    ) -> None:
+        super().__init__(
+            is_watcher=lambda: is_watcher() or self._has_to_list(), **arguments
+        )
+        self._evacuations = evacuations
+        self._started_at = inf
+
+    def start(self) -> None:
+        """Start the watch."""
+        self._started_at = self._clock()
+        super().start()
+
+    def is_answered(self) -> bool:
+        """Return whether the evacuations are known, or nobody has told them in time."""
+        if self._evacuations.is_known:
+            return True
+        lost_at = self.lost_at
+        return lost_at is not None and self._clock() - lost_at >= GO_WITHOUT_AFTER_S
+
+    def _has_to_list(self) -> bool:
+        is_told = self._evacuations.is_known
+        return not is_told and self._clock() - self._started_at >= OTHERS_TELL_S
+
+    def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
+        now = self._clock()
+        listed = {
+            item.name: item.revision or revision
+            for item in objects
+            if self._has_name(item)
+        }
+        if self._evacuations.accept_listing(listed, revision, now):
+            self._on_change()
+
+    def _accept(self, item: StoredObject, deleted: bool, revision: int) -> bool:
+        if not self._has_name(item):
+            return False
+        now = self._clock()
+        at = revision if deleted else item.revision or revision
+        record = EvacuationRecord(item.name, at, not deleted, now)
+        return self._evacuations.accept(record, source=STORE, now=now)
+
+    def _has_name(self, item: StoredObject) -> bool:
+        """Return whether the name can be read; nothing else matters."""
+        if item.name:
+            return True
+        if self._ignored.add(self.kind, item.name, item.revision, item.error):
+            write_log_entry(log, EvacuationInvalid(error=item.error))
+        return False
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -20,7 +20,11 @@
     PromptPartBlocked,
     PromptPartReleased,
 )
-from rosemarystream._internal.models.log_entries.servers import ServersNotReturned
+from rosemarystream._internal.models.log_entries.servers import (
+    EvacuationBegun,
+    EvacuationEnded,
+    ServersNotReturned,
+)
 
 log = Logger(__name__)
 
@@ -76,6 +80,7 @@
             self._log_host_changes,
             self._expire_blocks,
             self._log_block_changes,
+            self._log_evacuations,
             self._log_server_statements,
             self._record_version,
             self._record_store_loss,
@@ -138,6 +143,17 @@
             else:
                 write_log_entry(log, PromptPartReleased(part=part))
 
+    def _log_evacuations(self, now: float) -> None:
+        for change in self._router.availability.evacuations.take_changes():
+            kind = EvacuationBegun if change.is_in_force else EvacuationEnded
+            entry = kind(
+                evacuated=change.data_centre,
+                revision=change.revision,
+                source=change.source,
+                age_ms=round(change.age_s * _MS_PER_S, 1),
+            )
+            write_log_entry(log, entry)
+
     def _log_host_changes(self, now: float) -> None:
         changes = self._peer_table.take_changes(now)
         for host in changes.found:
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -26,6 +26,8 @@
         requests that they get, or want none of this host for a while.
     leaving : int
         Servers that have stated that they leave, while the store calls them ready.
+    evacuated : int
+        Servers that get no requests as their data centres are evacuated.
     load_share : float
         Highest load of a server relative to its bound; over 1 if it is exceeded.
     retries_left : float
@@ -39,6 +41,7 @@
     leaving: int
     load_share: float
     retries_left: float
+    evacuated: int
 
 
 class HostGauges(TypedDict):
@@ -52,6 +55,7 @@
     live_hosts: int
     lines_left_out: int
     services: dict[str, ServiceGauges]
+    data_centres_evacuated: int
 
 
 class GatewayMetrics:
@@ -165,6 +169,12 @@
         self._leaving = gauge(
             "servers_leaving", "Servers that state that they leave", "service"
         )
+        self._evacuated = gauge(
+            "servers_evacuated", "Servers of evacuated data centres", "service"
+        )
+        self._data_centres_evacuated = gauge(
+            "data_centres_evacuated", "Data centres whose servers get no requests"
+        )
         self._load_share = gauge(
             "load_share", "Highest load of a server against its bound", "service"
         )
@@ -218,12 +228,14 @@
         self._store_lost.set(gauges["store_lost_s"])
         self._live_hosts.set(gauges["live_hosts"])
         self._dropped_entries.set(gauges["lines_left_out"])
+        self._data_centres_evacuated.set(gauges["data_centres_evacuated"])
         for name, service in gauges["services"].items():
             self._ready.labels(name).set(service["ready"])
             self._set_aside.labels(name).set(service["set_aside"])
             self._limited.labels(name).set(service["limited"])
             self._waiting.labels(name).set(service["waiting"])
             self._leaving.labels(name).set(service["leaving"])
+            self._evacuated.labels(name).set(service["evacuated"])
             self._load_share.labels(name).set(service["load_share"])
             self._retries_left.labels(name).set(service["retries_left"])
 
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -16,6 +16,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import CacheUpdate, ContextMap
+from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.fleet_observations import (
     NO_REPORTS,
     FleetObservations,
@@ -36,6 +37,7 @@
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import (
     CrashUpdates,
+    EvacuationRow,
     GossipMessage,
     HostAddress,
     LoadScope,
@@ -110,6 +112,8 @@
         Called with the numbers of the servers that another host has ejected.
     supervisor : Supervisor
         Runs the rounds and the receipt of messages.
+    evacuations : Evacuations, optional
+        The evacuated data centres; each message carries them.
 
     Attributes
     ----------
@@ -137,7 +141,9 @@
         on_ejections: Callable[[list[int]], None],
         metrics: GatewayMetrics,
         supervisor: Supervisor,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations()
         self._this_host = this_host
         self._port = port
         self._seeds = {seed.rpartition(":")[0] for seed in seeds} - {this_host.ip}
@@ -335,6 +341,7 @@
             quota_answer=answer,
             leaving=reports.leaving,
             retry_after=reports.retry_after,
+            evacuations=self._evacuations.list_rows(self._clock()),
         )
 
     def send_question(self, host: Peer, question: QuotaQuestion) -> None:
@@ -398,6 +405,8 @@
             now,
             nearby=message.scope is LoadScope.HOST,
         )
+        if message.evacuations is not None:
+            self._accept_evacuations(message.evacuations, sender.name, now)
         self._accept_quota_messages(message)
         self._contexts.accept_cache_updates(message.cache_updates, now)
         if message.crash_updates is not None:
@@ -416,6 +425,13 @@
         if message.version > self._replica.version:
             self._puller.pull_document(sender.ip)
 
+    def _accept_evacuations(
+        self, rows: list[EvacuationRow], sender: str, now: float
+    ) -> None:
+        """Apply the records of another host; new ones are passed on at once."""
+        if self._evacuations.accept_rows(rows, source=sender, now=now):
+            self.announce()
+
     def _accept_quota_messages(self, message: GossipMessage) -> None:
         if message.quota_answer is not None:
             self._gate.accept_answer(message.quota_answer)
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -26,6 +26,7 @@
 from rosemarystream._internal.exceptions import SettingsError
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.evacuation_watch import EvacuationWatch
 from rosemarystream._internal.gateway.host_registry import HostRegistry
 from rosemarystream._internal.gateway.host_times import HostTimes
 from rosemarystream._internal.gateway.housekeeping import Housekeeping
@@ -151,6 +152,7 @@
             on_change=self._forget_departed,
             supervisor=self._supervisor,
             ignored=self._left_out,
+            evacuations=self._router.availability.evacuations,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -178,6 +180,7 @@
             on_ejections=self._router.accept_ejections,
             metrics=self._metrics,
             supervisor=self._supervisor,
+            evacuations=self._router.availability.evacuations,
         )
         self._watches = [
             watch(
@@ -193,6 +196,7 @@
                 self._make_configuration_watch,
                 ServerWatch,
                 self._make_block_watch,
+                self._make_evacuation_watch,
             )
         ]
         self._relay = Relay(
@@ -202,6 +206,7 @@
             blocks=self._blocks,
             clock=self._clock,
             supervisor=self._supervisor,
+            may_serve=self._evacuation_watch.is_answered,
         )
         self._caller_listener = Listener(
             address=host.caller_address,
@@ -279,6 +284,11 @@
     def _make_block_watch(self, **arguments: Any) -> BlockWatch:
         return BlockWatch(blocks=self._blocks, writer=self._make_store(), **arguments)
 
+    def _make_evacuation_watch(self, **arguments: Any) -> EvacuationWatch:
+        evacuations = self._router.availability.evacuations
+        self._evacuation_watch = EvacuationWatch(evacuations=evacuations, **arguments)
+        return self._evacuation_watch
+
     def _make_store(self) -> Store:
         return Store(
             address=self._settings.platform.address,
@@ -302,7 +312,7 @@
         return 0
 
     def start(self) -> None:
-        """Begin to serve; ready once a configuration is known."""
+        """Begin to serve; ready once configuration and evacuations are known."""
         write_log_entry(log, Started(pid=os.getpid(), incarnation=self._incarnation))
         self._caller_listener.start()
         self._ready_listener.start()
@@ -402,6 +412,7 @@
     def _is_ready(self) -> bool:
         return (
             self._replica.configuration is not None
+            and self._evacuation_watch.is_answered()
             and not self._leaving.is_set()
             and not self._probes.unreachable
             and self._supervisor.is_sound()
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -46,6 +46,8 @@
         Permits requests to servers that limit them.
     supervisor : Supervisor
         Runs the checks of servers that may have crashed.
+    may_serve : callable
+        Returns whether this host knows what it needs beside the configuration.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         blocks: PromptBlocks,
         clock: Callable[[], float],
         supervisor: Supervisor,
+        may_serve: Callable[[], bool] = lambda: True,
     ) -> None:
         self._router = router
         self._pool = pool
@@ -69,7 +72,9 @@
             clock=clock,
             supervisor=supervisor,
         )
-        self._routes = RouteLookup(replica=router.replica, clock=clock)
+        self._routes = RouteLookup(
+            replica=router.replica, clock=clock, may_serve=may_serve
+        )
         self._clock = clock
         self._ends_at: float | None = None
 
--- a/src/rosemarystream/_internal/gateway/route_lookup.py
+++ b/src/rosemarystream/_internal/gateway/route_lookup.py
@@ -20,9 +20,22 @@
 
 
 class RouteLookup:
-    """Looks routes and workspaces up, waiting for the first configuration."""
+    """Looks routes and workspaces up, waiting for the first configuration.
 
-    def __init__(self, *, replica: Replica, clock: Callable[[], float]) -> None:
+    Parameters
+    ----------
+    may_serve : callable
+        Returns whether this host knows what else it needs to serve requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        clock: Callable[[], float],
+        may_serve: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._may_serve = may_serve
         self._replica = replica
         self._clock = clock
 
@@ -35,10 +48,11 @@
             If the configuration doesn't allow the request, or there is none yet.
         """
         configuration = self._await_configuration(call, received_at)
-        if configuration is None:
+        if configuration is None or not self._may_serve():
+            lacking = "evacuations" if configuration else "configuration"
             raise RequestEndedError(
                 ErrorKind.NOT_READY,
-                "this host knows no configuration yet",
+                f"this host knows no {lacking} yet",
                 retry_after_s=NOT_READY_RETRY_S,
             )
         if not call.request_id:
@@ -60,6 +74,9 @@
         deadline = received_at + START_WAIT_S
         if call.wait_s is not None:
             deadline = min(deadline, received_at + START_WAIT_SHARE * call.wait_s)
-        while not self._replica.is_complete and self._clock() < deadline:
+        while not self._is_complete() and self._clock() < deadline:
             gevent.sleep(START_POLL_S)
         return self._replica.configuration
+
+    def _is_complete(self) -> bool:
+        return self._replica.is_complete and self._may_serve()
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -374,6 +374,7 @@
     def _measure_service(self, service: str) -> ServiceGauges:
         now = self._clock()
         ready = self.availability.list_ready(service)
+        evacuated = len(self.availability.list_evacuated(service))
         counts = self._loads.sum_fleet(now).counts
         loads = [counts[endpoint.number] for endpoint in ready]
         bound = compute_load_bound(loads, self._bounds.load_multiple)
@@ -382,9 +383,10 @@
             set_aside=sum(self.health.is_ejected(e.name, now) for e in ready),
             limited=len(self.availability.list_limited(service)),
             waiting=len(self.availability.list_waiting(service, now)),
-            leaving=len(self.replica.list_ready(service)) - len(ready),
+            leaving=len(self.replica.list_ready(service)) - len(ready) - evacuated,
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
             retries_left=round(self._retries.count_left(service), 1),
+            evacuated=evacuated,
         )
 
     def suggest_retry_after(self) -> float:
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -61,6 +61,22 @@
     retry_after_s: float | None
 
 
+class EvacuationState(TypedDict):
+    """What a host knows of the evacuation of a data centre.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store at which it was written or removed.
+    age_s : float
+        Time in seconds since a host read that from the store.
+    """
+
+    revision: int
+    in_force: bool
+    age_s: float
+
+
 class PeerState(TypedDict):
     """Another host; `heard_ms` is the time since its last sign of life, -1 if none."""
 
@@ -83,6 +99,10 @@
         Requests that were begun, have ended and are in progress.
     left_out : dict of str to str
         Why objects of the store or of other hosts are left out, by kind and name.
+    evacuations_known : bool
+        Whether this host knows which data centres are evacuated.
+    evacuations : dict of str to EvacuationState
+        The evacuations that are in force, or have ended, by data centre.
     """
 
     host: str
@@ -102,6 +122,8 @@
     collectors: list[str]
     servers: dict[str, ServerState]
     peers: dict[str, PeerState]
+    evacuations_known: bool
+    evacuations: dict[str, EvacuationState]
 
 
 class StateReport:
@@ -147,6 +169,7 @@
         self._peer_table = peer_table
         self._loads = loads
         self._router = router
+        self._evacuations = router.availability.evacuations
         self._blocks = blocks
         self._list_failing_loops = list_failing_loops
         self._count_busy = count_busy
@@ -173,6 +196,7 @@
             live_hosts=self._peer_table.count_live(now),
             lines_left_out=self._count_dropped_entries(),
             services=self._router.list_gauges(),
+            data_centres_evacuated=self._evacuations.count_in_force(),
         )
 
     def make_dump(self, *, ready: bool, leaving: bool) -> StateDump:
@@ -203,6 +227,15 @@
             collectors=collectors,
             servers=self._list_servers(now),
             peers=self._list_peers(now),
+            evacuations_known=self._evacuations.is_known,
+            evacuations={
+                record.data_centre: EvacuationState(
+                    revision=record.revision,
+                    in_force=record.is_in_force,
+                    age_s=round(now - record.read_at, 1),
+                )
+                for record in self._evacuations.list_records()
+            },
         )
 
     def _list_servers(self, now: float) -> dict[str, ServerState]:
--- a/src/rosemarystream/_internal/gateway/state_answers.py
+++ b/src/rosemarystream/_internal/gateway/state_answers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
 from rosemarystream._internal.models.endpoint import Endpoint
@@ -26,6 +27,8 @@
     ----------
     contexts, blocks : ContextMap, PromptBlocks
         The cached prompt parts, and those on which servers crash.
+    evacuations : Evacuations
+        The evacuated data centres; part of each answer.
     """
 
     def __init__(
@@ -35,7 +38,9 @@
         replica: Replica,
         contexts: ContextMap,
         blocks: PromptBlocks,
+        evacuations: Evacuations,
     ) -> None:
+        self._evacuations = evacuations
         self._clock = clock
         self._replica = replica
         self._contexts = contexts
@@ -44,6 +49,10 @@
 
     def select(self, request: PullRequest) -> PullAnswer:
         """Return the answer to a pull."""
+        rows = self._evacuations.list_rows(self._clock())
+        return msgspec.structs.replace(self._select(request), evacuations=rows)
+
+    def _select(self, request: PullRequest) -> PullAnswer:
         document = b""
         if request.version is not None and self._replica.version > request.version:
             document = self._compress_document()
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -15,6 +15,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.pull_plan import PullPlan, StateKind
@@ -88,8 +89,10 @@
         on_change: Callable[[], None],
         supervisor: Supervisor,
         ignored: IgnoredObjects | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._ignored = ignored or IgnoredObjects()
+        self._evacuations = evacuations or Evacuations()
         self._port = address[1]
         self._clock = clock
         self._replica = replica
@@ -100,7 +103,11 @@
         self._supervisor = supervisor
         self._plan = PullPlan()
         self._answers = StateAnswers(
-            clock=clock, replica=replica, contexts=contexts, blocks=blocks
+            clock=clock,
+            replica=replica,
+            contexts=contexts,
+            blocks=blocks,
+            evacuations=self._evacuations,
         )
         self._server = StreamServer(address, self._serve_safely)
 
@@ -143,7 +150,7 @@
     def _pull(self, kind: StateKind, ip: str, request: PullRequest) -> None:
         is_applied = False
         try:
-            self._accept(self._exchange(kind, ip, request))
+            self._accept(self._exchange(kind, ip, request), ip)
             is_applied = True
         except (
             OSError,
@@ -170,7 +177,7 @@
             frame = receive_frame(connection, record_progress)
         return decode_message(_answer_decoder, frame)
 
-    def _accept(self, answer: PullAnswer) -> None:
+    def _accept(self, answer: PullAnswer, ip: str) -> None:
         """Apply an answer.
 
         Raises
@@ -192,6 +199,10 @@
             updates = CrashUpdates(blocks=answer.blocks)
             self._blocks.accept_updates(updates, self._clock(), is_forwarded=False)
             changed.append(f"{len(answer.blocks)} blocked parts")
+        if answer.evacuations is not None and self._evacuations.accept_rows(
+            answer.evacuations, source=ip, now=now
+        ):
+            changed.append(f"{len(answer.evacuations)} evacuations")
         if changed:
             write_log_entry(
                 log, UpdatesPulled(updates=changed, revision=answer.revision)
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -70,6 +70,11 @@
     blocks: list[tuple[Number, AgeMs, AgeMs]] = []
 
 
+# Data centre, store revision at which its evacuation was written or removed, whether it
+# is in force, and the time since a host read that from the store.
+EvacuationRow = tuple[Name, Count, bool, AgeMs]
+
+
 class QuotaQuestion(msgspec.Struct, array_like=True, frozen=True):
     """Question of a host whether it may send a request to a limited server.
 
@@ -152,6 +157,8 @@
     retry_after : dict of int to tuple
         Time in seconds for which servers accept no requests, as seen lately by the
         hosts of the scope, and the age of that in milliseconds, by server number.
+    evacuations : list of tuple or None
+        All records of evacuated data centres; None if the sender doesn't know them.
     """
 
     sender: HostAddress
@@ -174,6 +181,7 @@
     quota_answer: QuotaAnswer | None = None
     leaving: list[tuple[Number, EpochMs]] = []
     retry_after: dict[Number, tuple[DelayS, AgeMs]] = {}
+    evacuations: list[EvacuationRow] | None = None
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -221,6 +229,8 @@
     grace_ms : int
         Time for which servers missing from a whole list may have lapsed in an outage of
         the store, in milliseconds.
+    evacuations : list of tuple or None
+        As in `GossipMessage`.
     """
 
     document: bytes
@@ -232,3 +242,4 @@
     lapsing: dict[Name, tuple[Count, AgeMs]] = {}
     is_whole: bool = False
     grace_ms: AgeMs = 0
+    evacuations: list[EvacuationRow] | None = None
--- a/src/rosemarystream/_internal/models/log_entries/servers.py
+++ b/src/rosemarystream/_internal/models/log_entries/servers.py
@@ -107,6 +107,44 @@
     per_s: float | None
 
 
+class EvacuationBegun(LogEntry, frozen=True, kw_only=True):
+    """An operator wants no more requests to be sent to the servers of a data centre.
+
+    Attributes
+    ----------
+    source : str
+        ``store``, or the host that has passed it on; its IP address after a pull.
+    age_ms : float
+        Time since a host read it from the store.
+    """
+
+    message = "evacuation begun"
+    level = NOTICE
+    evacuated: str
+    revision: int
+    source: str
+    age_ms: float
+
+
+class EvacuationEnded(LogEntry, frozen=True, kw_only=True):
+    """The servers of an evacuated data centre may get requests again.
+
+    Attributes
+    ----------
+    source : str
+        ``store``, or the host that has passed it on; its IP address after a pull.
+    age_ms : float
+        Time since a host read it from the store.
+    """
+
+    message = "evacuation ended"
+    level = NOTICE
+    evacuated: str
+    revision: int
+    source: str
+    age_ms: float
+
+
 class ServicesUnreachable(LogEntry, frozen=True, kw_only=True):
     """The set of services without a reachable server changed.
 
--- a/src/rosemarystream/_internal/models/log_entries/store.py
+++ b/src/rosemarystream/_internal/models/log_entries/store.py
@@ -34,6 +34,14 @@
     error: str
 
 
+class EvacuationInvalid(LogEntry, frozen=True, kw_only=True):
+    """The record of an evacuation in the store has no readable name and is ignored."""
+
+    message = "record of an evacuation ignored"
+    level = WARNING
+    error: str
+
+
 class ConfigurationActivated(LogEntry, frozen=True, kw_only=True):
     """A newer configuration was received from the store and took effect."""
 
--- a/src/rosemarystream/_internal/platform/store.py
+++ b/src/rosemarystream/_internal/platform/store.py
@@ -25,6 +25,7 @@
 CONFIGURATION_NAME = "main"
 HOSTS = "rosemarystream-hosts"
 BLOCKED_PARTS = "rosemarystream-blocked-parts"
+EVACUATIONS = "evacuations"
 
 CONNECT_TIMEOUT_S = 1.0
 # Time allowed for the answer, on top of the wait of a long poll.
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from rosemarystream._internal.decisions.context_map import ContextMap
+from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.fleet_observations import (
     FleetObservations,
 )
@@ -51,6 +52,7 @@
             limits=ServerLimits(),
             retries=RetryDeadlines(),
             leaving=LeavingServers(),
+            evacuations=Evacuations(),
         )
         host.gate = LimitGate(
             this_host=HostAddress(name, data_centre, ip),
@@ -85,6 +87,7 @@
             on_ejections=print,
             metrics=SimpleNamespace(beats_bytes=SimpleNamespace(inc=lambda n: None)),
             supervisor=self._supervisor,
+            evacuations=host.evacuations,
         )
         host.peering._socket.close()
         host.peering._socket = SimpleNamespace(
--- a/tests/unit/test_peering.py
+++ b/tests/unit/test_peering.py
@@ -188,3 +188,75 @@
     world.run(2.0)
     extra = sum(world.sent_bytes.values()) - quiet
     assert extra / len(world.hosts) / 2.0 < 0.2 * CONTROL_BYTES_PER_S
+
+
+def evacuate(world, host, data_centre, revision, *, is_in_force=True):
+    """Let a host read from the store that an evacuation was written or removed."""
+    listed = {data_centre: revision} if is_in_force else {}
+    world.hosts[host].evacuations.accept_listing(listed, revision, world.now)
+
+
+def list_evacuated_at(world, data_centre="dc1"):
+    hosts = world.list_live()
+    return {h.name for h in hosts if h.evacuations.is_evacuated(data_centre)}
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), FLEETS[1:])
+def test_all_hosts_learn_of_an_evacuation_from_one(hosts, data_centres):
+    # Guards against hosts that learn of it only from the store.
+    world = GossipWorld(hosts=hosts, data_centres=data_centres)
+    world.run(SETTLED_S)
+    evacuate(world, "h5", "dc1", 9)
+    world.run(0.3)
+    assert len(list_evacuated_at(world)) == hosts
+    evacuate(world, "h6", "dc1", 12, is_in_force=False)
+    world.run(0.3)
+    assert list_evacuated_at(world) == set()
+
+
+def test_a_cut_data_centre_learns_of_an_evacuation_after_the_cut():
+    world = GossipWorld(hosts=24, data_centres=3)
+    world.run(SETTLED_S)
+    world.cut = {"dc1"}
+    world.run(4.0)
+    evacuate(world, "h0", "dc1", 9)
+    # Old news of the other side.
+    evacuate(world, "h1", "dc2", 4)
+    evacuate(world, "h0", "dc2", 8, is_in_force=False)
+    evacuate(world, "h0", "dc1", 9)
+    world.run(2.0)
+    assert list_evacuated_at(world, "dc2") == {f"h{n}" for n in range(1, 24, 3)}
+    world.cut = set()
+    world.run(2.5)
+    assert len(list_evacuated_at(world)) == 24
+    assert list_evacuated_at(world, "dc2") == set()
+
+
+def test_a_host_that_is_paused_meanwhile_restores_no_evacuation():
+    world = GossipWorld(hosts=9, data_centres=3)
+    world.run(SETTLED_S)
+    evacuate(world, "h0", "dc1", 9)
+    world.run(0.3)
+    world.stopped = {"h4"}
+    evacuate(world, "h0", "dc1", 12, is_in_force=False)
+    world.run(5.0)
+    world.stopped = set()
+    assert list_evacuated_at(world) == {"h4"}
+    # Others count it as lost, so it has to contact them first.
+    world.run(1.5)
+    assert list_evacuated_at(world) == set()
+
+
+def test_evacuations_cost_little_control_traffic():
+    world = GossipWorld(hosts=195, data_centres=5)
+    world.run(SETTLED_S)
+    world.sent_bytes.clear()
+    world.run(2.0)
+    quiet = sum(world.sent_bytes.values())
+    for number in range(3):
+        evacuate(world, "h0", f"dc{number}", 9)
+    world.run(2.0)
+    world.sent_bytes.clear()
+    world.run(2.0)
+    extra = sum(world.sent_bytes.values()) - quiet
+    assert extra / len(world.hosts) / 2.0 < 0.5 * CONTROL_BYTES_PER_S
