Evacuations: failures as tests, sends after pauses, a search of orders

A host that was suspended for 3 s or longer waits 0.3 s for news before it sends: requests that arrived meanwhile are ready before the messages of others are read (decisions/process_pauses.py).

--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -13,6 +13,7 @@
 from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.health import ServerHealth
 from rosemarystream._internal.decisions.leaving_servers import LeavingServers
+from rosemarystream._internal.decisions.process_pauses import ProcessPauses
 from rosemarystream._internal.decisions.reachability import Reachability
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.retry_deadlines import RetryDeadlines
@@ -63,6 +64,7 @@
         self.leaving = LeavingServers()
         self.retries = RetryDeadlines()
         self.evacuations = Evacuations()
+        self.pauses = ProcessPauses()
 
     def check(self, endpoint: Endpoint, now: float) -> Availability:
         """Return whether a server may get a request now, else why not and when."""
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -50,8 +50,9 @@
     used_connections : list of ClientConnection
         Connections on which the request was sent before; this attempt adds its own. A
         second copy of an answer may still come on them, with the request's own id.
-    may_send : callable
-        Returns whether the server may still be sent the request once it is connected.
+    find_objection : callable
+        Returns why the server may no longer get the request, now that it is connected;
+        empty if it may.
 
     Attributes
     ----------
@@ -79,7 +80,7 @@
         clock: Callable[[], float],
         on_head: Callable[[AnswerHead], None],
         used_connections: list[ClientConnection],
-        may_send: Callable[[], bool] = lambda: True,
+        find_objection: Callable[[], str] = str,
     ) -> None:
         self.endpoint = endpoint
         self.call = call
@@ -87,7 +88,7 @@
         self._clock = clock
         self._on_head = on_head
         self._used_connections = used_connections
-        self._may_send = may_send
+        self._find_objection = find_objection
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         # Whether the rest of a late answer to an earlier request comes first.
@@ -136,9 +137,9 @@
             except ConnectError as error:
                 raise NotRunError(str(error), sent=False) from error
         self._connection = connection
-        if not self._may_send():
-            reason = "the server was evacuated before the request was sent"
-            raise NotRunError(reason, sent=False, withheld=True)
+        objection = self._find_objection()
+        if objection:
+            raise NotRunError(objection, sent=False, withheld=True)
         self._used_connections.append(connection)
         headers = encode_call(
             self.call,
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -195,9 +195,20 @@
         """Return whether a server that was chosen a moment ago still wants requests."""
         return self._router.availability.is_wanted(endpoint, self._clock())
 
-    def may_send(self, endpoint: Endpoint) -> bool:
-        """Return whether a server that is connected may still be sent the request."""
-        return not self._router.availability.is_evacuated(endpoint)
+    def find_objection(self, endpoint: Endpoint) -> str:
+        """Return why a server that is connected may no longer get the request, or "".
+
+        After a pause of the process this first waits for news of other hosts.
+        """
+        availability = self._router.availability
+        hold_s = availability.pauses.measure_hold(self._clock())
+        if hold_s:
+            gevent.sleep(min(hold_s, max(0.0, self._deadline - self._clock())))
+            if self._clock() >= self._deadline:
+                return "the time was over before it was sent"
+        if availability.is_evacuated(endpoint):
+            return "its data centre was evacuated before it was sent"
+        return ""
 
     def _make_unplaced_error(self) -> RequestEndedError:
         service = self._service
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -251,7 +251,7 @@
             clock=self._clock,
             on_head=partial(self._router.statements.record, placement.endpoint),
             used_connections=self._used_connections,
-            may_send=partial(self._attempts.may_send, placement.endpoint),
+            find_objection=partial(self._attempts.find_objection, placement.endpoint),
         )
         counted = CountedAttempt(
             attempt=attempt, placement=placement, router=self._router
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -75,6 +75,7 @@
         self._check_requests = check_requests
         self._requests_due_at = 0.0
         self._steps: list[Callable[[float], None]] = [
+            router.availability.pauses.record_tick,
             self._remove_stale_hosts,
             self._expire_servers,
             self._log_host_changes,
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -300,6 +300,36 @@
     CrashHolds.find_held = lambda self, parts, now: None
 
 
+def ignore_evacuations():
+    from rosemarystream._internal.decisions.evacuations import Evacuations
+
+    Evacuations.is_evacuated = lambda self, data_centre: False
+
+
+def keep_evacuations_local():
+    from rosemarystream._internal.decisions.evacuations import Evacuations
+
+    Evacuations.accept_rows = lambda self, rows, *, source, now: False
+
+
+def serve_without_evacuations():
+    from rosemarystream._internal.gateway.evacuation_watch import EvacuationWatch
+
+    EvacuationWatch.is_answered = lambda self: True
+
+
+def send_once_connected():
+    from rosemarystream._internal.gateway.attempt_sequence import AttemptSequence
+
+    AttemptSequence.find_objection = lambda self, endpoint: ""
+
+
+def send_after_pauses():
+    from rosemarystream._internal.decisions.process_pauses import ProcessPauses
+
+    ProcessPauses.measure_hold = lambda self, now: 0.0
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -339,6 +369,11 @@
         wait_for_silent_hosts,
         use_any_connection,
         hold_no_requests,
+        ignore_evacuations,
+        keep_evacuations_local,
+        serve_without_evacuations,
+        send_once_connected,
+        send_after_pauses,
     )
 }
 
--- a/tests/properties/test_evacuations.py
+++ b/tests/properties/test_evacuations.py
@@ -1,5 +1,6 @@
 """All orders of news of evacuations leave all hosts with the same state."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -8,8 +9,8 @@
     EvacuationRecord,
     Evacuations,
 )
+from tests.lib.evacuation_model import DATA_CENTRES, search_drawn
 
-DATA_CENTRES = ("a", "b", "c")
 NOW = 50.0
 
 
@@ -75,26 +76,6 @@
     assert list_evacuated(evacuations) == set(objects)
 
 
-@given(stores_in_disorder(), st.data())
-def test_hosts_that_tell_each_other_all_records_agree(drawn, data):
-    # Late rows of one host, also repeated, restore nothing that another saw to end.
-    _, _, told = drawn
-    hosts = [Evacuations() for _ in range(3)]
-    for item in told:
-        tell(hosts[data.draw(st.integers(0, 2))], item)
-    late = [host.list_rows(NOW) or [] for host in hosts]
-    # One round for a host to know all, and one there and back for what has ended.
-    for _ in range(4):
-        for rows in [*late, *(host.list_rows(NOW) or [] for host in hosts)]:
-            for host in hosts:
-                host.accept_rows(rows, source="h", now=NOW)
-    states = [list_evacuated(host) for host in hosts]
-    assert states[0] == states[1] == states[2]
-    for rows in late:
-        hosts[0].accept_rows(rows, source="h", now=NOW)
-    assert list_evacuated(hosts[0]) == states[0]
-
-
 @given(stores_in_disorder())
 def test_each_begin_and_end_is_reported_once(drawn):
     evacuations, in_force = Evacuations(), set()
@@ -122,3 +103,65 @@
         tell(evacuations, ("record", f"dc{number}", 10 + number, False))
     assert len(evacuations.list_records()) == MAX_RECORDS
     assert evacuations.list_records()[0].data_centre == "a"
+
+
+# Orders of watches, messages, pulls, restarts and outages of the store
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_all_runs_leave_all_hosts_with_the_evacuations_of_the_store(seed):
+    assert search_drawn(runs=2_500, seed=seed) is None
+
+
+def restore_by_late_records(monkeypatch):
+    monkeypatch.setattr(EvacuationRecord, "is_newer", lambda self, other: True)
+
+
+def ignore_listings(monkeypatch):
+    accept = Evacuations.accept_listing
+
+    def accept_present(self, listed, revision, now):
+        self._listed_at = 0
+        absent = {r.data_centre: r.revision for r in self.list_records()}
+        return accept(self, {**absent, **listed}, 0, now)
+
+    monkeypatch.setattr(Evacuations, "accept_listing", accept_present)
+
+
+def forget_ended(monkeypatch):
+    accept = Evacuations.accept
+
+    def accept_and_forget(self, record, *, source, now):
+        accepted = accept(self, record, source=source, now=now)
+        self._records = {k: r for k, r in self._records.items() if r.is_in_force}
+        return accepted
+
+    monkeypatch.setattr(Evacuations, "accept", accept_and_forget)
+
+
+def tell_before_told(monkeypatch):
+    accept = Evacuations.accept
+
+    def accept_and_know(self, record, *, source, now):
+        self.is_known = True
+        return accept(self, record, source=source, now=now)
+
+    monkeypatch.setattr(Evacuations, "__init__", _known_at_start(Evacuations.__init__))
+    monkeypatch.setattr(Evacuations, "accept", accept_and_know)
+
+
+def _known_at_start(init):
+    def start(self):
+        init(self)
+        self.is_known = True
+
+    return start
+
+
+@pytest.mark.parametrize(
+    "switch_off",
+    [restore_by_late_records, ignore_listings, forget_ended, tell_before_told],
+)
+def test_the_runs_find_what_each_mechanism_prevents(monkeypatch, switch_off):
+    switch_off(monkeypatch)
+    assert search_drawn(runs=2_500, seed=1) is not None
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -25,6 +25,7 @@
 PYTEST = "python -m pytest -x -q tests/properties/"
 UNIT = "python -m pytest -x -q tests/unit/"
 ENTRY = "python -m pytest -x -q tests/functional/test_entry_"
+EVACUATIONS = "python -m pytest -x -q tests/functional/test_evacuations.py"
 BEHAVE = "behave --no-capture --stop tests/features/"
 ROWS = (
     Row("load-bound", "ignore_bound", f"{PYTEST}test_load_bound.py"),
@@ -146,6 +147,27 @@
         "hold_no_requests",
         f"{UNIT}test_crash_holds.py",
     ),
+    Row("entry-evacuations", "ignore_evacuations", f"{EVACUATIONS} -k no_host_sends"),
+    Row(
+        "entry-evacuation-news",
+        "keep_evacuations_local",
+        f"{EVACUATIONS} -k whatever_fails",
+    ),
+    Row(
+        "entry-evacuation-starts",
+        "serve_without_evacuations",
+        f"{EVACUATIONS} -k before_it_is_ready",
+    ),
+    Row(
+        "entry-evacuation-sends",
+        "send_once_connected",
+        f"{EVACUATIONS} -k placed_before",
+    ),
+    Row(
+        "entry-evacuation-pauses",
+        "send_after_pauses",
+        f"{EVACUATIONS} -k paused_host",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
