--- a/src/rosemarystream/_internal/gateway/context_placer.py
+++ b/src/rosemarystream/_internal/gateway/context_placer.py
@@ -88,7 +88,7 @@
             [load.counts[e.number] for e in ready], load_multiple
         )
         presumed_loads = loads
-        if not self._is_held(call, shared[-1], ready, now):
+        if not self._is_held(call, shared[-1], now):
             own_tokens = sum(part.tokens for part in call.parts[len(shared) :])
             presumed_loads = assume_cached_at_home(loads, home, own_tokens)
         name = place_by_context(
@@ -113,14 +113,14 @@
             slowness=chosen_load.slowness,
         )
 
-    def _is_held(
-        self, call: Call, part: PromptPart, ready: Sequence[Endpoint], now: float
-    ) -> bool:
+    def _is_held(self, call: Call, part: PromptPart, now: float) -> bool:
         """Return whether a server that isn't evacuated holds a part of the prompt."""
         evacuated: set[int] = set()
-        if ready:
-            servers = self._availability.list_evacuated(ready[0].service)
-            evacuated = {endpoint.number for endpoint in servers}
+        if not self._availability.evacuations.is_empty:
+            servers = self._replica.list_endpoints()
+            evacuated = {
+                e.number for e in servers if self._availability.is_evacuated(e)
+            }
         number = hash_part(call.model, part)
         return self._contexts.is_held(number, now, excluded=evacuated)
 
