Evacuations: hosts under collectors of an earlier build watch them themselves

Cause: collectors of an earlier build pass no records on, so that a host of this build that is no watcher would hear of no evacuation after its start. One that has not been told for 3 s (1 s at its start) watches them itself, once it has a configuration.

--- a/src/rosemarystream/_internal/decisions/evacuations.py
+++ b/src/rosemarystream/_internal/decisions/evacuations.py
@@ -72,10 +72,13 @@
     ----------
     is_known : bool
         Whether the store, or a host that knows them, has told all records.
+    told_at : float or None
+        When a host that knows them last told; None if none has.
     """
 
     def __init__(self) -> None:
         self.is_known = False
+        self.told_at: float | None = None
         self._records: dict[str, EvacuationRecord] = {}
         self._in_force: frozenset[str] = frozenset()
         # Revision of the last listing: what it lacked isn't in force as of it.
@@ -163,6 +166,7 @@
             for name, revision, is_in_force, age_ms in rows
         ]
         self.is_known = True
+        self.told_at = now
         return any(accepted)
 
     def list_records(self) -> list[EvacuationRecord]:
--- a/src/rosemarystream/_internal/gateway/evacuation_watch.py
+++ b/src/rosemarystream/_internal/gateway/evacuation_watch.py
@@ -1,7 +1,8 @@
 """Watch of the evacuated data centres in the platform's store.
 
-A host may not be ready before it knows them, so one that no other host has told lists
-them itself, once, though it is no watcher.
+A host may not be ready before it knows them. One that no other host tells watches them
+itself though it is no watcher: at its start, and while the collectors of its data
+centre are of an earlier build, which doesn't pass them on.
 """
 
 from collections.abc import Callable
@@ -25,7 +26,10 @@
 
 # Time for other hosts to tell a host that starts. In a fleet that starts as a whole the
 # watchers list first; their news needs about 0.3 s.
-OTHERS_TELL_S = 1.0
+FIRST_NEWS_S = 1.0
+# Time without a message of a host that knows them. Others replace lost collectors
+# after 1.2 s, so that a loss makes no host call the store.
+LATER_NEWS_S = 3.0
 # Time for which the store gives no answer until a host goes without, as it does without
 # the list of servers. No host that knows the evacuations is in contact then.
 GO_WITHOUT_AFTER_S = 2.0
@@ -51,7 +55,7 @@
         **arguments: Any,
     ) -> None:
         super().__init__(
-            is_watcher=lambda: is_watcher() or self._has_to_list(), **arguments
+            is_watcher=lambda: is_watcher() or self._is_untold(), **arguments
         )
         self._evacuations = evacuations
         self._started_at = inf
@@ -68,9 +72,14 @@
         lost_at = self.lost_at
         return lost_at is not None and self._clock() - lost_at >= GO_WITHOUT_AFTER_S
 
-    def _has_to_list(self) -> bool:
-        is_told = self._evacuations.is_known
-        return not is_told and self._clock() - self._started_at >= OTHERS_TELL_S
+    def _is_untold(self) -> bool:
+        """Return whether this host could serve, and no other one tells it."""
+        if self._replica.configuration is None:
+            return False
+        now, told_at = self._clock(), self._evacuations.told_at
+        if told_at is None:
+            return now - self._started_at >= FIRST_NEWS_S
+        return now - told_at >= LATER_NEWS_S
 
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
         now = self._clock()
--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -8,6 +8,7 @@
 from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.hashing import order_candidates
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
+from rosemarystream._internal.gateway.evacuation_watch import LATER_NEWS_S
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from standins.backend_server import Fault
 from standins.object_store import StoreFault
@@ -258,6 +259,14 @@
     assert is_in_force(host)
 
 
+def test_hosts_that_are_no_longer_told_hear_of_an_evacuation_in_time(silent_peers):
+    # Guards against hosts whose collectors are replaced by those of an earlier build.
+    gevent.sleep(LATER_NEWS_S + 0.5)
+    silent_peers.store.write(KIND, "a", {})
+    hosts = silent_peers.hosts.values()
+    wait_until(lambda: all(is_in_force(host, "a") for host in hosts), IN_FORCE_S)
+
+
 def test_a_host_that_nobody_tells_becomes_ready_without(silent_peers):
     # Guards against a fleet of mixed builds without a store having no host that serves.
     silent_peers.store.fault = StoreFault.BUSY
--- a/tests/mixed_builds.py
+++ b/tests/mixed_builds.py
@@ -52,6 +52,8 @@
     ("old-b", "b", "old", True),
 )
 SPREAD_S = 10.0
+# News of an evacuation has to be in force this long after the store has accepted it.
+EVACUATED_S = 5.0
 # Pause between the events of a stream that is held open.
 EVENT_S = 0.15
 
@@ -84,6 +86,7 @@
         self.world = World()
         net = self.world.net
         self.world.add_server("plain0")
+        self.world.add_server("plain-b", data_centre="b")
         for number in range(3):
             self.world.add_server(f"engine{number}", "engines", work_s=0.01)
         self.hosts, self.links = {}, {}
@@ -198,6 +201,31 @@
             )
         return f"{name} known at all hosts"
 
+    def check_evacuation(self, data_centre):
+        self.world.store.write("evacuations", data_centre, {})
+        new = [name for name, _, build, _ in GATEWAY_HOSTS if build == "new"]
+        for name in new:
+            wait_until(
+                lambda name=name: self.is_evacuated(name, data_centre),
+                seconds=EVACUATED_S,
+            )
+        before = self.world.servers["plain-b"].arrivals
+        statuses = {self.call(name, "/look/1").status for name in new * 5}
+        assert statuses == {200}, statuses
+        assert self.world.servers["plain-b"].arrivals == before
+        self.check_requests()
+        self.world.store.remove("evacuations", data_centre)
+        for name in new:
+            wait_until(
+                lambda name=name: not self.is_evacuated(name, data_centre),
+                seconds=SPREAD_S,
+            )
+        return f"{data_centre} evacuated at the new hosts, and served again"
+
+    def is_evacuated(self, name, data_centre):
+        known = self.read_state(name)["evacuations"].get(data_centre, {})
+        return known.get("in_force", False)
+
     def cut_stores(self):
         for name, _, _, is_cut in GATEWAY_HOSTS:
             if is_cut:
@@ -253,11 +281,15 @@
         for name in fleet.hosts:
             checks.run(f"gateway: load at {name}", lambda n=name: fleet.check_load(n))
         checks.run("gateway: configuration", lambda: fleet.check_configuration(20))
+        checks.run("gateway: evacuation", lambda: fleet.check_evacuation("b"))
         fleet.cut_stores()
         checks.run(
             "gateway: configuration pulled", lambda: fleet.check_configuration(21)
         )
         checks.run("gateway: servers pulled", lambda: fleet.check_servers("plain9"))
+        checks.run(
+            "gateway: evacuation, stores cut", lambda: fleet.check_evacuation("b")
+        )
         checks.run("gateway: requests, stores cut", fleet.check_requests)
         checks.run("gateway: logs", fleet.check_logs)
         checks.run("gateway: trace", fleet.check_trace)
