--- a/src/rosemarystream/_internal/decisions/evacuations.py
+++ b/src/rosemarystream/_internal/decisions/evacuations.py
@@ -13,6 +13,9 @@
 # Records that are kept and sent, at least: three times the planned data centres. Beyond
 # that the oldest ones that are not in force are dropped.
 MAX_RECORDS = 64
+# Time for which a record that has ended is part of each message: 30 rounds, of which
+# some may be lost. Later only whole lists have it, for hosts that were cut off.
+NEWS_S = 3.0
 # Source of what this host has read from the store itself.
 STORE = "store"
 _MS_PER_S = 1000
@@ -80,6 +83,7 @@
         self.is_known = False
         self.told_at: float | None = None
         self._records: dict[str, EvacuationRecord] = {}
+        self._stored_at: dict[str, float] = {}
         self._in_force: frozenset[str] = frozenset()
         # Revision of the last listing: what it lacked isn't in force as of it.
         self._listed_at = 0
@@ -103,6 +107,7 @@
         if known is not None and not record.is_newer(known):
             return False
         self._records[record.data_centre] = record
+        self._stored_at[record.data_centre] = now
         self._update_in_force(record, source, now)
         self._drop_oldest()
         return True
@@ -129,6 +134,7 @@
         if ended:
             oldest = min(ended, key=lambda record: record.revision)
             del self._records[oldest.data_centre]
+            del self._stored_at[oldest.data_centre]
 
     def accept_listing(
         self, listed: Mapping[str, int], revision: int, now: float
@@ -156,7 +162,7 @@
     def accept_rows(
         self, rows: Iterable[EvacuationRow], *, source: str, now: float
     ) -> bool:
-        """Apply all records of another host; return whether any is new."""
+        """Apply the records that another host has sent; return whether any is new."""
         accepted = [
             self.accept(
                 EvacuationRecord(name, revision, is_in_force, now - age_ms / _MS_PER_S),
@@ -176,8 +182,16 @@
             key=lambda record: (not record.is_in_force, -record.revision),
         )
 
-    def list_rows(self, now: float) -> list[EvacuationRow] | None:
-        """Return the records for other hosts; None if this host doesn't know all."""
+    def list_rows(
+        self, now: float, *, is_whole: bool = True
+    ) -> list[EvacuationRow] | None:
+        """Return the records for other hosts; None if this host doesn't know all.
+
+        Parameters
+        ----------
+        is_whole : bool
+            Whether records that ended longer ago than `NEWS_S` are included.
+        """
         if not self.is_known:
             return None
         if not self._records:
@@ -187,6 +201,7 @@
             for name, revision, is_in_force, read_at in self.list_records()[
                 :MAX_RECORDS
             ]
+            if is_whole or is_in_force or now - self._stored_at[name] <= NEWS_S
         ]
 
     def count_in_force(self) -> int:
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -58,6 +58,8 @@
 LOAD_CHANGE_REQUESTS = 2
 # Rounds between two messages to the own data centre that name hosts.
 NAMES_EVERY_ROUNDS = 5
+# Rounds between two messages with all evacuations, also those that have ended.
+EVACUATIONS_EVERY_ROUNDS = 10
 # Rounds between two attempts to contact a data centre of which no host is live, and
 # the hosts contacted each time.
 RECONTACT_EVERY_ROUNDS = 10
@@ -341,7 +343,10 @@
             quota_answer=answer,
             leaving=reports.leaving,
             retry_after=reports.retry_after,
-            evacuations=self._evacuations.list_rows(self._clock()),
+            evacuations=self._evacuations.list_rows(
+                self._clock(),
+                is_whole=self._rounds % EVACUATIONS_EVERY_ROUNDS == 0,
+            ),
         )
 
     def send_question(self, host: Peer, question: QuotaQuestion) -> None:
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -158,7 +158,8 @@
         Time in seconds for which servers accept no requests, as seen lately by the
         hosts of the scope, and the age of that in milliseconds, by server number.
     evacuations : list of tuple or None
-        All records of evacuated data centres; None if the sender doesn't know them.
+        Records of the evacuated data centres, and with some of the messages of those
+        that no longer are; None if the sender doesn't know them.
     """
 
     sender: HostAddress
--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -48,6 +48,8 @@
         "store regained",
         "services unreachable",
         "servers did not come back",
+        "evacuation begun",
+        "evacuation ended",
         "log entries dropped",
         "requests unbalanced",
     }
