--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -50,6 +50,9 @@
     used_connections : list of ClientConnection
         Connections on which the request was sent before; this attempt adds its own. A
         second copy of an answer may still come on them, with the request's own id.
+    find_objection : callable
+        Returns why the server may no longer get the request, now that it is connected;
+        empty if it may.
 
     Attributes
     ----------
@@ -77,6 +80,7 @@
         clock: Callable[[], float],
         on_head: Callable[[AnswerHead], None],
         used_connections: list[ClientConnection],
+        find_objection: Callable[[], str] = str,
     ) -> None:
         self.endpoint = endpoint
         self.call = call
@@ -84,6 +88,7 @@
         self._clock = clock
         self._on_head = on_head
         self._used_connections = used_connections
+        self._find_objection = find_objection
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         # Whether the rest of a late answer to an earlier request comes first.
@@ -120,7 +125,7 @@
         Raises
         ------
         NotRunError
-            If no connection can be made.
+            If no connection can be made, or the server may no longer get the request.
         OutcomeUnknownError
             If the connection broke while sending.
         """
@@ -137,6 +142,9 @@
             except ConnectError as error:
                 raise NotRunError(str(error), sent=False) from error
         self._connection = connection
+        objection = self._find_objection()
+        if objection:
+            raise NotRunError(objection, sent=False, withheld=True)
         self._used_connections.append(connection)
         connection.record_request(self.call.request_id)
         headers = encode_call(
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -20,7 +20,11 @@
     PromptPartBlocked,
     PromptPartReleased,
 )
-from rosemarystream._internal.models.log_entries.servers import ServersNotReturned
+from rosemarystream._internal.models.log_entries.servers import (
+    EvacuationBegun,
+    EvacuationEnded,
+    ServersNotReturned,
+)
 
 log = Logger(__name__)
 
@@ -71,11 +75,13 @@
         self._check_requests = check_requests
         self._requests_due_at = 0.0
         self._steps: list[Callable[[float], None]] = [
+            router.availability.pauses.record_tick,
             self._remove_stale_hosts,
             self._expire_servers,
             self._log_host_changes,
             self._expire_blocks,
             self._log_block_changes,
+            self._log_evacuations,
             self._log_server_statements,
             self._record_version,
             self._record_store_loss,
@@ -138,6 +144,17 @@
             else:
                 write_log_entry(log, PromptPartReleased(part=part))
 
+    def _log_evacuations(self, now: float) -> None:
+        for change in self._router.availability.evacuations.take_changes():
+            kind = EvacuationBegun if change.is_in_force else EvacuationEnded
+            entry = kind(
+                evacuated=change.data_centre,
+                revision=change.revision,
+                source=change.source,
+                age_ms=round(change.age_s * _MS_PER_S, 1),
+            )
+            write_log_entry(log, entry)
+
     def _log_host_changes(self, now: float) -> None:
         changes = self._peer_table.take_changes(now)
         for host in changes.found:
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -16,6 +16,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.context_map import CacheUpdate, ContextMap
+from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.fleet_observations import (
     NO_REPORTS,
     FleetObservations,
@@ -36,6 +37,7 @@
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.gossip import (
     CrashUpdates,
+    EvacuationRow,
     GossipMessage,
     HostAddress,
     LoadScope,
@@ -56,6 +58,8 @@
 LOAD_CHANGE_REQUESTS = 2
 # Rounds between two messages to the own data centre that name hosts.
 NAMES_EVERY_ROUNDS = 5
+# Rounds between two messages with all evacuations, also those that have ended.
+EVACUATIONS_EVERY_ROUNDS = 10
 # Rounds between two attempts to contact a data centre of which no host is live, and
 # the hosts contacted each time.
 RECONTACT_EVERY_ROUNDS = 10
@@ -110,6 +114,8 @@
         Called with the numbers of the servers that another host has ejected.
     supervisor : Supervisor
         Runs the rounds and the receipt of messages.
+    evacuations : Evacuations, optional
+        The evacuated data centres; each message carries them.
 
     Attributes
     ----------
@@ -137,7 +143,9 @@
         on_ejections: Callable[[list[int]], None],
         metrics: GatewayMetrics,
         supervisor: Supervisor,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations()
         self._this_host = this_host
         self._port = port
         self._seeds = {seed.rpartition(":")[0] for seed in seeds} - {this_host.ip}
@@ -335,6 +343,10 @@
             quota_answer=answer,
             leaving=reports.leaving,
             retry_after=reports.retry_after,
+            evacuations=self._evacuations.list_rows(
+                self._clock(),
+                is_whole=self._rounds % EVACUATIONS_EVERY_ROUNDS == 0,
+            ),
         )
 
     def send_question(self, host: Peer, question: QuotaQuestion) -> None:
@@ -398,6 +410,8 @@
             now,
             nearby=message.scope is LoadScope.HOST,
         )
+        if message.evacuations is not None:
+            self._accept_evacuations(message.evacuations, sender.name, now)
         self._accept_quota_messages(message)
         self._contexts.accept_cache_updates(message.cache_updates, now)
         if message.crash_updates is not None:
@@ -416,6 +430,13 @@
         if message.version > self._replica.version:
             self._puller.pull_document(sender.ip)
 
+    def _accept_evacuations(
+        self, rows: list[EvacuationRow], sender: str, now: float
+    ) -> None:
+        """Apply the records of another host; new ones are passed on at once."""
+        if self._evacuations.accept_rows(rows, source=sender, now=now):
+            self.announce()
+
     def _accept_quota_messages(self, message: GossipMessage) -> None:
         if message.quota_answer is not None:
             self._gate.accept_answer(message.quota_answer)
