Attempts: a repeat with the same id takes another connection (REFUSED)

What callers saw: a caller that was answered 503 sent its request again with the same id and got 503 once more, though the server ran the repeat; where another attempt was left it ran twice.

Cause: to the host the repeat is another request, so the connection on which the first one was refused counted as unused. The late copy of that refusal bears the id of the repeat. Two requests with one id at once could meet the same.

Change: a connection records hashes of the ids of its last 8 requests, and a request passes over those that had its id. The connections of the request itself are excluded without such a bound, as before.

The switch of entry-late-refusals removes both.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -124,7 +124,12 @@
         OutcomeUnknownError
             If the connection broke while sending.
         """
-        connection = self._pool.take(self.endpoint, excluded=self._used_connections)
+        # A caller's repeat may have the same id, and is another request to this host.
+        connection = self._pool.take(
+            self.endpoint,
+            request_id=self.call.request_id,
+            excluded=self._used_connections,
+        )
         self.reused = connection is not None
         if connection is None:
             try:
@@ -133,6 +138,7 @@
                 raise NotRunError(str(error), sent=False) from error
         self._connection = connection
         self._used_connections.append(connection)
+        connection.record_request(self.call.request_id)
         headers = encode_call(
             self.call,
             wait_s=deadline - self._clock(),
--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -23,19 +23,26 @@
         self._max_idle_s: dict[str, float] = {}
 
     def take(
-        self, endpoint: Endpoint, *, excluded: Collection[ClientConnection] = ()
+        self,
+        endpoint: Endpoint,
+        *,
+        request_id: str = "",
+        excluded: Collection[ClientConnection] = (),
     ) -> ClientConnection | None:
         """Return an idle connection that is open and has no stray bytes, if any.
 
         Parameters
         ----------
+        request_id : str
+            Id of the request to be sent. Connections that had one with this id lately
+            stay idle.
         excluded : collection of ClientConnection
-            Connections that stay idle.
+            Other connections that stay idle.
         """
         idle = self._idle.get(_key(endpoint), [])
         max_idle_s = self._max_idle_s.get(endpoint.name, DEFAULT_KEEP_ALIVE_S)
         for connection in idle[::-1]:
-            if connection in excluded:
+            if connection in excluded or connection.had_request(request_id):
                 continue
             idle.remove(connection)
             fresh = self._clock() - connection.idle_since < max_idle_s
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -6,6 +6,7 @@
 
 import errno
 import socket as plain_socket
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -38,6 +39,9 @@
 LATE_READ_S = 0.1
 # Largest body that is read to its end only to keep a connection usable.
 MAX_DISCARDED_BYTES = 65_536
+# Requests by which a connection is told from others. A second copy of an answer comes
+# in place of the next answer; the others are a margin.
+RECENT_REQUESTS = 8
 
 
 class ConnectionBrokenError(BackendError):
@@ -98,6 +102,17 @@
         self._is_long = False
         self._loop_share = LoopShare()
         self._late_until: float | None = None
+        # Hashes, as callers may choose ids of kilobytes. Two ids with the same hash
+        # only cause a connection to be passed over.
+        self._recent_requests: deque[int] = deque(maxlen=RECENT_REQUESTS)
+
+    def record_request(self, request_id: str) -> None:
+        """Record the id of a request that is sent on this connection."""
+        self._recent_requests.append(hash(request_id))
+
+    def had_request(self, request_id: str) -> bool:
+        """Return whether one of the last requests had this id."""
+        return hash(request_id) in self._recent_requests
 
     def connect(self, deadline: float) -> None:
         """Open the connection.
--- a/tests/functional/test_late_refusals.py
+++ b/tests/functional/test_late_refusals.py
@@ -73,6 +73,24 @@
     assert runs.count("refused-once") == 1
 
 
+def test_a_refusal_that_comes_twice_is_not_passed_on_for_a_repeat_with_its_id(
+    world, route
+):
+    """The repeat is another request to this host, so other attempts don't count."""
+    server, host = world.servers["s1"], world.hosts["h1"]
+    assert host.call(f"/{route}/1").status == 200
+    server.retry_after = f"{RETRY_AFTER_S}"
+    connections = server.connections
+    # Too short a time for the host to wait for the server.
+    refused = host.call(f"/{route}/2", request_id="repeated", wait_ms=100)
+    assert refused.status in (429, 503)
+    assert server.connections == connections
+    server.retry_after = None
+    gevent.sleep(RETRY_AFTER_S)
+    assert host.call(f"/{route}/2", request_id="repeated").status == 200
+    assert [run.request_id for run in server.runs].count("repeated") == 1
+
+
 def test_the_connection_of_a_refusal_serves_other_requests(world, route):
     call_refused_at_first(world, route)
     server, host = world.servers["s1"], world.hosts["h1"]
@@ -87,6 +105,12 @@
 
     idle_since = 10.0
 
+    def __init__(self):
+        self.requests = []
+
+    def had_request(self, request_id):
+        return request_id in self.requests
+
     def is_reusable(self):
         return True
 
@@ -108,3 +132,15 @@
     assert pool.take(endpoint, excluded=connections) is None
     assert pool.take(endpoint) is connections[2]
     assert pool.take(endpoint) is connections[1]
+
+
+def test_a_pool_keeps_the_connections_that_had_a_request_with_the_same_id():
+    endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
+    pool = ConnectionPool(clock=lambda: 10.0)
+    connections = [_Connection() for _ in range(2)]
+    for connection in connections:
+        pool.put(endpoint, connection, keep_alive_s=None)
+    connections[1].requests.append("r1")
+    assert pool.take(endpoint, request_id="r1") is connections[0]
+    assert pool.take(endpoint, request_id="r1") is None
+    assert pool.take(endpoint, request_id="r2") is connections[1]
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -291,7 +291,7 @@
     from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 
     take = ConnectionPool.take
-    ConnectionPool.take = lambda self, endpoint, *, excluded=(): take(self, endpoint)
+    ConnectionPool.take = lambda self, endpoint, **uses: take(self, endpoint)
 
 
 def hold_no_requests():
