--- a/tests/prove.py
+++ b/tests/prove.py
@@ -141,6 +141,7 @@
         "use_any_connection",
         "python -m pytest -x -q tests/functional/test_late_refusals.py -k not_passed",
     ),
+    Row("entry-late-copies", "use_any_connection", f"{PYTEST}test_late_copies.py"),
     Row(
         "entry-crash-holds",
         "hold_no_requests",
