--- a/tests/functional/test_failing_loops.py
+++ b/tests/functional/test_failing_loops.py
@@ -109,9 +109,10 @@
 def list_points(world, loop):
     """Return object and method of the calls in a loop's body, on the first host."""
     gateway = world.hosts["h1"].gateway
+    evacuations = gateway._router.availability.evacuations
     watches = dict(
         zip(
-            ("configuration_watch", "server_watch", "block_watch"),
+            ("configuration_watch", "server_watch", "block_watch", "evacuation_watch"),
             gateway._watches,
             strict=True,
         )
@@ -128,6 +129,7 @@
             (gateway._router.speeds, "accept_reports"),
             (gateway._router.limits, "accept_reports"),
             (gateway._puller, "pull_contexts"),
+            (evacuations, "accept_rows"),
         ],
         "gossip_rounds": [
             (gateway._peer_table, "list_unreachable"),
@@ -144,6 +146,7 @@
             (gateway._blocks, "take_changes"),
             (gateway._router.statements, "log_changes"),
             (gateway._state, "record_version"),
+            (evacuations, "take_changes"),
         ],
         "service_probes": [(gateway._router, "list_unreachable_services")],
         "limited_sends": [(gateway._router.statements, "log_limited_sends")],
@@ -191,6 +194,7 @@
     world.store.write("config", "main", make_configuration(number))
     server = world.add_server(f"p{number}")
     record = accept_block(world)
+    world.store.write("evacuations", f"z{number}", {})
     for host in hosts:
         wait_until(lambda host=host: host.get_version() == number, RECOVERY_S)
         wait_until(
@@ -199,6 +203,10 @@
         wait_until(
             lambda host=host: record in host.read_state()["blocked_parts"], RECOVERY_S
         )
+        wait_until(
+            lambda host=host: f"z{number}" in host.read_state()["evacuations"],
+            RECOVERY_S,
+        )
         wait_until(lambda host=host: len(host.list_hosts()) == 1, RECOVERY_S)
     wait_until(lambda: record in list_records(world), RECOVERY_S)
     wait_until(lambda: is_called(world, server), RECOVERY_S)
@@ -230,6 +238,7 @@
         "configuration_watch",
         "server_watch",
         "block_watch",
+        "evacuation_watch",
         "block_writes",
         "gossip_receive",
         "gossip_rounds",
--- a/tests/unit/test_server_evacuations.py
+++ b/tests/unit/test_server_evacuations.py
@@ -2,10 +2,14 @@
 
 from math import inf
 
+import msgspec
 import pytest
 
 from rosemarystream._internal.decisions.context_map import ContextMap, hash_part
-from rosemarystream._internal.decisions.evacuations import EvacuationRecord
+from rosemarystream._internal.decisions.evacuations import (
+    EvacuationRecord,
+    Evacuations,
+)
 from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.server_availability import (
@@ -14,8 +18,17 @@
 )
 from rosemarystream._internal.decisions.server_speeds import ServerSpeeds
 from rosemarystream._internal.gateway.context_placer import ContextPlacer
+from rosemarystream._internal.gateway.evacuation_watch import EvacuationWatch
+from rosemarystream._internal.gateway.gossip_decoder import decode_gossip
 from rosemarystream._internal.models.call import Call, PromptPart
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
+from rosemarystream._internal.models.gossip import (
+    GossipMessage,
+    HostAddress,
+    LoadScope,
+)
+from rosemarystream._internal.platform.store_answers import decode_page
+from tests.lib.odd_objects import OBJECTS
 
 NOW = 10.0
 PARTS = (PromptPart("root", 9_000), PromptPart("own", 5))
@@ -108,3 +121,28 @@
         assert placement.source == B1
         homes.add(placement.home)
     assert len(homes) == 1
+
+
+@pytest.mark.parametrize("odd", OBJECTS)
+def test_an_odd_object_hides_no_evacuation_and_breaks_no_message(odd):
+    # What can be read of its name is in force: it is all that matters.
+    whole = b'{"metadata":{"name":"b","revision":5},"spec":{}}'
+    body = b'{"items":[%s,%s],"current-rev":9}' % (OBJECTS[odd], whole)
+    page, evacuations = decode_page(body), Evacuations()
+    watch = EvacuationWatch(
+        evacuations=evacuations,
+        store=None,
+        clock=lambda: NOW,
+        replica=None,
+        is_watcher=lambda: True,
+        on_change=lambda: None,
+        supervisor=None,
+    )
+    watch._accept_listing(page.objects, page.revision)
+    assert evacuations.is_evacuated("b")
+    if b'"odd"' in OBJECTS[odd]:
+        assert evacuations.is_evacuated("odd")
+    host = HostAddress("h1", "a", "10.0.0.1")
+    rows = evacuations.list_rows(NOW)
+    message = GossipMessage(host, 1, 0, 0, 0, LoadScope.NONE, evacuations=rows)
+    assert decode_gossip(msgspec.msgpack.encode(message)).evacuations == rows
