--- a/src/rosemarystream/_internal/gateway/attempt_outcomes.py
+++ b/src/rosemarystream/_internal/gateway/attempt_outcomes.py
@@ -66,6 +66,7 @@
             server=attempt.endpoint.name,
             sent=error.sent,
             reason=str(error),
+            withheld=error.withheld,
         )
         write_log_entry(log, entry)
         if error.sent:
--- a/src/rosemarystream/_internal/models/log_entries/requests.py
+++ b/src/rosemarystream/_internal/models/log_entries/requests.py
@@ -110,7 +110,9 @@
     ----------
     sent : bool
         Whether the server received the request and rejected it; otherwise it could
-        not be reached.
+        not be reached, or the request was withheld.
+    withheld : bool
+        Whether this host decided not to send it, though the server could be reached.
     """
 
     message = "attempt not run"
@@ -119,6 +121,7 @@
     server: str
     sent: bool
     reason: str
+    withheld: bool = False
 
 
 class AttemptBroken(LogEntry, frozen=True, kw_only=True):
--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -309,6 +309,7 @@
         entry = logged.entry
         if isinstance(entry, AttemptNotRun):
             how = "turned it away" if entry.sent else "could not be reached"
+            how = "was not sent the request" if entry.withheld else how
             findings.append(f"{entry.server} {how} ({entry.reason})")
         elif isinstance(entry, AttemptBroken):
             findings.append(f"the answer of {entry.server} broke off ({entry.reason})")
