--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -148,6 +148,8 @@
         connection.
     born : int
         Start time of its process, in milliseconds since the epoch.
+    cold_until : float
+        Time until which its entry says that it is cold, by the monotonic clock.
     arrived_at : list of float
         Times at which requests arrived, by the monotonic clock, in seconds.
     crashing_parts : set of str
@@ -183,6 +185,7 @@
         self.repeats_refusals = False
         self._late_copies: dict[socket.socket, bytes] = {}
         self.born = 1_000
+        self.cold_until = 0.0
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[BackendServer], object] = str
@@ -223,7 +226,7 @@
             "version": "v1",
             "slots": 8,
             "state": state,
-            "warmup-left-ms": 0,
+            "warmup-left-ms": max(0, int((self.cold_until - time.monotonic()) * 1000)),
             "seq": seq,
             "born": self.born,
         }
