--- a/src/rosemarystream/_internal/decisions/fleet_observations.py
+++ b/src/rosemarystream/_internal/decisions/fleet_observations.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.cold_servers import ColdReport
 from rosemarystream._internal.decisions.leaving_servers import (
     Incarnation,
     LeavingServers,
@@ -19,12 +20,15 @@
     ----------
     leaving : list of tuple of int
         Numbers and incarnations of all servers that leave, whoever has seen it.
+    cold : dict of int to tuple
+        Servers presumed cold, whoever has seen it.
     """
 
     slowness: dict[int, ServerReport]
     limits: dict[int, ServerReport]
     retry_after: dict[int, ServerReport]
     leaving: list[Incarnation]
+    cold: dict[int, ColdReport] = {}
 
 
 NO_REPORTS = ObservationReports({}, {}, {}, [])
@@ -53,6 +57,7 @@
             self._limits.list_own(now),
             self._retries.list_own(now),
             self._leaving.list_reported(),
+            self._limits.cold.list_reports(now),
         )
 
     def report_nearby(self, now: float) -> ObservationReports:
@@ -62,6 +67,7 @@
             self._limits.list_nearby(now),
             self._retries.list_nearby(now),
             self._leaving.list_reported(),
+            self._limits.cold.list_reports(now),
         )
 
     def report_all(self, now: float) -> ObservationReports:
@@ -71,6 +77,7 @@
             self._limits.list_all(now),
             self._retries.list_all(now),
             self._leaving.list_reported(),
+            self._limits.cold.list_reports(now),
         )
 
     def report_leaving(self) -> ObservationReports:
@@ -96,3 +103,5 @@
             self._retries.accept_reports(reports.retry_after, now, nearby=nearby)
         if reports.leaving:
             self._leaving.accept_reports(reports.leaving)
+        if reports.cold:
+            self._limits.cold.accept_reports(reports.cold, now)
--- a/src/rosemarystream/_internal/decisions/limit_quotas.py
+++ b/src/rosemarystream/_internal/decisions/limit_quotas.py
@@ -4,9 +4,14 @@
 would be fractions of a request, and most would lie idle. Each data centre has a fixed
 part, so that none depends on another one when it is cut off. Within it, one host (the
 first collector) permits each request at the moment at which it is to be sent.
+
+Servers that are cold have the same kind of parts, at rates at which the bound of each
+second holds while two hosts of a data centre permit requests for some seconds.
 """
 
 from collections.abc import Collection
+from functools import lru_cache
+from math import floor
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.bounded_dict import BoundedDict
@@ -23,6 +28,22 @@
 NO_SHARE_WAIT_S = 1.0
 # Largest number of servers whose permissions are remembered.
 MAX_SERVERS = 8_192
+# Permissions of a cold server that add up while nobody takes them: a little over one,
+# so that a question that comes late by a few hundredths of a second loses nothing.
+COLD_BURST = 1.15
+# Data centres in which two hosts permit requests to a cold server at the same time.
+DISPUTED = 2
+# Time from a permission until its request has arrived: those of a little over a second
+# may arrive within one.
+MAX_DELAY_S = 0.1
+# Part of a cold server's rate that is given out at most, and the part that should be.
+MOST_USED = 0.95
+LEAST_USED = 0.8
+# Hosts that are told the same moment for their next question, as some of them have no
+# request by then.
+ASKERS_PER_PERMISSION = 3
+# Longest time until a host that was refused may ask again.
+MAX_BOOKED_S = 1.0
 
 
 class Decision(NamedTuple):
@@ -32,11 +53,29 @@
     wait_s: float = 0.0
 
 
+class ColdBound(NamedTuple):
+    """What a cold server may get in a second: a multiple of its rate and some more."""
+
+    overshoot: float = 1.5
+    slack: float = 5.0
+
+    def compute(self, per_s: float) -> float:
+        """Return the bound for a server that takes this many requests a second."""
+        return self.overshoot * per_s + self.slack
+
+
 class _Bucket(NamedTuple):
-    """Permissions at hand for one server, as of a time."""
+    """Permissions at hand for one server, as of a time.
+
+    Attributes
+    ----------
+    asked_again_at : float
+        When the last host that was refused may ask again.
+    """
 
     permissions: float
     updated_at: float
+    asked_again_at: float = 0.0
 
 
 class LimitQuotas:
@@ -72,6 +111,33 @@
         wait_s = 0.0 if is_permitted else (1.0 - permissions) / rate
         return Decision(is_permitted, wait_s)
 
+    def take_cold(self, server: int, rate: float, now: float) -> Decision:
+        """Take a permission to send one request to a cold server, if there is one.
+
+        Hosts that are refused are told different times, so that not all of them ask for
+        each permission.
+
+        Parameters
+        ----------
+        rate : float
+            Requests a second that this data centre may send.
+        """
+        if not rate:
+            return Decision(is_permitted=False, wait_s=NO_SHARE_WAIT_S)
+        known = self._buckets.get(server, _Bucket(0.0, now))
+        permissions = min(
+            COLD_BURST, known.permissions + rate * (now - known.updated_at)
+        )
+        if permissions >= 1.0:
+            bucket = _Bucket(permissions - 1.0, now, known.asked_again_at)
+            self._buckets.put(server, bucket)
+            return Decision(is_permitted=True)
+        first = now + (1.0 - permissions) / rate
+        booked = known.asked_again_at + 1.0 / (rate * ASKERS_PER_PERMISSION)
+        again_at = min(max(first, booked), max(first, now + MAX_BOOKED_S))
+        self._buckets.put(server, _Bucket(permissions, now, again_at))
+        return Decision(is_permitted=False, wait_s=again_at - now)
+
 
 def compute_share(
     server: int, data_centre: str, data_centres: Collection[str]
@@ -86,3 +152,63 @@
     if len(data_centres) > MAX_SHARING:
         data_centres = order_candidates(str(server), data_centres)[:MAX_SHARING]
     return 1.0 / len(data_centres) if data_centre in data_centres else 0.0
+
+
+def compute_cold_rate(
+    server: int,
+    data_centre: str,
+    data_centres: Collection[str],
+    *,
+    home: str | None,
+    per_s: float,
+    bound: ColdBound,
+) -> float:
+    """Return the rate at which a data centre may send to a cold server, per second.
+
+    The rates of all data centres together keep within the bound in each second, also
+    while `DISPUTED` of them have two hosts that give permissions.
+
+    Parameters
+    ----------
+    data_centres : collection of str
+        All known data centres, this one included.
+    home : str or None
+        Data centre of the server, which always has a part.
+    per_s : float
+        Requests a second that the server takes.
+    """
+    parts, rate = _divide_cold(per_s, bound, min(len(data_centres), MAX_SHARING))
+    others = order_candidates(str(server), {*data_centres} - {home})
+    sharing = ([home] if home in data_centres else []) + others
+    return rate if data_centre in sharing[:parts] else 0.0
+
+
+@lru_cache(maxsize=1024)
+def _divide_cold(per_s: float, bound: ColdBound, most: int) -> tuple[int, float]:
+    """Return among how many data centres a rate is divided, and the rate of each.
+
+    As many as can use most of the rate. Small bounds leave less of it to more of them,
+    as each may send one request at once after a quiet time.
+    """
+    allowed = bound.compute(per_s)
+    rates = {
+        parts: _compute_part(per_s, allowed, parts) for parts in range(1, most + 1)
+    }
+    enough = [n for n, rate in rates.items() if n * rate >= LEAST_USED * per_s]
+    parts = max(enough) if enough else max(rates, key=lambda n: n * rates[n])
+    # A bound below that of two hosts at once can only hold while there is one.
+    return parts, rates[parts] or min(MOST_USED * per_s, 1.0 / (1.0 + MAX_DELAY_S))
+
+
+def _compute_part(per_s: float, allowed: float, parts: int) -> float:
+    """Return the rate of one of some equal parts of what a cold server may get.
+
+    A bucket of rate r permits up to `COLD_BURST` + r t requests within a time t. All
+    buckets, with those of the data centres in dispute, have to keep within the bound.
+    """
+    disputed = min(DISPUTED, max(1, parts - 1))
+    permitted = floor(allowed / (parts + disputed))
+    if not permitted:
+        return 0.0
+    rate = (permitted + 0.99 - COLD_BURST) / (1.0 + MAX_DELAY_S)
+    return min(rate, MOST_USED * per_s / parts)
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -7,7 +7,8 @@
 go to the least loaded server.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
+from math import inf
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.hashing import order_candidates, pick_candidate
@@ -50,6 +51,10 @@
 # Requests added to the load of a server whose work takes twice as long at the moment;
 # more or less in proportion.
 SLOW_PENALTY_REQUESTS = 2.0
+# How much longer work takes at least at a cold server, and how much more a prompt costs
+# there that a warm server holds.
+COLD_SLOWNESS = 2.0
+HELD_ELSEWHERE = 4.0
 # Requests added to the load of a server in another data centre.
 REMOTE_PENALTY_REQUESTS = 0.4
 
@@ -146,6 +151,9 @@
         Server from which the cached context of the prompt is copied.
     slowness : float
         How much longer work probably takes at the server at this moment.
+    send_by : float
+        Time after which the request must not be sent there any more, as its permission
+        has lapsed by then; infinite if it needs none.
     """
 
     endpoint: Endpoint
@@ -159,6 +167,7 @@
     counts_age_s: float = 0.0
     source: Endpoint | None = None
     slowness: float = 1.0
+    send_by: float = inf
 
 
 def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
@@ -180,6 +189,32 @@
     )
 
 
+def estimate_slowness(slowness: float, *, is_cold: bool) -> float:
+    """Return how much longer work takes at a server, which may be cold."""
+    return max(slowness, COLD_SLOWNESS) if is_cold else slowness
+
+
+def charge_cold(
+    loads: Mapping[str, ContextLoad], cold: Collection[str]
+) -> dict[str, ContextLoad]:
+    """Return the loads with what cold servers cost in addition.
+
+    They get few requests, which have most use for prompts that no warm server holds.
+    """
+    warm_tokens = min(
+        (load.uncached_tokens for name, load in loads.items() if name not in cold),
+        default=None,
+    )
+    charged = dict(loads)
+    for name in cold:
+        load = loads[name]
+        slowness = estimate_slowness(load.slowness, is_cold=True)
+        if warm_tokens is not None and warm_tokens < load.uncached_tokens:
+            slowness *= HELD_ELSEWHERE
+        charged[name] = load._replace(slowness=slowness)
+    return charged
+
+
 def assume_cached_at_home(
     loads: Mapping[str, ContextLoad], home: str | None, own_tokens: int
 ) -> dict[str, ContextLoad]:
--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -171,10 +171,20 @@
         ready = self.list_ready(service)
         return [e.name for e in ready if self.limits.is_limited(e.number)]
 
+    def list_needing_permission(self, service: str, now: float) -> list[str]:
+        """Return the names of the servers of a service that are limited or cold."""
+        ready = self.list_ready(service)
+        return [e.name for e in ready if self.limits.needs_permission(e.number, now)]
+
+    def list_cold(self, service: str, now: float) -> list[str]:
+        """Return the names of the servers of a service that are cold."""
+        ready = self.list_ready(service)
+        return [e.name for e in ready if self.limits.cold.is_cold(e.number, now)]
+
     def measure_limit_wait(
         self, service: str, *, exclude: Collection[str], now: float
     ) -> float | None:
-        """Return the time in seconds until a limited server may have room.
+        """Return the time in seconds until a limited or cold server may have room.
 
         None if no server of the service is limited, those of `exclude` not counted.
         """
--- a/src/rosemarystream/_internal/decisions/server_limits.py
+++ b/src/rosemarystream/_internal/decisions/server_limits.py
@@ -1,14 +1,15 @@
 """Limits that backend servers set on the requests that they get in a second.
 
 Handles servers that accept only so many requests from all hosts together for as long
-as they state it. Each request to such a server needs a permission of its data centre's
-quota (see `limit_quotas`).
+as they state it, and those that are cold (see `cold_servers`). Each request to such a
+server needs a permission of its data centre's quota (see `limit_quotas`).
 """
 
 from collections.abc import Iterable, Mapping
 from math import inf
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.cold_servers import ColdServers
 from rosemarystream._internal.decisions.server_observations import (
     Observation,
     ServerObservations,
@@ -34,10 +35,16 @@
     """The servers' limits in requests per second, by server number.
 
     A limit holds until the server is seen to state another one, or none.
+
+    Attributes
+    ----------
+    cold : ColdServers
+        The servers that take few requests because they are cold.
     """
 
     def __init__(self) -> None:
         super().__init__()
+        self.cold = ColdServers()
         self._closed_until: dict[int, float] = {}
         self._changes: list[LimitChange] = []
 
@@ -66,9 +73,13 @@
         return UNLIMITED if observation is None else observation.value
 
     def is_limited(self, server: int) -> bool:
-        """Return whether a server has a limit."""
+        """Return whether a server states a limit."""
         return self.find(server) < UNLIMITED
 
+    def needs_permission(self, server: int, now: float) -> bool:
+        """Return whether a request needs a permission: of a limit, or as it is cold."""
+        return self.is_limited(server) or self.cold.is_cold(server, now)
+
     def make_reports(self, server: int, now: float) -> dict[int, ServerReport]:
         """Return what is known of one server, whatever its age."""
         observation = self._all.get(server)
@@ -84,17 +95,20 @@
 
     def find_opening(self, server: int, now: float) -> float:
         """Return the time from which a server may have room for a request."""
-        return self._closed_until.get(server, now)
+        closed_until = self._closed_until.get(server)
+        if closed_until is None or self.is_limited(server):
+            return now if closed_until is None else closed_until
+        return min(closed_until, max(now, self.cold.find_until(server)))
 
     def measure_wait(self, servers: Iterable[int], now: float) -> float | None:
         """Return the time in seconds until one of the limited servers may have room.
 
-        None if none of the servers is limited.
+        None if none of the servers is limited or cold.
         """
         waits = [
-            max(0.0, self._closed_until.get(server, now) - now)
+            max(0.0, self.find_opening(server, now) - now)
             for server in servers
-            if self.is_limited(server)
+            if self.needs_permission(server, now)
         ]
         return min(waits, default=None)
 
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import Callable
+from math import inf
 
 from rosemarystream._internal.exceptions import ConnectError
 from rosemarystream._internal.gateway.attempt_errors import (
     NotRunError,
     OutcomeUnknownError,
     convert_error,
+    is_refusal,
 )
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.models.call import Call
@@ -50,6 +52,8 @@
     used_connections : list of ClientConnection
         Connections on which the request was sent before; this attempt adds its own. A
         second copy of an answer may still come on them, with the request's own id.
+    send_by : float
+        Time after which the request must not be sent any more.
 
     Attributes
     ----------
@@ -77,6 +81,7 @@
         clock: Callable[[], float],
         on_head: Callable[[AnswerHead], None],
         used_connections: list[ClientConnection],
+        send_by: float = inf,
     ) -> None:
         self.endpoint = endpoint
         self.call = call
@@ -84,6 +89,7 @@
         self._clock = clock
         self._on_head = on_head
         self._used_connections = used_connections
+        self._send_by = send_by
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         # Whether the rest of a late answer to an earlier request comes first.
@@ -120,18 +126,22 @@
         Raises
         ------
         NotRunError
-            If no connection can be made.
+            If no connection can be made, or not in time for the permission.
         OutcomeUnknownError
             If the connection broke while sending.
         """
+        self._check_permission()
         connection = self._pool.take(self.endpoint, excluded=self._used_connections)
         self.reused = connection is not None
         if connection is None:
             try:
                 connection = self._pool.open(self.endpoint, deadline)
             except ConnectError as error:
-                raise NotRunError(str(error), sent=False) from error
+                refused = is_refusal(error)
+                raise NotRunError(str(error), sent=False, is_refused=refused) from error
         self._connection = connection
+        # Connecting may have taken long.
+        self._check_permission()
         self._used_connections.append(connection)
         headers = encode_call(
             self.call,
@@ -150,6 +160,17 @@
         except ConnectionBrokenError as error:
             raise convert_error(error) from error
 
+    def _check_permission(self) -> None:
+        """Check that the request may still be sent.
+
+        Raises
+        ------
+        NotRunError
+            If its permission has lapsed.
+        """
+        if self._clock() > self._send_by:
+            raise NotRunError("its permission has lapsed", sent=False, is_late=True)
+
     @property
     def received_at(self) -> float | None:
         """When the server last sent anything; None before that."""
--- a/src/rosemarystream/_internal/gateway/attempt_errors.py
+++ b/src/rosemarystream/_internal/gateway/attempt_errors.py
@@ -1,6 +1,11 @@
 """Errors of attempts, sorted by what is certain about the request."""
 
-from rosemarystream._internal.exceptions import BackendError, ErrorKind, RefusedError
+from rosemarystream._internal.exceptions import (
+    BackendError,
+    ConnectError,
+    ErrorKind,
+    RefusedError,
+)
 from rosemarystream._internal.utils.http_connection import (
     AnswerTimeoutError,
     ConnectionBrokenError,
@@ -16,13 +21,26 @@
     ----------
     sent : bool
         Whether the server received the request and refused it.
+    is_refused : bool
+        Whether the server's machine answered that nothing listens there.
+    is_late : bool
+        Whether it was not sent because its permission had lapsed.
     """
 
     default_kind = ErrorKind.NO_BACKEND
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool,
+        is_refused: bool = False,
+        is_late: bool = False,
+    ) -> None:
         super().__init__(message)
         self.sent = sent
+        self.is_refused = is_refused
+        self.is_late = is_late
 
 
 class OutcomeUnknownError(BackendError):
@@ -52,6 +70,11 @@
         self.closed = closed
 
 
+def is_refusal(error: ConnectError) -> bool:
+    """Return whether a server's machine answered that nothing listens there."""
+    return isinstance(error.__cause__, ConnectionRefusedError)
+
+
 def convert_error(error: ConnectionBrokenError) -> OutcomeUnknownError:
     """Return the error of an attempt whose connection failed."""
     return OutcomeUnknownError(
--- a/src/rosemarystream/_internal/gateway/attempt_outcomes.py
+++ b/src/rosemarystream/_internal/gateway/attempt_outcomes.py
@@ -70,8 +70,12 @@
         write_log_entry(log, entry)
         if error.sent:
             self._router.record_rejected(attempt.endpoint)
+        elif error.is_late:
+            self._router.metrics.permissions_lapsed.inc()
         else:
-            self._router.record_unreachable(attempt.endpoint)
+            self._router.record_unreachable(
+                attempt.endpoint, is_refused=error.is_refused
+            )
 
     def record_unknown(self, attempt: Attempt, error: OutcomeUnknownError) -> None:
         """Record that a server may have run the request, without a whole answer."""
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -178,15 +178,22 @@
             )
             if placement is None:
                 return None
+            asked_at = self._clock()
             if self._gate.admit(placement.endpoint):
                 if self._is_wanted(placement.endpoint):
-                    return placement
+                    send_by = self._gate.find_send_deadline(
+                        placement.endpoint, asked_at
+                    )
+                    return placement._replace(send_by=send_by)
                 continue
             self._router.metrics.limit_refusals.inc()
             self._record.limited.append(placement.endpoint.name)
             limited.append(placement.endpoint.name)
             if len(limited) >= MAX_QUOTA_QUESTIONS:
-                limited = self._router.availability.list_limited(self._service)
+                availability = self._router.availability
+                limited = availability.list_needing_permission(
+                    self._service, self._clock()
+                )
 
     def _is_wanted(self, endpoint: Endpoint) -> bool:
         """Return whether a server that was chosen a moment ago still wants requests."""
--- a/src/rosemarystream/_internal/gateway/context_placer.py
+++ b/src/rosemarystream/_internal/gateway/context_placer.py
@@ -10,6 +10,7 @@
     ContextLoad,
     Placement,
     assume_cached_at_home,
+    charge_cold,
     choose_copy_source,
     choose_home,
     choose_shared_parts,
@@ -81,6 +82,13 @@
             Bound on the requests of an engine, as a multiple of the mean.
         """
         loads = self._measure_loads(call, candidates, load, now, share=share)
+        cold = [
+            e.name
+            for e in candidates
+            if self._availability.limits.cold.is_cold(e.number, now)
+        ]
+        if cold:
+            loads = charge_cold(loads, cold)
         shared = choose_shared_parts(call.parts)
         key = f"{call.model}/{shared[-1].name}"
         home = choose_home(key, ready, self._read_epoch_s() * _MS_PER_S)
--- a/src/rosemarystream/_internal/gateway/crash_reporter.py
+++ b/src/rosemarystream/_internal/gateway/crash_reporter.py
@@ -9,6 +9,7 @@
 from rosemarystream._internal.decisions.hashing import hash_name_32
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.exceptions import ConnectError
+from rosemarystream._internal.gateway.attempt_errors import is_refusal
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
@@ -120,7 +121,7 @@
         gevent.sleep(CONFIRM_DELAY_S)
         try:
             self._pool.probe(endpoint)
-        except ConnectError:
-            self._router.record_gone(endpoint)
+        except ConnectError as error:
+            self._router.record_gone(endpoint, is_refused=is_refusal(error))
             return True
         return False
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -251,6 +251,7 @@
             clock=self._clock,
             on_head=partial(self._router.statements.record, placement.endpoint),
             used_connections=self._used_connections,
+            send_by=placement.send_by,
         )
         counted = CountedAttempt(
             attempt=attempt, placement=placement, router=self._router
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -1,18 +1,23 @@
-"""Permissions to send requests to backend servers that limit them.
+"""Permissions to send requests to backend servers that limit them, or are cold.
 
 A host asks the first collector of its data centre for a permission right before it
-sends a request. The questions and answers travel in gossip messages.
+sends a request. The questions and answers travel in gossip messages. A cold server
+crashes when it gets too much, so its permissions are given only by a host that has been
+the first collector for a while, and lapse soon.
 """
 
 from collections.abc import Callable
 from itertools import count
+from math import inf
 
 from gevent import Timeout
 from gevent.event import AsyncResult
 
 from rosemarystream._internal.decisions.limit_quotas import (
+    MAX_DELAY_S,
     Decision,
     LimitQuotas,
+    compute_cold_rate,
     compute_share,
 )
 from rosemarystream._internal.decisions.live_hosts import Peer
@@ -31,6 +36,14 @@
 UNANSWERED_WAIT_S = 0.2
 # Longest time for which a server counts as used up without another question.
 MAX_WAIT_S = 1.0
+# Time for which a host is the first collector before it gives permissions for cold
+# servers: the one before may do so until it is missed, as may a host that has just
+# started and hears no other yet.
+SETTLING_S = 1.5
+# Time without a round after which a host may have been replaced as first collector.
+MAX_ROUND_GAP_S = 1.0
+# Time until the next question to a host that gives no permissions for cold servers.
+UNSETTLED_WAIT_S = 0.2
 _MS_PER_S = 1000
 _NO_ANSWER = Decision(is_permitted=False, wait_s=UNANSWERED_WAIT_S)
 
@@ -63,6 +76,13 @@
         self._limits = limits
         self._send_question = send_question
         self._quotas = LimitQuotas()
+        self._cold_quotas = LimitQuotas()
+        self._first_since: float | None = None
+        self._observed_at = -inf
+        # Part of the data centre for which this host may give permissions.
+        self._presence = 0.0
+        # The host that last left a question unanswered, and until when it isn't asked.
+        self._silent = ("", -inf)
         self._numbers = count(first_number)
         self._waiting: dict[int, AsyncResult] = {}
 
@@ -72,36 +92,79 @@
         If not, the server counts as used up until there may be room again.
         """
         server = endpoint.number
-        if not self._limits.is_limited(server):
+        now = self._clock()
+        if not self._limits.needs_permission(server, now):
             return True
-        if not self._limits.is_open(server, self._clock()):
+        if not self._limits.is_open(server, now):
             return False
         is_nearby = endpoint.data_centre == self._this_host.data_centre
-        decision = self._ask(server, is_nearby=is_nearby)
+        is_cold = self._limits.cold.is_cold(server, now)
+        decision = self._ask(server, is_nearby=is_nearby, is_cold=is_cold)
         if not decision.is_permitted:
             wait_s = min(decision.wait_s, MAX_WAIT_S)
             self._limits.close(server, self._clock() + wait_s)
         return decision.is_permitted
 
-    def _ask(self, server: int, *, is_nearby: bool) -> Decision:
-        names = self._peer_table.list_collectors(
-            self._this_host.data_centre, self._clock()
-        )
+    def find_send_deadline(self, endpoint: Endpoint, asked_at: float) -> float:
+        """Return the time by which a permitted request has to be sent.
+
+        Parameters
+        ----------
+        asked_at : float
+            Time before the permission was asked for.
+        """
+        if self._limits.cold.is_cold(endpoint.number, asked_at):
+            return asked_at + MAX_DELAY_S
+        return inf
+
+    def observe_role(self) -> None:
+        """Observe whether this host is the first collector; called in each round."""
+        now = self._clock()
+        own = self._this_host
+        is_first = self._peer_table.list_collectors(own.data_centre, now)[0] == own.name
+        if not is_first:
+            self._first_since = None
+        elif self._first_since is None or now - self._observed_at > MAX_ROUND_GAP_S:
+            self._first_since = now
+            self._cold_quotas = LimitQuotas()
+        self._observed_at = now
+        if is_first and not self._limits.cold.is_empty:
+            self._presence = self._peer_table.measure_presence(now)
+
+    def _is_settled(self, now: float) -> bool:
+        """Return whether this host may give permissions for cold servers."""
+        if self._first_since is None or now - self._observed_at > MAX_ROUND_GAP_S:
+            return False
+        return now - self._first_since >= SETTLING_S
+
+    def _ask(self, server: int, *, is_nearby: bool, is_cold: bool) -> Decision:
+        now = self._clock()
+        names = self._peer_table.list_collectors(self._this_host.data_centre, now)
         grantor = self._peer_table.find(names[0])
         if grantor is None:
+            if is_cold:
+                return self._take_cold(server)
             return self._take(server, is_nearby=is_nearby)
-        question = QuotaQuestion(next(self._numbers), server, is_nearby)
-        expires_at = self._clock() + ANSWER_TIMEOUT_S
+        if is_cold and self._silent[0] == grantor.name and now < self._silent[1]:
+            return _NO_ANSWER
+        question = QuotaQuestion(next(self._numbers), server, is_nearby, is_cold)
+        expires_at = now + ANSWER_TIMEOUT_S
         self._waiting[question.number] = AsyncResult()
         try:
             self._send_question(grantor, question)
-            decision = self._waiting[question.number].get(timeout=ANSWER_TIMEOUT_S)
+            answer = self._waiting[question.number].get(timeout=ANSWER_TIMEOUT_S)
         except Timeout:
+            self._silent = (grantor.name, self._clock() + UNANSWERED_WAIT_S)
             return _NO_ANSWER
         finally:
             del self._waiting[question.number]
         # A host that was paused meanwhile must not use what it was given before.
-        return decision if self._clock() <= expires_at else _NO_ANSWER
+        if self._clock() > expires_at:
+            return _NO_ANSWER
+        # A host of an earlier build permits whatever states no limit.
+        is_permitted = answer.is_permitted and (answer.is_of_cold or not is_cold)
+        wait_s = answer.wait_ms / _MS_PER_S if not answer.is_permitted else MAX_WAIT_S
+        return Decision(is_permitted, wait_s)
 
     def _take(self, server: int, *, is_nearby: bool) -> Decision:
         now = self._clock()
@@ -115,18 +178,41 @@
             server, self._limits.find(server), share=share, now=now
         )
 
+    def _take_cold(self, server: int) -> Decision:
+        now = self._clock()
+        if not self._is_settled(now):
+            return Decision(is_permitted=False, wait_s=UNSETTLED_WAIT_S)
+        cold = self._limits.cold
+        own = self._this_host.data_centre
+        # All hosts know the same servers, though they may not hear the same hosts.
+        data_centres = {own, *self._peer_table.list_data_centres(), *cold.data_centres}
+        rate = compute_cold_rate(
+            server,
+            own,
+            data_centres,
+            home=cold.find_data_centre(server),
+            per_s=cold.find_rate(server),
+            bound=cold.bound,
+        )
+        if self._limits.is_limited(server):
+            rate = min(rate, self._limits.find(server) / len(data_centres))
+        return self._cold_quotas.take_cold(server, rate * self._presence, now)
+
     def answer(self, question: QuotaQuestion) -> QuotaAnswer:
         """Answer another host's question."""
+        server = question.server
         decision = Decision(is_permitted=True)
+        is_cold = question.is_cold or self._limits.cold.is_cold(server, self._clock())
+        if is_cold:
+            decision = self._take_cold(server)
         # The limit may have ended, which the other host doesn't know yet.
-        if self._limits.is_limited(question.server):
-            decision = self._take(question.server, is_nearby=question.is_nearby)
+        elif self._limits.is_limited(server):
+            decision = self._take(server, is_nearby=question.is_nearby)
         wait_ms = round(decision.wait_s * _MS_PER_S, 1)
-        return QuotaAnswer(question.number, decision.is_permitted, wait_ms)
+        return QuotaAnswer(question.number, decision.is_permitted, wait_ms, is_cold)
 
     def accept_answer(self, answer: QuotaAnswer) -> None:
         """Hand an answer to the request that waits for it."""
         waiting = self._waiting.get(answer.number)
         if waiting is not None:
-            wait_s = answer.wait_ms / _MS_PER_S
-            waiting.set(Decision(answer.is_permitted, wait_s))
+            waiting.set(answer)
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -21,9 +21,9 @@
 
     Attributes
     ----------
-    ready, set_aside, limited, waiting : int
+    ready, set_aside, limited, cold, waiting : int
         Servers that take requests, and how many of them are ejected, limit the
-        requests that they get, or want none of this host for a while.
+        requests that they get, are cold, or want none of this host for a while.
     leaving : int
         Servers that have stated that they leave, while the store calls them ready.
     load_share : float
@@ -35,6 +35,7 @@
     ready: int
     set_aside: int
     limited: int
+    cold: int
     waiting: int
     leaving: int
     load_share: float
@@ -99,6 +100,10 @@
         self.limit_refusals = counter(
             "limit_refusals", "Choices of a server that its limit did not permit"
         )
+        self.permissions_lapsed = counter(
+            "permissions_lapsed",
+            "Requests to cold servers not sent as their permission came too early",
+        )
         self.retry_after_unreadable = counter(
             "retry_after_unreadable",
             "Refusals of servers with a Retry-After that can't be read",
@@ -159,6 +164,9 @@
         self._limited = gauge(
             "servers_limited", "Servers that limit their requests", "service"
         )
+        self._cold = gauge(
+            "servers_cold", "Servers that have just started and take little", "service"
+        )
         self._waiting = gauge(
             "servers_waiting", "Servers that want no requests for a while", "service"
         )
@@ -222,6 +230,7 @@
             self._ready.labels(name).set(service["ready"])
             self._set_aside.labels(name).set(service["set_aside"])
             self._limited.labels(name).set(service["limited"])
+            self._cold.labels(name).set(service["cold"])
             self._waiting.labels(name).set(service["waiting"])
             self._leaving.labels(name).set(service["leaving"])
             self._load_share.labels(name).set(service["load_share"])
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -185,6 +185,7 @@
     def run_round(self) -> None:
         """Send the messages of one round."""
         self._rounds += 1
+        self._gate.observe_role()
         self._contact_seeds()
         self._contact_lost_data_centres()
         now = self._clock()
@@ -335,6 +336,7 @@
             quota_answer=answer,
             leaving=reports.leaving,
             retry_after=reports.retry_after,
+            cold=reports.cold,
         )
 
     def send_question(self, host: Peer, question: QuotaQuestion) -> None:
@@ -393,7 +395,11 @@
         self._reports.accept(message, now)
         self._observations.accept(
             ObservationReports(
-                message.slowness, message.limits, message.retry_after, message.leaving
+                message.slowness,
+                message.limits,
+                message.retry_after,
+                message.leaving,
+                message.cold,
             ),
             now,
             nearby=message.scope is LoadScope.HOST,
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -151,6 +151,7 @@
             on_change=self._forget_departed,
             supervisor=self._supervisor,
             ignored=self._left_out,
+            cold=self._router.cold,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -191,7 +192,7 @@
             )
             for watch in (
                 self._make_configuration_watch,
-                ServerWatch,
+                self._make_server_watch,
                 self._make_block_watch,
             )
         ]
@@ -276,6 +277,9 @@
             **arguments,
         )
 
+    def _make_server_watch(self, **arguments: Any) -> ServerWatch:
+        return ServerWatch(on_entry=self._router.record_entry, **arguments)
+
     def _make_block_watch(self, **arguments: Any) -> BlockWatch:
         return BlockWatch(blocks=self._blocks, writer=self._make_store(), **arguments)
 
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -15,12 +15,14 @@
     FleetObservations,
 )
 from rosemarystream._internal.decisions.hashing import hash_name_32
+from rosemarystream._internal.decisions.limit_quotas import ColdBound
 from rosemarystream._internal.decisions.load_table import LoadTable
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.decisions.placement import (
     Placement,
     choose_shared_parts,
     compute_load_bound,
+    estimate_slowness,
     place_by_load,
 )
 from rosemarystream._internal.decisions.priorities import (
@@ -40,7 +42,7 @@
 from rosemarystream._internal.gateway.server_statements import ServerStatements
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
-from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.endpoint import Endpoint, ServerEntry
 from rosemarystream._internal.models.log_entries.servers import (
     ServerEjected,
     ServerReinstated,
@@ -95,6 +97,8 @@
         self.availability = ServerAvailability(replica=replica)
         self.health = self.availability.health
         self.limits = self.availability.limits
+        self.cold = self.limits.cold
+        self.cold.bound = _make_cold_bound(bounds)
         self.speeds = ServerSpeeds()
         self.statements = ServerStatements(
             replica=replica,
@@ -132,6 +136,7 @@
         """Apply new bounds; the retry budgets are reset."""
         self._bounds = bounds
         self._retries.set_bounds(bounds)
+        self.cold.bound = _make_cold_bound(bounds)
 
     def choose_service(self, route: Route, call: Call) -> str:
         """Return the service for a request, drawn by the weights of its route.
@@ -232,7 +237,13 @@
     def _list_slowness(
         self, endpoints: Sequence[Endpoint], now: float
     ) -> dict[str, float]:
-        return {e.name: self.speeds.estimate(e.number, now) for e in endpoints}
+        return {
+            e.name: estimate_slowness(
+                self.speeds.estimate(e.number, now),
+                is_cold=self.cold.is_cold(e.number, now),
+            )
+            for e in endpoints
+        }
 
     def begin_prefill(self, placement: Placement, call: Call) -> None:
         """Count the prompt tokens that a server has to prefill for a request."""
@@ -307,6 +318,7 @@
                 self.speeds.forget_server(number)
                 self.availability.forget(name, number)
         self._incarnations = present
+        self.cold.update(endpoints, self.replica.configuration, self._clock())
         self.availability.set_registered(endpoints)
 
     def list_ejected(self) -> list[int]:
@@ -331,6 +343,7 @@
             How much longer work takes there at this moment, if it tells.
         """
         self.health.record_data_centre_answer(endpoint.data_centre)
+        self.cold.record_reachable(endpoint.number, self._clock())
         if slowness is not None:
             self.speeds.record(endpoint.number, slowness, self._clock())
 
@@ -339,21 +352,42 @@
         self.metrics.attempts.labels("turned_away").inc()
         self._record_outcome(endpoint, failed=True)
 
-    def record_unreachable(self, endpoint: Endpoint) -> None:
-        """Record that a server can't be reached or has stopped responding."""
+    def record_unreachable(
+        self, endpoint: Endpoint, *, is_refused: bool = False
+    ) -> None:
+        """Record that a server can't be reached or has stopped responding.
+
+        Parameters
+        ----------
+        is_refused : bool
+            Whether its machine answered that nothing listens there.
+        """
         self.metrics.attempts.labels("unreachable").inc()
-        self.record_gone(endpoint)
+        self.record_gone(endpoint, is_refused=is_refused)
         now = self._clock()
         self.health.record_data_centre_failure(endpoint.data_centre, endpoint.name, now)
 
-    def record_gone(self, endpoint: Endpoint) -> None:
+    def record_gone(self, endpoint: Endpoint, *, is_refused: bool = False) -> None:
         """Eject a server that was found to accept no connections."""
         now = self._clock()
+        self.record_still_down(endpoint, is_refused=is_refused)
         ejection_s = self.health.record_unreachable(endpoint.name, now)
         if ejection_s:
             entry = ServerEjected(server=endpoint.name, for_ms=ejection_s * _MS_PER_S)
             write_log_entry(log, entry)
 
+    def record_still_down(self, endpoint: Endpoint, *, is_refused: bool) -> None:
+        """Record that a server accepts no connections, so it will come back cold."""
+        now = self._clock()
+        self.cold.record_failure(endpoint.number, now, is_refused=is_refused)
+
+    def record_entry(self, entry: ServerEntry) -> None:
+        """Record how long a server is cold by its entry in the store."""
+        endpoint = entry.endpoint
+        self.cold.record_entry(
+            endpoint.number, endpoint.revision, entry.cold_left_s, self._clock()
+        )
+
     def record_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
         """Record whether a server answered a request or failed."""
         self.metrics.attempts.labels("failed" if failed else "answered").inc()
@@ -381,6 +415,7 @@
             ready=len(ready),
             set_aside=sum(self.health.is_ejected(e.name, now) for e in ready),
             limited=len(self.availability.list_limited(service)),
+            cold=len(self.availability.list_cold(service, now)),
             waiting=len(self.availability.list_waiting(service, now)),
             leaving=len(self.replica.list_ready(service)) - len(ready),
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
@@ -390,3 +425,7 @@
     def suggest_retry_after(self) -> float:
         """Return the delay in seconds to advise to a refused caller."""
         return RETRY_AFTER_S
+
+
+def _make_cold_bound(bounds: BoundsSection) -> ColdBound:
+    return ColdBound(bounds.cold_overshoot, bounds.cold_slack)
--- a/src/rosemarystream/_internal/gateway/server_statements.py
+++ b/src/rosemarystream/_internal/gateway/server_statements.py
@@ -19,8 +19,10 @@
 from rosemarystream._internal.models.log_entries.requests import LimitedSends
 from rosemarystream._internal.models.log_entries.servers import (
     ServerAskedToWait,
+    ServerCold,
     ServerLeaving,
     ServerLimitChanged,
+    ServerWarm,
 )
 from rosemarystream._internal.platform.headers import AnswerHead
 from rosemarystream._internal.platform.retry_after import measure_delay
@@ -88,12 +90,13 @@
             write_log_entry(log, ServerAskedToWait(server=endpoint.name, for_ms=for_ms))
 
     def record_send(self, endpoint: Endpoint) -> None:
-        """Count a request that is sent to a server, if it limits its requests."""
-        if self._limits.is_limited(endpoint.number):
+        """Count a request that is sent to a server, if it is limited or cold."""
+        if self._limits.needs_permission(endpoint.number, self._clock()):
             self._limited_sends[endpoint.name] += 1
 
     def log_changes(self) -> None:
-        """Log the servers that have changed their limits, or leave as others tell."""
+        """Log the servers that have changed as they state, or as others tell."""
+        self._log_cold_changes()
         limits = {change.server: change.per_s for change in self._limits.take_changes()}
         leaving = set(self._leaving.take_updates())
         for endpoint in self._replica.list_endpoints() if limits or leaving else ():
@@ -106,8 +109,24 @@
                 changed = ServerLimitChanged(server=endpoint.name, per_s=per_s)
                 write_log_entry(log, changed)
 
+    def _log_cold_changes(self) -> None:
+        changes = self._limits.cold.take_changes(self._clock())
+        if not changes:
+            return
+        names = {e.number: e.name for e in self._replica.list_endpoints()}
+        for change in changes:
+            name = names.get(change.server)
+            if name is None:
+                continue
+            if change.source is None:
+                write_log_entry(log, ServerWarm(server=name))
+            else:
+                for_ms = round(change.left_s * _MS_PER_S, 1)
+                cold = ServerCold(server=name, for_ms=for_ms, source=change.source)
+                write_log_entry(log, cold)
+
     def log_limited_sends(self) -> None:
-        """Log the requests sent to limited servers since the last call."""
+        """Log the requests sent to limited and cold servers since the last call."""
         sends, self._limited_sends = self._limited_sends, Counter()
         if sends:
             write_log_entry(log, LimitedSends(sends=dict(sends)))
--- a/src/rosemarystream/_internal/gateway/server_watch.py
+++ b/src/rosemarystream/_internal/gateway/server_watch.py
@@ -1,10 +1,13 @@
 """Watch of the registered servers in the platform's store."""
 
+from collections.abc import Callable
+from typing import Any
+
 from logbook import Logger
 
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.store_watches import StoreWatch
-from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.endpoint import Endpoint, ServerEntry
 from rosemarystream._internal.models.log_entries.servers import (
     ServerChanged,
     ServerEntryInvalid,
@@ -13,7 +16,7 @@
 )
 from rosemarystream._internal.platform.documents import (
     DocumentError,
-    decode_endpoint,
+    decode_server_entry,
     is_server_name,
 )
 from rosemarystream._internal.platform.store import SERVERS
@@ -23,11 +26,26 @@
 
 
 class ServerWatch(StoreWatch):
-    """Watches the registered servers."""
+    """Watches the registered servers.
+
+    Parameters
+    ----------
+    on_entry : callable
+        Called with each valid entry before its server is used.
+    """
 
     kind = SERVERS
     loop = "server_watch"
 
+    def __init__(
+        self,
+        *,
+        on_entry: Callable[[ServerEntry], None] = lambda entry: None,
+        **arguments: Any,
+    ) -> None:
+        super().__init__(**arguments)
+        self._on_entry = on_entry
+
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
         if self.lost_at is not None:
             self._replica.begin_store_recovery(self._clock())
@@ -64,10 +82,11 @@
 
     def _decode(self, item: StoredObject) -> Endpoint | None:
         try:
-            endpoint = decode_endpoint(item.name, item.read_spec(), item.revision)
+            entry = decode_server_entry(item.name, item.read_spec(), item.revision)
         except DocumentError as error:
             if self._ignored.add(self.kind, item.name, item.revision, str(error)):
                 write_log_entry(log, ServerEntryInvalid(error=str(error)))
             return None
         self._ignored.remove(self.kind, item.name)
-        return endpoint
+        self._on_entry(entry)
+        return entry.endpoint
--- a/src/rosemarystream/_internal/gateway/service_probes.py
+++ b/src/rosemarystream/_internal/gateway/service_probes.py
@@ -6,6 +6,7 @@
 from logbook import Logger
 
 from rosemarystream._internal.exceptions import ConnectError
+from rosemarystream._internal.gateway.attempt_errors import is_refusal
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.router import Router
@@ -60,5 +61,6 @@
         except ConnectError as error:
             entry = ServerStillUnreachable(server=endpoint.name, reason=str(error))
             write_log_entry(log, entry)
+            self._router.record_still_down(endpoint, is_refused=is_refusal(error))
             return
         self._router.record_reachable(endpoint)
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -38,7 +38,10 @@
 
 
 class BoundsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Shutdown time, retry budget and load bound.
+    """Shutdown time, retry budget, load bound and bound for cold servers.
+
+    A cold server gets at most `cold_overshoot` times its rate and `cold_slack` requests
+    in any second.
 
     Times are in milliseconds, or in seconds with a fraction, which go first.
     """
@@ -48,6 +51,8 @@
     retry_window_ms: Milliseconds = 10_000
     retry_slack: Annotated[float, msgspec.Meta(ge=0.0)] = 16
     load_multiple: Annotated[float, msgspec.Meta(ge=1.0)] = 2.0
+    cold_overshoot: Annotated[float, msgspec.Meta(ge=1.0)] = 1.5
+    cold_slack: Annotated[float, msgspec.Meta(ge=0.0)] = 5
     shutdown_s: Seconds | None = None
     retry_window_s: Seconds | None = None
 
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -24,7 +24,14 @@
 _MS_PER_S = 1000
 
 
-class ServerState(TypedDict):
+class ColdState(TypedDict):
+    """Whether a backend server is cold, as a host knows; see `ServerState`."""
+
+    cold_s: float | None
+    cold_source: str | None
+
+
+class ServerState(ColdState):
     """A backend server as a host sees it.
 
     Attributes
@@ -40,6 +47,11 @@
     limit_per_s : float or None
         Requests that it takes in a second from all hosts together; None if it has no
         limit.
+    cold_s : float or None
+        Time in seconds for which it is still cold; None if it is warm.
+    cold_source : str or None
+        How the host knows that: ``entry``, ``incarnation``, ``refused``,
+        ``unreachable`` or ``reported``.
     leaving : bool
         Whether it has stated that it leaves, to this host or to another.
     retry_after_s : float or None
@@ -220,6 +232,7 @@
                 failure_rate=round(health.failure_rate(endpoint.name, now), 3),
                 set_aside=health.is_ejected(endpoint.name, now),
                 limit_per_s=self._find_limit(endpoint.number),
+                **self._describe_cold(endpoint.number, now),
                 leaving=self._router.availability.leaving.is_leaving(endpoint),
                 retry_after_s=self._measure_retry_wait(endpoint, now),
             )
@@ -230,6 +243,13 @@
         limits = self._router.limits
         return limits.find(server) if limits.is_limited(server) else None
 
+    def _describe_cold(self, server: int, now: float) -> ColdState:
+        cold = self._router.cold
+        if not cold.is_cold(server, now):
+            return ColdState(cold_s=None, cold_source=None)
+        left_s = round(cold.find_until(server) - now, 3)
+        return ColdState(cold_s=left_s, cold_source=cold.find_source(server))
+
     def _measure_retry_wait(self, endpoint: Endpoint, now: float) -> float | None:
         left_s = self._router.availability.retries.find(endpoint) - now
         return round(left_s, 3) if left_s > 0 else None
--- a/src/rosemarystream/_internal/gateway/state_answers.py
+++ b/src/rosemarystream/_internal/gateway/state_answers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rosemarystream._internal.decisions.cold_servers import ColdServers
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Delta, Lapse, Replica
@@ -26,6 +27,8 @@
     ----------
     contexts, blocks : ContextMap, PromptBlocks
         The cached prompt parts, and those on which servers crash.
+    cold : ColdServers
+        The servers that are cold.
     """
 
     def __init__(
@@ -35,11 +38,13 @@
         replica: Replica,
         contexts: ContextMap,
         blocks: PromptBlocks,
+        cold: ColdServers,
     ) -> None:
         self._clock = clock
         self._replica = replica
         self._contexts = contexts
         self._blocks = blocks
+        self._cold = cold
         self._compressed = (0, b"")
 
     def select(self, request: PullRequest) -> PullAnswer:
@@ -71,6 +76,7 @@
             },
             is_whole=delta.is_whole,
             grace_ms=_measure_left_ms(delta.grace_until, now),
+            cold=self._cold.list_rows(now),
         )
 
     def _compress_document(self) -> bytes:
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -14,6 +14,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
+from rosemarystream._internal.decisions.cold_servers import ColdServers
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
@@ -75,6 +76,8 @@
         Runs the pulls.
     ignored : IgnoredObjects
         Records the invalid objects of other hosts.
+    cold : ColdServers
+        The servers that are cold.
     """
 
     def __init__(
@@ -88,7 +91,9 @@
         on_change: Callable[[], None],
         supervisor: Supervisor,
         ignored: IgnoredObjects | None = None,
+        cold: ColdServers | None = None,
     ) -> None:
+        self._cold = cold or ColdServers()
         self._ignored = ignored or IgnoredObjects()
         self._port = address[1]
         self._clock = clock
@@ -100,7 +105,11 @@
         self._supervisor = supervisor
         self._plan = PullPlan()
         self._answers = StateAnswers(
-            clock=clock, replica=replica, contexts=contexts, blocks=blocks
+            clock=clock,
+            replica=replica,
+            contexts=contexts,
+            blocks=blocks,
+            cold=self._cold,
         )
         self._server = StreamServer(address, self._serve_safely)
 
@@ -182,6 +191,8 @@
         changed = []
         if answer.document and self._accept_document(answer.document):
             changed.append(f"version {self._replica.version}")
+        # Before the entries: a server must not count as warm in between.
+        self._cold.accept_rows(answer.cold, now)
         endpoints = self._decode_endpoints(answer.endpoints)
         delta = read_delta(answer, endpoints, now)
         changed += self._replica.accept_delta(delta, now)
--- a/src/rosemarystream/_internal/models/endpoint.py
+++ b/src/rosemarystream/_internal/models/endpoint.py
@@ -40,3 +40,18 @@
     def number(self) -> int:
         """Hash of the name that identifies the server in messages between hosts."""
         return hash_name_32(self.name)
+
+
+class ServerEntry(NamedTuple):
+    """The entry of a backend server in the store.
+
+    Apart from `Endpoint`, which hosts send each other with a fixed number of fields.
+
+    Attributes
+    ----------
+    cold_left_s : float
+        How much longer the server was cold when the entry was written, in seconds.
+    """
+
+    endpoint: Endpoint
+    cold_left_s: float
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -81,11 +81,14 @@
         Number of the server.
     is_nearby : bool
         Whether the server is in the data centre of the host.
+    is_cold : bool
+        Whether the host knows the server as cold.
     """
 
     number: Count
     server: Number
     is_nearby: bool
+    is_cold: bool = False
 
 
 class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True):
@@ -99,11 +102,15 @@
         Whether the request may be sent.
     wait_ms : float
         Time until the next request may be sent, if this one may not.
+    is_of_cold : bool
+        Whether the permission is one for a cold server; hosts of earlier builds know
+        of none.
     """
 
     number: Count
     is_permitted: bool
     wait_ms: WaitMs
+    is_of_cold: bool = False
 
 
 class GossipMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -152,6 +159,9 @@
     retry_after : dict of int to tuple
         Time in seconds for which servers accept no requests, as seen lately by the
         hosts of the scope, and the age of that in milliseconds, by server number.
+    cold : dict of int to tuple
+        Time in milliseconds for which servers are still presumed cold, as learnt
+        lately, and whether they were seen to be up, by server number.
     """
 
     sender: HostAddress
@@ -174,6 +184,7 @@
     quota_answer: QuotaAnswer | None = None
     leaving: list[tuple[Number, EpochMs]] = []
     retry_after: dict[Number, tuple[DelayS, AgeMs]] = {}
+    cold: dict[Number, tuple[AgeMs, bool]] = {}
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -221,6 +232,9 @@
     grace_ms : int
         Time for which servers missing from a whole list may have lapsed in an outage of
         the store, in milliseconds.
+    cold : list of tuple of int
+        Servers that are cold: their numbers, the revisions of their entries, and the
+        times in milliseconds that they are still cold by the entry and by presumption.
     """
 
     document: bytes
@@ -232,3 +246,4 @@
     lapsing: dict[Name, tuple[Count, AgeMs]] = {}
     is_whole: bool = False
     grace_ms: AgeMs = 0
+    cold: list[tuple[Number, Count, AgeMs, AgeMs]] = []
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -40,6 +40,7 @@
 from rosemarystream._internal.models.log_entries.servers import (
     ServerAskedToWait,
     ServerChanged,
+    ServerCold,
     ServerEjected,
     ServerEntryInvalid,
     ServerLeaving,
@@ -49,6 +50,7 @@
     ServersListed,
     ServersNotReturned,
     ServerStillUnreachable,
+    ServerWarm,
     ServicesUnreachable,
 )
 from rosemarystream._internal.models.log_entries.store import (
@@ -87,6 +89,8 @@
     ServerLeaving,
     ServerAskedToWait,
     ServerLimitChanged,
+    ServerCold,
+    ServerWarm,
     ServicesUnreachable,
     ServerStillUnreachable,
     BlockNotStored,
--- a/src/rosemarystream/_internal/models/log_entries/servers.py
+++ b/src/rosemarystream/_internal/models/log_entries/servers.py
@@ -107,6 +107,34 @@
     per_s: float | None
 
 
+class ServerCold(LogEntry, frozen=True, kw_only=True):
+    """A server is cold: it gets few requests, each with a permission.
+
+    Attributes
+    ----------
+    for_ms : float
+        Time until it is warm, as known now.
+    source : str
+        How the host knows: ``entry`` (the store), ``incarnation`` (it has started
+        again), ``refused`` (nothing listened there), ``unreachable`` (this host could
+        not reach it for a while) or ``reported`` (by another host).
+    """
+
+    message = "server cold"
+    level = NOTICE
+    server: str
+    for_ms: float
+    source: str
+
+
+class ServerWarm(LogEntry, frozen=True, kw_only=True):
+    """A server that was cold gets requests as before."""
+
+    message = "server warm"
+    level = NOTICE
+    server: str
+
+
 class ServicesUnreachable(LogEntry, frozen=True, kw_only=True):
     """The set of services without a reachable server changed.
 
--- a/src/rosemarystream/_internal/models/ranges.py
+++ b/src/rosemarystream/_internal/models/ranges.py
@@ -51,6 +51,8 @@
 Slowness = Annotated[float, Meta(ge=0, le=MAX_SLOWNESS)]
 # Requests a second; infinite without a limit.
 LimitPerS = Annotated[float, Meta(ge=0)]
+# Requests a second by the configuration.
+RatePerS = Annotated[float, Meta(ge=0, le=1e9)]
 WaitMs = Annotated[float, Meta(ge=0, le=MAX_MS)]
 DelayS = Annotated[float, Meta(ge=0, le=MAX_DELAY_S)]
 EpochMs = Annotated[int, Meta(ge=0, le=MAX_MS)]
--- a/src/rosemarystream/_internal/models/route.py
+++ b/src/rosemarystream/_internal/models/route.py
@@ -73,11 +73,17 @@
         Connections that one server accepts from all hosts together.
     cache_tokens : int
         Capacity of an engine's KV cache in tokens; 0 for a plain service.
+    warmup_s : float
+        Time after its start for which a server is cold, in seconds; 0 if never.
+    cold_per_s : float
+        Requests a second that a cold server takes from all hosts; 0 if none is cold.
     """
 
     name: str
     max_connections: int
     cache_tokens: int
+    warmup_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -1,20 +1,24 @@
 """Decoders of the platform's configuration documents and server entries."""
 
 import re
+from typing import Any
 
 import msgspec
 
 from rosemarystream._internal.exceptions import PlatformError
-from rosemarystream._internal.models.endpoint import Endpoint, ServerState
+from rosemarystream._internal.models.endpoint import Endpoint, ServerEntry, ServerState
 from rosemarystream._internal.models.ranges import (
+    MAX_MS,
     MAX_NAME_CHARS,
     Attempts,
     Count,
+    DelayS,
     EpochMs,
     HeadSize,
     Name,
     ObjectiveMs,
     Rank,
+    RatePerS,
     Size,
     Slots,
     Text,
@@ -79,6 +83,8 @@
     name: Text
     max_connections: Slots = 64
     engine: _Engine | None = None
+    warmup_s: DelayS = 0.0
+    cold_per_s: RatePerS = 0.0
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -112,6 +118,8 @@
     version: str
     # Absent if the server has never restarted under this name.
     born: EpochMs = 0
+    # Not read by hosts before; whatever is no time counts as none.
+    warmup_left_ms: Any = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -190,6 +198,8 @@
         name=row.name,
         max_connections=row.max_connections,
         cache_tokens=row.engine.kv_capacity if row.engine else 0,
+        warmup_s=row.warmup_s,
+        cold_per_s=row.cold_per_s,
     )
 
 
@@ -200,6 +210,11 @@
 
 
 def decode_endpoint(name: str, document: bytes, revision: int) -> Endpoint:
+    """Decode only who the server is and where; see `decode_server_entry`."""
+    return decode_server_entry(name, document, revision).endpoint
+
+
+def decode_server_entry(name: str, document: bytes, revision: int) -> ServerEntry:
     """Decode the store entry of a registered backend server.
 
     Raises
@@ -225,7 +240,13 @@
         revision=revision,
     )
     check_endpoint(endpoint)
-    return endpoint
+    return ServerEntry(endpoint, _convert_left(body.warmup_left_ms))
+
+
+def _convert_left(left_ms: Any) -> float:
+    if not isinstance(left_ms, int | float) or not 0 < left_ms <= MAX_MS:
+        return 0.0
+    return left_ms / _MS_PER_S
 
 
 def is_server_name(name: str) -> bool:
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -74,6 +74,8 @@
     ("quota_question", [LARGE, 1, True]),
     ("quota_answer", [1, False, math.nan]),
     ("quota_answer", [1, False, -1.0]),
+    ("cold", {1: [LARGE, True]}),
+    ("cold", {1: [-1, True]}),
 ]
 
 
@@ -198,6 +200,7 @@
         "lapsing": {},
         "is_whole": False,
         "grace_ms": 0,
+        "cold": [],
         **changes,
     }
     fields = [answer[name] for name in PullAnswer.__struct_fields__]
@@ -225,6 +228,8 @@
         {"lapsing": {"s1": [3, LARGE]}},
         {"contexts": [[1, 1, -5]]},
         {"blocks": [[1, 1, LARGE]]},
+        {"cold": [[1, 1, LARGE, 0]]},
+        {"cold": [[1, 1, 0, -1]]},
     ],
 )
 def test_an_answer_to_a_pull_with_a_number_out_of_its_range_is_refused(
