Cold servers: bound of each second in disputes, pauses and cuts; docs and proofs

Change: a first collector settles for 1.5 s and gives half for 10 s; one that hears less than half of its data centre gives its own part; a host asks for 0.5 s after a pause or start; hosts that are refused get different times.

The module fixture of test_cold_servers waits until hosts give all permissions.

--- a/src/rosemarystream/_internal/decisions/cold_servers.py
+++ b/src/rosemarystream/_internal/decisions/cold_servers.py
@@ -196,8 +196,10 @@
             return
         if failure.is_refused:
             known = self._presumptions.get(server)
-            start = known.until - service.warmup_s if known and known.is_up else -inf
-            if start < failure.last_at:
+            seen_up_at = -inf
+            if known is not None and known.is_up:
+                seen_up_at = known.until - service.warmup_s - SAME_END_S
+            if seen_up_at < failure.last_at:
                 self._presume_start(server, ColdSource.REFUSED, now)
         elif failure.last_at - failure.first_at >= AWAY_S:
             self._own_presumptions[server] = now + service.warmup_s
@@ -279,6 +281,10 @@
             self._own_presumptions.get(server, -inf),
         )
 
+    def can_be_cold(self, server: int) -> bool:
+        """Return whether a server is one of a service whose servers can be cold."""
+        return server in self._service_of
+
     def is_cold(self, server: int, now: float) -> bool:
         """Return whether a server is cold."""
         return now < self.find_until(server)
--- a/src/rosemarystream/_internal/decisions/limit_quotas.py
+++ b/src/rosemarystream/_internal/decisions/limit_quotas.py
@@ -31,17 +31,19 @@
 # Permissions of a cold server that add up while nobody takes them: a little over one,
 # so that a question that comes late by a few hundredths of a second loses nothing.
 COLD_BURST = 1.15
-# Data centres in which two hosts permit requests to a cold server at the same time.
+# Data centres in which two hosts permit requests to a cold server at the same time, and
+# the part of the rate that the later one of the two gives.
 DISPUTED = 2
+LATER_PART = 0.5
 # Time from a permission until its request has arrived: those of a little over a second
 # may arrive within one.
-MAX_DELAY_S = 0.1
+MAX_DELAY_S = 0.08
 # Part of a cold server's rate that is given out at most, and the part that should be.
 MOST_USED = 0.95
 LEAST_USED = 0.8
 # Hosts that are told the same moment for their next question, as some of them have no
 # request by then.
-ASKERS_PER_PERMISSION = 3
+ASKERS_PER_PERMISSION = 6
 # Longest time until a host that was refused may ask again.
 MAX_BOOKED_S = 1.0
 
@@ -166,7 +168,8 @@
     """Return the rate at which a data centre may send to a cold server, per second.
 
     The rates of all data centres together keep within the bound in each second, also
-    while `DISPUTED` of them have two hosts that give permissions.
+    while `DISPUTED` of them have two hosts that give permissions, the later one
+    `LATER_PART` of the rate.
 
     Parameters
     ----------
@@ -204,11 +207,15 @@
     """Return the rate of one of some equal parts of what a cold server may get.
 
     A bucket of rate r permits up to `COLD_BURST` + r t requests within a time t. All
-    buckets, with those of the data centres in dispute, have to keep within the bound.
+    buckets, with the later ones of data centres in dispute, have to keep within the
+    bound.
     """
     disputed = min(DISPUTED, max(1, parts - 1))
-    permitted = floor(allowed / (parts + disputed))
-    if not permitted:
-        return 0.0
-    rate = (permitted + 0.99 - COLD_BURST) / (1.0 + MAX_DELAY_S)
-    return min(rate, MOST_USED * per_s / parts)
+    time_s = 1.0 + MAX_DELAY_S
+    for permitted in range(floor(allowed / parts), 0, -1):
+        # A little less, so that the last permission falls outside of the time.
+        rate = (permitted + 0.99 - COLD_BURST) / time_s
+        later = floor(COLD_BURST + LATER_PART * rate * time_s)
+        if parts * permitted + disputed * later <= allowed:
+            return min(rate, MOST_USED * per_s / parts)
+    return 0.0
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -190,8 +190,7 @@
             self._record.limited.append(placement.endpoint.name)
             limited.append(placement.endpoint.name)
             if len(limited) >= MAX_QUOTA_QUESTIONS:
-                availability = self._router.availability
-                limited = availability.list_needing_permission(
+                limited += self._router.availability.list_needing_permission(
                     self._service, self._clock()
                 )
 
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -14,6 +14,7 @@
 from gevent.event import AsyncResult
 
 from rosemarystream._internal.decisions.limit_quotas import (
+    LATER_PART,
     MAX_DELAY_S,
     Decision,
     LimitQuotas,
@@ -40,8 +41,14 @@
 # servers: the one before may do so until it is missed, as may a host that has just
 # started and hears no other yet.
 SETTLING_S = 1.5
+# Time for which it gives only a part of the rate: hosts may disagree for seconds about
+# which of them is the first, and the one before gives all of it.
+LATER_S = 10.0
 # Time without a round after which a host may have been replaced as first collector.
 MAX_ROUND_GAP_S = 1.0
+# Time after a pause of this host in which what it knows of cold servers is out of
+# date: some rounds and a pull from another host.
+CATCHING_UP_S = 0.5
 # Time until the next question to a host that gives no permissions for cold servers.
 UNSETTLED_WAIT_S = 0.2
 _MS_PER_S = 1000
@@ -79,6 +86,7 @@
         self._cold_quotas = LimitQuotas()
         self._first_since: float | None = None
         self._observed_at = -inf
+        self._resumed_at = -inf
         # Part of the data centre for which this host may give permissions.
         self._presence = 0.0
         # The host that last left a question unanswered, and until when it isn't asked.
@@ -93,12 +101,13 @@
         """
         server = endpoint.number
         now = self._clock()
-        if not self._limits.needs_permission(server, now):
+        is_cold = self._limits.cold.is_cold(server, now)
+        is_unsure = self._limits.cold.can_be_cold(server) and self._was_paused(now)
+        if not (is_cold or is_unsure or self._limits.is_limited(server)):
             return True
         if not self._limits.is_open(server, now):
             return False
         is_nearby = endpoint.data_centre == self._this_host.data_centre
-        is_cold = self._limits.cold.is_cold(server, now)
         decision = self._ask(server, is_nearby=is_nearby, is_cold=is_cold)
         if not decision.is_permitted:
             wait_s = min(decision.wait_s, MAX_WAIT_S)
@@ -122,27 +131,43 @@
         now = self._clock()
         own = self._this_host
         is_first = self._peer_table.list_collectors(own.data_centre, now)[0] == own.name
+        if now - self._observed_at > MAX_ROUND_GAP_S:
+            self._first_since = None
+            self._resumed_at = now
         if not is_first:
             self._first_since = None
-        elif self._first_since is None or now - self._observed_at > MAX_ROUND_GAP_S:
+        elif self._first_since is None:
             self._first_since = now
             self._cold_quotas = LimitQuotas()
         self._observed_at = now
         if is_first and not self._limits.cold.is_empty:
             self._presence = self._peer_table.measure_presence(now)
 
-    def _is_settled(self, now: float) -> bool:
-        """Return whether this host may give permissions for cold servers."""
+    def _was_paused(self, now: float) -> bool:
+        """Return whether this host may have missed that servers became cold."""
+        return (
+            now - self._observed_at > MAX_ROUND_GAP_S
+            or now - self._resumed_at < CATCHING_UP_S
+        )
+
+    def _find_part(self, now: float) -> float:
+        """Return the part of its data centre's rate for cold servers that it may give.
+
+        0 if this host is not the first collector, or was not long enough.
+        """
         if self._first_since is None or now - self._observed_at > MAX_ROUND_GAP_S:
-            return False
-        return now - self._first_since >= SETTLING_S
+            return 0.0
+        first_s = now - self._first_since
+        if first_s < SETTLING_S:
+            return 0.0
+        return self._presence * (LATER_PART if first_s < LATER_S else 1.0)
 
     def _ask(self, server: int, *, is_nearby: bool, is_cold: bool) -> Decision:
         now = self._clock()
         names = self._peer_table.list_collectors(self._this_host.data_centre, now)
         grantor = self._peer_table.find(names[0])
         if grantor is None:
-            if is_cold:
+            if is_cold or not self._limits.is_limited(server):
                 return self._take_cold(server)
             return self._take(server, is_nearby=is_nearby)
         if is_cold and self._silent[0] == grantor.name and now < self._silent[1]:
@@ -180,7 +205,8 @@
 
     def _take_cold(self, server: int) -> Decision:
         now = self._clock()
-        if not self._is_settled(now):
+        part = self._find_part(now)
+        if not part:
             return Decision(is_permitted=False, wait_s=UNSETTLED_WAIT_S)
         cold = self._limits.cold
         own = self._this_host.data_centre
@@ -196,7 +222,7 @@
         )
         if self._limits.is_limited(server):
             rate = min(rate, self._limits.find(server) / len(data_centres))
-        return self._cold_quotas.take_cold(server, rate * self._presence, now)
+        return self._cold_quotas.take_cold(server, rate * part, now)
 
     def answer(self, question: QuotaQuestion) -> QuotaAnswer:
         """Answer another host's question."""
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -51,7 +51,7 @@
     retry_window_ms: Milliseconds = 10_000
     retry_slack: Annotated[float, msgspec.Meta(ge=0.0)] = 16
     load_multiple: Annotated[float, msgspec.Meta(ge=1.0)] = 2.0
-    cold_overshoot: Annotated[float, msgspec.Meta(ge=1.0)] = 1.5
+    cold_overshoot: Annotated[float, msgspec.Meta(ge=0.0)] = 1.5
     cold_slack: Annotated[float, msgspec.Meta(ge=0.0)] = 5
     shutdown_s: Seconds | None = None
     retry_window_s: Seconds | None = None
--- a/tests/functional/test_cold_servers.py
+++ b/tests/functional/test_cold_servers.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from rosemarystream._internal.gateway.limit_gate import LATER_S
 from tests.lib.entry_world import World, make_configuration, wait_until
 
 WARMUP_S = 4.0
@@ -17,8 +18,8 @@
 REWRITE_S = 0.8
 # Time until hosts have learnt of a change of a server's entry.
 SPREAD_S = 0.5
-# Time for which a new host gives no permissions, and its contact to the others.
-SETTLING_S = 3.0
+# Time until a new host gives all of its data centre's permissions.
+SETTLING_S = LATER_S + 1.5
 # Interval of the requests at each of the three hosts, and the time that each takes: two
 # servers have several at a time, so that a cold one is worth its while.
 PAUSE_S = 0.02
@@ -72,7 +73,7 @@
         self.world.stop()
 
 
-@pytest.fixture
+@pytest.fixture(scope="module")
 def fleet():
     created = Fleet()
     yield created
--- a/tests/lib/gossip_world.py
+++ b/tests/lib/gossip_world.py
@@ -21,10 +21,16 @@
 
 
 class GossipWorld:
-    """Hosts of a fleet; `cut` holds the data centres that hear no other one."""
+    """Hosts of a fleet; `cut` holds the data centres that hear no other one.
 
-    def __init__(self, *, hosts, data_centres, seeds=3):
+    No host hears any other one while `is_split` is set.
+    """
+
+    def __init__(self, *, hosts, data_centres, seeds=3, find_offset=lambda number: 0):
         self.now = 100.0
+        # How far the clock of a host is ahead.
+        self._find_offset = find_offset
+        self.is_split = False
         self.cut = set()
         self.stopped = set()
         self.sent_bytes = {}
@@ -38,6 +44,10 @@
 
     def add_host(self, number, data_centre, seeds, first_sequence=1):
         ip, name = make_ip(number), f"h{number}"
+
+        def clock():
+            return self.now + self._find_offset(number)
+
         peer_table = PeerTable(name=name, data_centre=data_centre)
         host = SimpleNamespace(
             name=name,
@@ -51,11 +61,12 @@
             limits=ServerLimits(),
             retries=RetryDeadlines(),
             leaving=LeavingServers(),
+            clock=clock,
         )
         host.gate = LimitGate(
             this_host=HostAddress(name, data_centre, ip),
             first_number=first_sequence,
-            clock=lambda: self.now,
+            clock=clock,
             peer_table=peer_table,
             limits=host.limits,
             send_question=lambda peer, question: host.peering.send_question(
@@ -67,7 +78,7 @@
             port=1,
             seeds=seeds,
             first_sequence=first_sequence,
-            clock=lambda: self.now,
+            clock=clock,
             replica=Replica(),
             peer_table=peer_table,
             loads=host.loads,
@@ -100,6 +111,8 @@
         return len(data)
 
     def _is_connected(self, sender, receiver):
+        if self.is_split:
+            return False
         same = sender.data_centre == receiver.data_centre
         return same or not {sender.data_centre, receiver.data_centre} & self.cut
 
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -253,6 +253,18 @@
     LimitGate.admit = lambda self, endpoint: True
 
 
+def take_cold_servers_for_warm():
+    from rosemarystream._internal.decisions.cold_servers import ColdServers
+
+    ColdServers.is_cold = lambda self, server, now: False
+
+
+def permit_when_alone():
+    from rosemarystream._internal.decisions.peer_table import PeerTable
+
+    PeerTable.measure_presence = lambda self, now: 1.0
+
+
 def wait_for_overdue_answers():
     from rosemarystream._internal.gateway.store_watches import StoreWatch
 
@@ -334,6 +346,8 @@
         send_every_prompt,
         wait_for_overdue_answers,
         send_without_permission,
+        take_cold_servers_for_warm,
+        permit_when_alone,
         keep_pending_removals,
         pass_changes_on_without_lists,
         wait_for_silent_hosts,
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -116,6 +116,16 @@
         "send_without_permission",
         "python -m pytest -x -q tests/functional/test_limited_servers.py -k than_its",
     ),
+    Row(
+        "entry-cold-servers",
+        "take_cold_servers_for_warm",
+        "python -m pytest -x -q tests/functional/test_cold_servers.py -k comes_back",
+    ),
+    Row(
+        "entry-cold-cut-hosts",
+        "permit_when_alone",
+        f"{UNIT}test_cold_rate.py -k hears",
+    ),
     Row(
         "entry-silent-store",
         "wait_for_overdue_answers",
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -100,6 +100,20 @@
         assert bounds["retry_window_s"] == expected
 
 
+@pytest.mark.parametrize("is_stated", [True, False])
+def test_the_template_takes_the_bound_of_cold_servers_if_the_platform_has_it(is_stated):
+    text = (Path(__file__).parents[2] / "deploy/settings.toml").read_text()
+    for key, value in (("bounds.cold-overshoot", "1.2"), ("bounds.cold-slack", "3")):
+        start, end = f"{{{{#{key}}}}}", f"{{{{/{key}}}}}"
+        before, rest = text.split(start)
+        inside, after = rest.split(end)
+        text = before + (inside.replace(f"{{{{{key}}}}}", value) * is_stated) + after
+    section = text[text.index("[bounds]") :].replace("{{", "'").replace("}}", "'")
+    bounds = tomllib.loads(section)["bounds"]
+    found = (bounds.get("cold_overshoot"), bounds.get("cold_slack"))
+    assert found == ((1.2, 3) if is_stated else (None, None))
+
+
 def test_a_time_that_cannot_be_used_is_named(tmp_path):
     with pytest.raises(SettingsError) as error:
         load(tmp_path, GOOD + "[bounds]\nshutdown_s = 0\n")
