Cold servers: known to hosts that list the store themselves; services that are down

A host that starts and watches the store asks others for the map of cached parts only, so that answer tells the cold servers too. A service all of whose servers refuse connections was answered with overloaded and the time of a permission, as its servers are presumed cold; it is unreachable, and its callers are led to other hosts.

Unit tests of what hosts know are renamed, as two test modules can't share a name.

--- a/src/rosemarystream/_internal/decisions/cold_servers.py
+++ b/src/rosemarystream/_internal/decisions/cold_servers.py
@@ -139,16 +139,16 @@
             self._service_of, self._data_centre_of = {}, {}
             return
         self.data_centres = frozenset(e.data_centre for e in endpoints)
-        limited = [e for e in endpoints if e.service in self._services]
-        self._service_of = {e.number: self._services[e.service] for e in limited}
-        self._data_centre_of = {e.number: e.data_centre for e in limited}
-        for endpoint in limited:
-            known = self._incarnations.get(endpoint.number)
+        limited = {e.number: e for e in endpoints if e.service in self._services}
+        self._service_of = {n: self._services[e.service] for n, e in limited.items()}
+        self._data_centre_of = {n: e.data_centre for n, e in limited.items()}
+        for server, endpoint in limited.items():
+            known = self._incarnations.get(server)
             if known == endpoint.incarnation:
                 continue
-            self._incarnations.put(endpoint.number, endpoint.incarnation)
+            self._incarnations.put(server, endpoint.incarnation)
             if known is not None:
-                self._presume_start(endpoint.number, ColdSource.INCARNATION, now)
+                self._presume_start(server, ColdSource.INCARNATION, now)
 
     def record_entry(
         self, server: int, revision: int, left_s: float, now: float
--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -186,9 +186,15 @@
     ) -> float | None:
         """Return the time in seconds until a limited or cold server may have room.
 
-        None if no server of the service is limited, those of `exclude` not counted.
+        None if no server of the service is limited, those of `exclude` not counted, nor
+        those that are presumed cold because they can't be reached.
         """
-        endpoints = [e for e in self.list_ready(service) if e.name not in exclude]
+        endpoints = [
+            e
+            for e in self.list_ready(service)
+            if e.name not in exclude
+            and (self.limits.is_limited(e.number) or not self.is_unreachable(e, now))
+        ]
         return self.limits.measure_wait([e.number for e in endpoints], now)
 
     def find_retry_time(self, service: str, now: float) -> float | None:
--- a/src/rosemarystream/_internal/gateway/state_answers.py
+++ b/src/rosemarystream/_internal/gateway/state_answers.py
@@ -56,7 +56,9 @@
             now = self._clock()
             entries = self._contexts.list_entries(now)[:MAX_CONTEXT_ENTRIES]
             blocks = self._blocks.list_rows(now)
-            return PullAnswer(document, [], {}, 0, entries, blocks)
+            # A host that watches the store itself learns nothing else of presumptions.
+            rows = self._cold.list_rows(now)
+            return PullAnswer(document, [], {}, 0, entries, blocks, cold=rows)
         if request.revision is None:
             return PullAnswer(document, [], {}, 0)
         return self._encode_delta(
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -235,6 +235,7 @@
     cold : list of tuple of int
         Servers that are cold: their numbers, the revisions of their entries, and the
         times in milliseconds that they are still cold by the entry and by presumption.
+        Sent with servers, and with the map of cached prompt parts.
     """
 
     document: bytes
--- a/tests/functional/test_cold_servers.py
+++ b/tests/functional/test_cold_servers.py
@@ -20,7 +20,7 @@
 SPREAD_S = 0.5
 # Time until a new host gives all of its data centre's permissions.
 SETTLING_S = LATER_S + 1.5
-# Interval of the requests at each of the three hosts, and the time that each takes: two
+# Interval of the requests at each of the hosts, and the time that each takes: two
 # servers have several at a time, so that a cold one is worth its while.
 PAUSE_S = 0.02
 WORK_S = 0.06
@@ -29,7 +29,10 @@
 
 
 class Fleet:
-    """Three hosts in three data centres with the callers of a plain service."""
+    """Four hosts in three data centres with the callers of a plain service.
+
+    The fourth one doesn't watch the store.
+    """
 
     def __init__(self):
         self.world = World()
@@ -39,11 +42,11 @@
         self.servers = [
             self.world.add_server(f"s{number}", work_s=WORK_S) for number in range(3)
         ]
-        for number, data_centre in enumerate("abc"):
+        for number, data_centre in enumerate("abca"):
             seeds = ["h0"] if number else []
             self.world.add_host(f"h{number}", data_centre, seeds=seeds)
         for host in self.world.hosts.values():
-            wait_until(lambda host=host: len(host.list_hosts()) == 2)
+            wait_until(lambda host=host: len(host.list_hosts()) == 3)
         gevent.sleep(SETTLING_S)
         self.replies = []
         self._numbers = itertools.count()
--- a/tests/unit/test_cold_servers.py
+++ b/tests/unit/test_cold_knowledge.py
@@ -20,6 +20,9 @@
 from rosemarystream._internal.decisions.placement import ContextLoad, charge_cold
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
+from rosemarystream._internal.decisions.server_availability import (
+    ServerAvailability,
+)
 from rosemarystream._internal.decisions.server_limits import ServerLimits
 from rosemarystream._internal.gateway.attempt import Attempt
 from rosemarystream._internal.gateway.attempt_errors import NotRunError
@@ -122,6 +125,18 @@
     assert not cold.is_cold(NUMBER, 1.0)
 
 
+def test_a_service_whose_servers_are_all_down_does_not_count_as_cold():
+    """Its requests are led to other hosts, not told to come back in a moment."""
+    replica = Replica()
+    replica.accept_endpoint(SERVER)
+    availability = ServerAvailability(replica=replica)
+    availability.limits.cold.update([SERVER], make_configuration(), 10.0)
+    availability.limits.cold.record_failure(NUMBER, 10.0, is_refused=True)
+    assert availability.measure_limit_wait("p", exclude=(), now=10.0) == 0.0
+    availability.health.record_unreachable("s", 10.0)
+    assert availability.measure_limit_wait("p", exclude=(), now=10.0) is None
+
+
 def test_what_one_host_saw_reaches_all_hosts_and_does_not_go_round_for_ever():
     world = GossipWorld(hosts=9, data_centres=3, find_offset=lambda n: 500.0 * n)
     world.run(3.0)
@@ -153,6 +168,9 @@
     )
     rows = answers.select(PullRequest(None, 0)).cold
     assert rows == [(NUMBER, 9, 2_000, 0)]
+    # A host that has listed the servers itself asks only for the cached parts.
+    at_start = PullRequest(None, None, wants_contexts=True)
+    assert answers.select(at_start).cold == rows
     started = make_cold_servers()
     started.accept_rows(rows, 7.0)
     assert started.find_until(NUMBER) == 9.0
