Cold servers: a host that has just started and hears nobody sends to warm servers

A host was out of date for 0.5 s after its start as after a pause, and refused all requests of services with cold servers if it heard nobody to ask. At its start it has just read the store, so it sends; after a pause it still refuses.

--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -87,6 +87,8 @@
         self._first_since: float | None = None
         self._observed_at = -inf
         self._resumed_at = -inf
+        # Whether that was a pause; at its start a host knows what the store has.
+        self._has_paused = False
         # Part of the data centre for which this host may give permissions.
         self._presence = 0.0
         # The host that last left a question unanswered, and until when it isn't asked.
@@ -131,9 +133,10 @@
         now = self._clock()
         own = self._this_host
         is_first = self._peer_table.list_collectors(own.data_centre, now)[0] == own.name
-        if now - self._observed_at > MAX_ROUND_GAP_S:
+        if not self._is_running(now):
             self._first_since = None
             self._resumed_at = now
+            self._has_paused = self._observed_at > -inf
         if not is_first:
             self._first_since = None
         elif self._first_since is None:
@@ -145,17 +148,18 @@
 
     def _was_paused(self, now: float) -> bool:
         """Return whether this host may have missed that servers became cold."""
-        return (
-            now - self._observed_at > MAX_ROUND_GAP_S
-            or now - self._resumed_at < CATCHING_UP_S
-        )
+        return not self._is_running(now) or now - self._resumed_at < CATCHING_UP_S
+
+    def _is_running(self, now: float) -> bool:
+        """Return whether the rounds of this host go on as they should."""
+        return now - self._observed_at <= MAX_ROUND_GAP_S
 
     def _find_part(self, now: float) -> float:
         """Return the part of its data centre's rate for cold servers that it may give.
 
         0 if this host is not the first collector, or was not long enough.
         """
-        if self._first_since is None or now - self._observed_at > MAX_ROUND_GAP_S:
+        if self._first_since is None or not self._is_running(now):
             return 0.0
         first_s = now - self._first_since
         if first_s < SETTLING_S:
@@ -167,8 +171,12 @@
         names = self._peer_table.list_collectors(self._this_host.data_centre, now)
         grantor = self._peer_table.find(names[0])
         if grantor is None:
-            if is_cold or not self._limits.is_limited(server):
+            if is_cold:
                 return self._take_cold(server)
+            if not self._limits.is_limited(server):
+                # Out of date: nobody else can be asked before the others are heard.
+                is_start = not self._has_paused and self._is_running(now)
+                return Decision(is_start, UNSETTLED_WAIT_S)
             return self._take(server, is_nearby=is_nearby)
         if is_cold and self._silent[0] == grantor.name and now < self._silent[1]:
             return _NO_ANSWER
--- a/tests/unit/test_cold_knowledge.py
+++ b/tests/unit/test_cold_knowledge.py
@@ -149,7 +149,11 @@
     for host in world.list_live():
         until = host.limits.cold.find_until(NUMBER) - host.clock() + world.now
         assert abs(until - (seen_at + WARMUP_S + SAME_END_S)) <= 0.2
-    world.run(WARMUP_S)
+    # The reports stop, and what they said holds to its end.
+    world.run(WARMUP_S - 1.5)
+    assert not any(h.limits.cold.list_reports(h.clock()) for h in world.list_live())
+    assert all(h.limits.cold.is_cold(NUMBER, h.clock()) for h in world.list_live())
+    world.run(1.5)
     assert not any(h.limits.cold.list_reports(h.clock()) for h in world.list_live())
     assert not any(h.limits.cold.is_cold(NUMBER, h.clock()) for h in world.list_live())
 
--- a/tests/unit/test_cold_rate.py
+++ b/tests/unit/test_cold_rate.py
@@ -211,6 +211,17 @@
     assert sum(question.value for question in questions) <= 1
 
 
+@pytest.mark.parametrize(("pause_s", "is_permitted"), [(0.0, True), (3.0, False)])
+def test_a_lone_host_trusts_its_own_start_and_not_its_own_pause(pause_s, is_permitted):
+    """One that refused all requests of a start would be of no use for half a second."""
+    world = GossipWorld(hosts=1, data_centres=1)
+    host = world.hosts["h0"]
+    host.limits.cold.update([SERVER], CONFIGURATION, host.clock())
+    world.run(0.2)
+    world.now += pause_s
+    assert host.gate.admit(SERVER) == is_permitted
+
+
 def test_hosts_are_not_asked_again_for_each_request_that_finds_no_permission():
     fleet = ColdFleet()
     fleet.run(2.0)
