Placement: prompts that no warm server holds go to cold engines with permissions

Now a prompt that no warm server holds costs only its own wait there, if that is safely in time. With the prefill weighted as elsewhere the second case of the new test fails. Warm servers are placed as before: their weight is unchanged.

--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -123,6 +123,8 @@
         Fraction of its recent requests that failed, 0 to 1.
     slowness : float
         How much longer work takes there at this moment; 1 is usual.
+    prefill_weight : float
+        Cost of a millisecond of prefill to its other requests.
     """
 
     requests: int
@@ -130,6 +132,7 @@
     uncached_tokens: int
     failure_rate: float
     slowness: float = 1.0
+    prefill_weight: float = PREFILL_WEIGHT
 
 
 class Placement(NamedTuple):
@@ -176,30 +179,38 @@
     Waiting costs little while the answer still begins well inside its objective,
     and more after that. Prefill delays all streams of an engine.
     """
-    wait_ms = (
-        load.prefill + load.uncached_tokens
-    ) / PREFILL_TOKENS_PER_MS + QUEUE_MS_PER_REQUEST * load.requests
-    wait_ms *= load.slowness
+    wait_ms = _estimate_wait_ms(load)
     late_ms = max(0.0, wait_ms - SAFE_OBJECTIVE_SHARE * objective_ms)
     return (
         wait_ms
         + LATE_WEIGHT * late_ms
-        + PREFILL_WEIGHT * load.slowness * load.uncached_tokens / PREFILL_TOKENS_PER_MS
+        + load.prefill_weight
+        * load.slowness
+        * load.uncached_tokens
+        / PREFILL_TOKENS_PER_MS
         + FAILURE_PENALTY_MS * load.failure_rate
     )
 
 
+def _estimate_wait_ms(load: ContextLoad) -> float:
+    tokens = load.prefill + load.uncached_tokens
+    wait_ms = tokens / PREFILL_TOKENS_PER_MS + QUEUE_MS_PER_REQUEST * load.requests
+    return wait_ms * load.slowness
+
+
 def estimate_slowness(slowness: float, *, is_cold: bool) -> float:
     """Return how much longer work takes at a server, which may be cold."""
     return max(slowness, COLD_SLOWNESS) if is_cold else slowness
 
 
 def charge_cold(
-    loads: Mapping[str, ContextLoad], cold: Collection[str]
+    loads: Mapping[str, ContextLoad], cold: Collection[str], objective_ms: float
 ) -> dict[str, ContextLoad]:
-    """Return the loads with what cold servers cost in addition.
+    """Return the loads with what is special about cold servers.
 
-    They get few requests, which have most use for prompts that no warm server holds.
+    They are slow, and get few requests, which have most use for prompts that no warm
+    server holds. Such a prompt delays few others there, so it goes there as long as it
+    is safely in time itself.
     """
     warm_tokens = min(
         (load.uncached_tokens for name, load in loads.items() if name not in cold),
@@ -211,6 +222,10 @@
         slowness = estimate_slowness(load.slowness, is_cold=True)
         if warm_tokens is not None and warm_tokens < load.uncached_tokens:
             slowness *= HELD_ELSEWHERE
+        elif _estimate_wait_ms(load._replace(slowness=slowness)) <= (
+            SAFE_OBJECTIVE_SHARE * objective_ms
+        ):
+            load = load._replace(prefill_weight=0.0)
         charged[name] = load._replace(slowness=slowness)
     return charged
 
--- a/src/rosemarystream/_internal/gateway/context_placer.py
+++ b/src/rosemarystream/_internal/gateway/context_placer.py
@@ -88,7 +88,7 @@
             if self._availability.limits.cold.is_cold(e.number, now)
         ]
         if cold:
-            loads = charge_cold(loads, cold)
+            loads = charge_cold(loads, cold, objective_s * _MS_PER_S)
         shared = choose_shared_parts(call.parts)
         key = f"{call.model}/{shared[-1].name}"
         home = choose_home(key, ready, self._read_epoch_s() * _MS_PER_S)
--- a/tests/unit/test_cold_knowledge.py
+++ b/tests/unit/test_cold_knowledge.py
@@ -17,7 +17,11 @@
     ColdBound,
     compute_cold_rate,
 )
-from rosemarystream._internal.decisions.placement import ContextLoad, charge_cold
+from rosemarystream._internal.decisions.placement import (
+    ContextLoad,
+    charge_cold,
+    place_by_context,
+)
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.server_availability import (
@@ -209,12 +213,20 @@
     assert rates[0]
 
 
-def test_prompts_that_a_warm_server_holds_are_the_last_to_go_to_a_cold_one():
-    idle = ContextLoad(requests=0, prefill=0, uncached_tokens=800, failure_rate=0.0)
-    loads = {"cold": idle, "warm": idle}
-    unheld = charge_cold(loads, ["cold"])["cold"].slowness
-    loads["warm"] = idle._replace(uncached_tokens=50)
-    assert 1.0 < unheld < charge_cold(loads, ["cold"])["cold"].slowness
+@pytest.mark.parametrize(
+    ("held", "tokens", "chosen"),
+    [(True, 800, "warm"), (False, 800, "cold"), (False, 9_200, "warm")],
+)
+def test_a_cold_server_gets_short_prompts_that_no_warm_server_holds(
+    held, tokens, chosen
+):
+    """Its few permissions are lost on prompts that a warm server has cached."""
+    idle = ContextLoad(requests=0, prefill=0, uncached_tokens=tokens, failure_rate=0.0)
+    warm = idle._replace(requests=2, uncached_tokens=50 if held else tokens)
+    loads = charge_cold({"cold": idle, "warm": warm}, ["cold"], 300.0)
+    for key in map(str, range(20)):
+        name = place_by_context(key, loads, objective_ms=300.0, bound=9)
+        assert name == chosen
 
 
 class SlowPool:
