Cold servers: requests that a paused host had already placed are placed again

A host that is paused after it has chosen a server that was warm sent its request at its return, whatever the server had become.

--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -156,7 +156,7 @@
         How much longer work probably takes at the server at this moment.
     send_by : float
         Time after which the request must not be sent there any more, as its permission
-        has lapsed by then; infinite if it needs none.
+        has lapsed by then; infinite if the server can't be cold.
     """
 
     endpoint: Endpoint
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -117,16 +117,19 @@
         return decision.is_permitted
 
     def find_send_deadline(self, endpoint: Endpoint, asked_at: float) -> float:
-        """Return the time by which a permitted request has to be sent.
+        """Return the time by which an admitted request has to be sent.
 
         Parameters
         ----------
         asked_at : float
-            Time before the permission was asked for.
+            Time before it was admitted.
         """
-        if self._limits.cold.is_cold(endpoint.number, asked_at):
+        cold = self._limits.cold
+        if cold.is_cold(endpoint.number, asked_at):
             return asked_at + MAX_DELAY_S
-        return inf
+        # A host that was paused meanwhile doesn't know whether it has become cold.
+        is_sure = not cold.can_be_cold(endpoint.number)
+        return inf if is_sure else asked_at + MAX_ROUND_GAP_S
 
     def observe_role(self) -> None:
         """Observe whether this host is the first collector; called in each round."""
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -102,7 +102,7 @@
         )
         self.permissions_lapsed = counter(
             "permissions_lapsed",
-            "Requests to cold servers not sent as their permission came too early",
+            "Requests not sent as too long had passed since they were permitted",
         )
         self.retry_after_unreadable = counter(
             "retry_after_unreadable",
--- a/tests/unit/test_cold_rate.py
+++ b/tests/unit/test_cold_rate.py
@@ -6,12 +6,13 @@
 
 import random
 from bisect import bisect_left
+from math import inf
 
 import gevent
 import pytest
 
 from rosemarystream._internal.decisions.limit_quotas import MAX_DELAY_S
-from rosemarystream._internal.gateway.limit_gate import LATER_S
+from rosemarystream._internal.gateway.limit_gate import LATER_S, MAX_ROUND_GAP_S
 from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.route import (
@@ -222,6 +223,16 @@
     assert host.gate.admit(SERVER) == is_permitted
 
 
+def test_a_request_waits_no_longer_than_its_server_is_known_to_be_warm():
+    """A host may be paused after it has chosen a server that needs no permission."""
+    host = GossipWorld(hosts=1, data_centres=1).hosts["h0"]
+    assert host.gate.find_send_deadline(SERVER, 10.0) == inf
+    host.limits.cold.update([SERVER], CONFIGURATION, host.clock())
+    assert host.gate.find_send_deadline(SERVER, 10.0) == 10.0 + MAX_ROUND_GAP_S
+    make_cold(host)
+    assert host.gate.find_send_deadline(SERVER, 10.0) == 10.0 + MAX_DELAY_S
+
+
 def test_hosts_are_not_asked_again_for_each_request_that_finds_no_permission():
     fleet = ColdFleet()
     fleet.run(2.0)
