--- a/src/rosemarystream/_internal/decisions/server_availability.py
+++ b/src/rosemarystream/_internal/decisions/server_availability.py
@@ -200,14 +200,30 @@
         ready = self.list_ready(service)
         return [e.name for e in ready if self.limits.is_limited(e.number)]
 
+    def list_needing_permission(self, service: str, now: float) -> list[str]:
+        """Return the names of the servers of a service that are limited or cold."""
+        ready = self.list_ready(service)
+        return [e.name for e in ready if self.limits.needs_permission(e.number, now)]
+
+    def list_cold(self, service: str, now: float) -> list[str]:
+        """Return the names of the servers of a service that are cold."""
+        ready = self.list_ready(service)
+        return [e.name for e in ready if self.limits.cold.is_cold(e.number, now)]
+
     def measure_limit_wait(
         self, service: str, *, exclude: Collection[str], now: float
     ) -> float | None:
-        """Return the time in seconds until a limited server may have room.
+        """Return the time in seconds until a limited or cold server may have room.
 
-        None if no server of the service is limited, those of `exclude` not counted.
+        None if no server of the service is limited, those of `exclude` not counted, nor
+        those that are presumed cold because they can't be reached.
         """
-        endpoints = [e for e in self.list_ready(service) if e.name not in exclude]
+        endpoints = [
+            e
+            for e in self.list_ready(service)
+            if e.name not in exclude
+            and (self.limits.is_limited(e.number) or not self.is_unreachable(e, now))
+        ]
         return self.limits.measure_wait([e.number for e in endpoints], now)
 
     def find_retry_time(self, service: str, now: float) -> float | None:
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import Callable
+from math import inf
 
 from rosemarystream._internal.exceptions import ConnectError
 from rosemarystream._internal.gateway.attempt_errors import (
     NotRunError,
     OutcomeUnknownError,
     convert_error,
+    is_refusal,
 )
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.models.call import Call
@@ -53,6 +55,8 @@
     find_objection : callable
         Returns why the server may no longer get the request, now that it is connected;
         empty if it may.
+    send_by : float
+        Time after which the request must not be sent any more.
 
     Attributes
     ----------
@@ -81,6 +85,7 @@
         on_head: Callable[[AnswerHead], None],
         used_connections: list[ClientConnection],
         find_objection: Callable[[], str] = str,
+        send_by: float = inf,
     ) -> None:
         self.endpoint = endpoint
         self.call = call
@@ -89,6 +94,7 @@
         self._on_head = on_head
         self._used_connections = used_connections
         self._find_objection = find_objection
+        self._send_by = send_by
         self._connection: ClientConnection | None = None
         self._head: AnswerHead | None = None
         # Whether the rest of a late answer to an earlier request comes first.
@@ -125,10 +131,12 @@
         Raises
         ------
         NotRunError
-            If no connection can be made, or the server may no longer get the request.
+            If no connection can be made, or not in time for the permission, or the
+            server may no longer get the request.
         OutcomeUnknownError
             If the connection broke while sending.
         """
+        self._check_permission()
         # A caller's repeat may have the same id, and is another request to this host.
         connection = self._pool.take(
             self.endpoint,
@@ -140,11 +148,14 @@
             try:
                 connection = self._pool.open(self.endpoint, deadline)
             except ConnectError as error:
-                raise NotRunError(str(error), sent=False) from error
+                refused = is_refusal(error)
+                raise NotRunError(str(error), sent=False, is_refused=refused) from error
         self._connection = connection
         objection = self._find_objection()
         if objection:
             raise NotRunError(objection, sent=False, withheld=True)
+        # Connecting may have taken long.
+        self._check_permission()
         self._used_connections.append(connection)
         connection.record_request(self.call.request_id)
         headers = encode_call(
@@ -164,6 +175,17 @@
         except ConnectionBrokenError as error:
             raise convert_error(error) from error
 
+    def _check_permission(self) -> None:
+        """Check that the request may still be sent.
+
+        Raises
+        ------
+        NotRunError
+            If its permission has lapsed.
+        """
+        if self._clock() > self._send_by:
+            raise NotRunError("its permission has lapsed", sent=False, is_late=True)
+
     @property
     def received_at(self) -> float | None:
         """When the server last sent anything; None before that."""
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -252,6 +252,7 @@
             on_head=partial(self._router.statements.record, placement.endpoint),
             used_connections=self._used_connections,
             find_objection=partial(self._attempts.find_objection, placement.endpoint),
+            send_by=placement.send_by,
         )
         counted = CountedAttempt(
             attempt=attempt, placement=placement, router=self._router
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -193,6 +193,7 @@
     def run_round(self) -> None:
         """Send the messages of one round."""
         self._rounds += 1
+        self._gate.observe_role()
         self._contact_seeds()
         self._contact_lost_data_centres()
         now = self._clock()
@@ -347,6 +348,7 @@
                 self._clock(),
                 is_whole=self._rounds % EVACUATIONS_EVERY_ROUNDS == 0,
             ),
+            cold=reports.cold,
         )
 
     def send_question(self, host: Peer, question: QuotaQuestion) -> None:
@@ -405,7 +407,11 @@
         self._reports.accept(message, now)
         self._observations.accept(
             ObservationReports(
-                message.slowness, message.limits, message.retry_after, message.leaving
+                message.slowness,
+                message.limits,
+                message.retry_after,
+                message.leaving,
+                message.cold,
             ),
             now,
             nearby=message.scope is LoadScope.HOST,
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -153,6 +153,7 @@
             supervisor=self._supervisor,
             ignored=self._left_out,
             evacuations=self._router.availability.evacuations,
+            cold=self._router.cold,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -194,7 +195,7 @@
             )
             for watch in (
                 self._make_configuration_watch,
-                ServerWatch,
+                self._make_server_watch,
                 self._make_block_watch,
                 self._make_evacuation_watch,
             )
@@ -281,6 +282,9 @@
             **arguments,
         )
 
+    def _make_server_watch(self, **arguments: Any) -> ServerWatch:
+        return ServerWatch(on_entry=self._router.record_entry, **arguments)
+
     def _make_block_watch(self, **arguments: Any) -> BlockWatch:
         return BlockWatch(blocks=self._blocks, writer=self._make_store(), **arguments)
 
--- a/src/rosemarystream/_internal/gateway/state_answers.py
+++ b/src/rosemarystream/_internal/gateway/state_answers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rosemarystream._internal.decisions.cold_servers import ColdServers
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
@@ -29,6 +30,8 @@
         The cached prompt parts, and those on which servers crash.
     evacuations : Evacuations
         The evacuated data centres; part of each answer.
+    cold : ColdServers
+        The servers that are cold.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         contexts: ContextMap,
         blocks: PromptBlocks,
         evacuations: Evacuations,
+        cold: ColdServers,
     ) -> None:
         self._evacuations = evacuations
         self._clock = clock
         self._replica = replica
         self._contexts = contexts
         self._blocks = blocks
+        self._cold = cold
         self._compressed = (0, b"")
 
     def select(self, request: PullRequest) -> PullAnswer:
@@ -60,7 +65,9 @@
             now = self._clock()
             entries = self._contexts.list_entries(now)[:MAX_CONTEXT_ENTRIES]
             blocks = self._blocks.list_rows(now)
-            return PullAnswer(document, [], {}, 0, entries, blocks)
+            # A host that watches the store itself learns nothing else of presumptions.
+            rows = self._cold.list_rows(now)
+            return PullAnswer(document, [], {}, 0, entries, blocks, cold=rows)
         if request.revision is None:
             return PullAnswer(document, [], {}, 0)
         return self._encode_delta(
@@ -80,6 +87,7 @@
             },
             is_whole=delta.is_whole,
             grace_ms=_measure_left_ms(delta.grace_until, now),
+            cold=self._cold.list_rows(now),
         )
 
     def _compress_document(self) -> bytes:
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -14,6 +14,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
+from rosemarystream._internal.decisions.cold_servers import ColdServers
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.evacuations import Evacuations
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
@@ -76,6 +77,8 @@
         Runs the pulls.
     ignored : IgnoredObjects
         Records the invalid objects of other hosts.
+    cold : ColdServers
+        The servers that are cold.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         supervisor: Supervisor,
         ignored: IgnoredObjects | None = None,
         evacuations: Evacuations | None = None,
+        cold: ColdServers | None = None,
     ) -> None:
+        self._cold = cold or ColdServers()
         self._ignored = ignored or IgnoredObjects()
         self._evacuations = evacuations or Evacuations()
         self._port = address[1]
@@ -108,6 +113,7 @@
             contexts=contexts,
             blocks=blocks,
             evacuations=self._evacuations,
+            cold=self._cold,
         )
         self._server = StreamServer(address, self._serve_safely)
 
@@ -189,6 +195,8 @@
         changed = []
         if answer.document and self._accept_document(answer.document):
             changed.append(f"version {self._replica.version}")
+        # Before the entries: a server must not count as warm in between.
+        self._cold.accept_rows(answer.cold, now)
         endpoints = self._decode_endpoints(answer.endpoints)
         delta = read_delta(answer, endpoints, now)
         changed += self._replica.accept_delta(delta, now)
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -86,11 +86,14 @@
         Number of the server.
     is_nearby : bool
         Whether the server is in the data centre of the host.
+    is_cold : bool
+        Whether the host knows the server as cold.
     """
 
     number: Count
     server: Number
     is_nearby: bool
+    is_cold: bool = False
 
 
 class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True):
@@ -104,11 +107,15 @@
         Whether the request may be sent.
     wait_ms : float
         Time until the next request may be sent, if this one may not.
+    is_of_cold : bool
+        Whether the permission is one for a cold server; hosts of earlier builds know
+        of none.
     """
 
     number: Count
     is_permitted: bool
     wait_ms: WaitMs
+    is_of_cold: bool = False
 
 
 class GossipMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -160,6 +167,9 @@
     evacuations : list of tuple or None
         Records of the evacuated data centres, and with some of the messages of those
         that no longer are; None if the sender doesn't know them.
+    cold : dict of int to tuple
+        Time in milliseconds for which servers are still presumed cold, as learnt
+        lately, and whether they were seen to be up, by server number.
     """
 
     sender: HostAddress
@@ -183,6 +193,7 @@
     leaving: list[tuple[Number, EpochMs]] = []
     retry_after: dict[Number, tuple[DelayS, AgeMs]] = {}
     evacuations: list[EvacuationRow] | None = None
+    cold: dict[Number, tuple[AgeMs, bool]] = {}
 
 
 class PullRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -232,6 +243,10 @@
         the store, in milliseconds.
     evacuations : list of tuple or None
         As in `GossipMessage`.
+    cold : list of tuple of int
+        Servers that are cold: their numbers, the revisions of their entries, and the
+        times in milliseconds that they are still cold by the entry and by presumption.
+        Sent with servers, and with the map of cached prompt parts.
     """
 
     document: bytes
@@ -244,3 +259,4 @@
     is_whole: bool = False
     grace_ms: AgeMs = 0
     evacuations: list[EvacuationRow] | None = None
+    cold: list[tuple[Number, Count, AgeMs, AgeMs]] = []
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -42,6 +42,7 @@
     EvacuationEnded,
     ServerAskedToWait,
     ServerChanged,
+    ServerCold,
     ServerEjected,
     ServerEntryInvalid,
     ServerLeaving,
@@ -51,6 +52,7 @@
     ServersListed,
     ServersNotReturned,
     ServerStillUnreachable,
+    ServerWarm,
     ServicesUnreachable,
 )
 from rosemarystream._internal.models.log_entries.store import (
@@ -92,6 +94,8 @@
     ServerLimitChanged,
     EvacuationBegun,
     EvacuationEnded,
+    ServerCold,
+    ServerWarm,
     ServicesUnreachable,
     ServerStillUnreachable,
     BlockNotStored,
--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -315,7 +315,7 @@
         return pool_open(self, endpoint, deadline)
 
     monkeypatch.setattr(ConnectionPool, "open", open_late)
-    monkeypatch.setattr(ConnectionPool, "take", lambda self, endpoint, excluded: None)
+    monkeypatch.setattr(ConnectionPool, "take", lambda self, endpoint, **_: None)
 
 
 def permit_slowly(monkeypatch, server):
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -80,6 +80,8 @@
     ("evacuations", [["dc0", 5, "yes", 1]]),
     ("evacuations", [["d" * 9_000, 5, True, 1]]),
     ("evacuations", [["", 5, True, 1]]),
+    ("cold", {1: [LARGE, True]}),
+    ("cold", {1: [-1, True]}),
 ]
 
 
@@ -205,6 +207,7 @@
         "is_whole": False,
         "grace_ms": 0,
         "evacuations": None,
+        "cold": [],
         **changes,
     }
     fields = [answer[name] for name in PullAnswer.__struct_fields__]
@@ -234,6 +237,8 @@
         {"blocks": [[1, 1, LARGE]]},
         {"evacuations": [["dc0", LARGE, True, 1]]},
         {"evacuations": [["d" * 9_000, 5, True, 1]]},
+        {"cold": [[1, 1, LARGE, 0]]},
+        {"cold": [[1, 1, 0, -1]]},
     ],
 )
 def test_an_answer_to_a_pull_with_a_number_out_of_its_range_is_refused(
