--- a/bench/callers.py
+++ b/bench/callers.py
@@ -56,6 +56,12 @@
     make_route("bulk", "idempotent", service="bulk"),
     make_route("calm", "idempotent", service="calm"),
 ]
+LIMITS = {
+    "max-header-bytes": 16_384,
+    "max-body-bytes": 4_194_304,
+    "header-timeout-ms": 3000,
+    "idle-timeout-ms": 15_000,
+}
 ANSWER_BYTES = 250_000
 EVENT_BYTES, EVENTS = 2_000, 500
 
@@ -65,10 +71,12 @@
 
     def __init__(self, folder: Path, resources: str = RESOURCES) -> None:
         self.world = World()
-        limits = make_configuration(4, ROUTES)
+        configuration = make_configuration(4, ROUTES)
         for name in ("bulk", "calm"):
-            limits["services"].append({"name": name, "max-connections": 5000})
-        self.world.store.write("config", "main", limits)
+            service = {"name": name, "max-connections": 5000}
+            configuration["services"].append(service)
+        configuration["limits"] = LIMITS
+        self.world.store.write("config", "main", configuration)
         self._processes: list[subprocess.Popen[bytes]] = []
         self._add_server("p1", "plain", "3")
         self._add_server("c1", "calm", "3")
