--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -3,9 +3,13 @@
 from collections.abc import Callable, Iterator
 from math import inf
 
+from rosemarystream._internal.decisions.caller_budget import SMALL_BYTES
 from rosemarystream._internal.decisions.timeouts import compute_stall_timeout
 from rosemarystream._internal.exceptions import ErrorKind
-from rosemarystream._internal.gateway.answer_writer import AnswerWriter
+from rosemarystream._internal.gateway.answer_writer import (
+    AnswerWriter,
+    CallerDisconnectedError,
+)
 from rosemarystream._internal.gateway.attempt import Attempt
 from rosemarystream._internal.gateway.attempt_errors import OutcomeUnknownError
 from rosemarystream._internal.gateway.crash_reporter import CrashReporter
@@ -18,8 +22,6 @@
 from rosemarystream._internal.utils.loop_share import LoopShare
 from rosemarystream._internal.utils.server_sent_events import EventTooLongError
 
-# Answers up to this size are buffered, and relayed once they are complete.
-BUFFERED_BODY_BYTES = 262_144
 # Statuses of answers that have no body and need no length.
 NO_BODY_STATUSES = (204, 304)
 SERVER_ERROR = 500
@@ -92,13 +94,22 @@
             If the answer is not complete, and another attempt may follow.
         RequestEndedError
             If it breaks off after the caller's answer has begun, for good.
+        CallerDisconnectedError
+            If it breaks off because the caller has not read it.
         """
-        if head.is_event_stream and head.is_success:
-            self._relay_events(attempt, head)
-        elif self._answer.has_begun:
-            raise OutcomeUnknownError("a stream can't go on as an answer")
-        else:
-            self._relay_body(attempt, head)
+        try:
+            if head.is_event_stream and head.is_success:
+                self._relay_events(attempt, head)
+            elif self._answer.has_begun:
+                raise OutcomeUnknownError("a stream can't go on as an answer")
+            else:
+                self._relay_body(attempt, head)
+        except OutcomeUnknownError as error:
+            if not self._answer.was_blocked:
+                raise
+            # Servers cut off what isn't read; this one is not to blame.
+            self._answer.fault = f"the caller read too slowly: {error}"
+            raise CallerDisconnectedError(self._answer.fault) from error
 
     def _relay_body(self, attempt: Attempt, head: AnswerHead) -> None:
         pieces: list[bytes] = []
@@ -106,15 +117,22 @@
         while (piece := attempt.read_piece(self._deadline)) is not None:
             pieces.append(piece)
             size += len(piece)
-            if size > BUFFERED_BODY_BYTES:
-                self.relay_long(attempt, head, b"".join(pieces))
-                return
+            if size > SMALL_BYTES:
+                self._answer.hold(size)
+                if size > self._answer.buffer_bytes:
+                    received = b"".join(pieces)
+                    pieces.clear()
+                    self.relay_long(attempt, head, received)
+                    return
         if not pieces and self._lacks_end(head):
             # A server that crashes after the head ends its answer in the same way.
             raise OutcomeUnknownError("the answer ended before its body", closed=True)
         self._record_answered(attempt, head, failed=head.status >= SERVER_ERROR)
         self._on_progress()
-        self._answer.send_whole(head.status, head.headers, b"".join(pieces))
+        body = b"".join(pieces)
+        # Otherwise a caller that reads slowly keeps two copies.
+        pieces.clear()
+        self._answer.send_whole(head.status, head.headers, body)
 
     def _lacks_end(self, head: AnswerHead) -> bool:
         """Return whether only the end of the connection shows that of a body."""
@@ -126,6 +144,7 @@
         self._on_progress()
         self._answer.send_head(head.status, head.headers)
         self._answer.send_piece(received)
+        self._answer.hold(0)
         while (piece := attempt.read_piece(self._deadline)) is not None:
             self._answer.send_piece(piece)
         self._answer.end()
@@ -148,6 +167,8 @@
         while (piece := self._read_piece(attempt)) is not None:
             events = self._split(piece)
             self._on_event()
+            if self._stream.pending_bytes > SMALL_BYTES:
+                self._answer.hold(self._stream.pending_bytes)
             # Only events that the caller gets are progress, not any bytes.
             if self._relay_all(events, head):
                 self._expect_progress()
--- a/src/rosemarystream/_internal/gateway/answer_writer.py
+++ b/src/rosemarystream/_internal/gateway/answer_writer.py
@@ -5,15 +5,28 @@
 import h11
 import msgspec
 from gevent import socket
+from gevent.socket import wait_write
 
 from rosemarystream._internal.exceptions import ANSWERS, ErrorKind, Execution
+from rosemarystream._internal.gateway.caller_resources import CallerHoldings
 from rosemarystream._internal.models.call import Headers
 from rosemarystream._internal.models.endings import NO_NOTES, AnswerProgress
 from rosemarystream._internal.platform.headers import encode_retry_after
+from rosemarystream._internal.utils.remainder_sender import send_some
 from rosemarystream._internal.utils.socket_options import reset_on_close
 
 # Start of each answer's status line.
 STATUS_LINE_START = b"HTTP/1.1 "
+# Time in which a caller has to take in a whole answer, and each piece of a stream or a
+# long answer. Servers cut off an answer that is not read for some seconds.
+WRITE_TIMEOUT_S = 15.0
+PIECE_TIMEOUT_S = 5.0
+# Time for the rest of an answer that is still being sent when its time is over.
+LATE_WRITE_S = 1.0
+# A write that waited for this time may have made the server cut the answer off.
+BLOCKED_S = 1.0
+# Bodies above this are sent without being copied behind their heads.
+COPIED_BODY_BYTES = 16_384
 # First version of HTTP whose callers can be sent a body in chunks.
 CHUNKS_VERSION = b"1.1"
 
@@ -57,6 +70,12 @@
         Whether it is this host's own answer, not one of a server.
     notes : EndingNotes
         What the handler knows of an ending without a whole answer.
+    deadline : float or None
+        Time until which the caller wants the answer.
+    was_blocked : bool
+        Whether the last write waited so long that the server may have given up.
+    fault : str
+        What the caller did wrong with its answer, as text for operators.
     """
 
     def __init__(
@@ -64,6 +83,8 @@
         *,
         connection: socket.socket,
         protocol: h11.Connection,
+        holdings: CallerHoldings,
+        clock: Callable[[], float],
         has_body: bool = True,
         is_closing: bool,
         is_leaving: Callable[[], bool],
@@ -71,6 +92,8 @@
     ) -> None:
         self._connection = connection
         self._protocol = protocol
+        self._holdings = holdings
+        self._clock = clock
         self._has_body = has_body
         self.is_closing = is_closing
         self._is_leaving = is_leaving
@@ -82,6 +105,9 @@
         self.is_half_closed = False
         self.is_by_host = False
         self.notes = NO_NOTES
+        self.deadline: float | None = None
+        self.was_blocked = False
+        self.fault = ""
         self._progress = AnswerProgress.NOTHING
         # Bytes of the status line that were sent ahead of the answer.
         self._sent_ahead = 0
@@ -115,11 +141,16 @@
         """Send a complete answer."""
         framed = [*headers, (b"content-length", b"%d" % len(body))]
         data = self._start(status, framed)
+        rest = b""
         if self._has_body:
-            data += self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
+            rest = self._protocol.send(h11.Data(data=body)) or b""
+        self._protocol.send(h11.EndOfMessage())
         self._progress = AnswerProgress.PART
-        self._write(data)
+        if len(rest) > COPIED_BODY_BYTES:
+            self._write(data, timeout_s=WRITE_TIMEOUT_S)
+            self._write(rest, timeout_s=WRITE_TIMEOUT_S)
+        else:
+            self._write(data + rest, timeout_s=WRITE_TIMEOUT_S)
         self.is_finished = True
 
     def send_head(self, status: int, headers: Headers) -> None:
@@ -210,9 +241,48 @@
             ErrorKind.INTERNAL, "an unexpected error in this host", execution=execution
         )
 
-    def _write(self, data: bytes) -> None:
+    @property
+    def buffer_bytes(self) -> int:
+        """Most bytes of an answer to hold until it is whole."""
+        return self._holdings.answer_bytes
+
+    def hold(self, size: int) -> None:
+        """Count what is held of the answer until it is whole, in bytes."""
+        self._holdings.hold_answer(size)
+
+    def _write(self, data: bytes, *, timeout_s: float = PIECE_TIMEOUT_S) -> None:
         self.has_begun = True
+        self.was_blocked = False
         try:
-            self._connection.sendall(data)
+            sent = send_some(self._connection, data)
+            if sent < len(data):
+                self._write_rest(memoryview(data)[sent:], timeout_s)
         except OSError as error:
             raise CallerDisconnectedError(str(error)) from error
+
+    def _write_rest(self, rest: memoryview, timeout_s: float) -> None:
+        """Send what the connection didn't take at once, counted as unread."""
+        began = self._clock()
+        ends_at = began + timeout_s
+        if self.deadline is not None:
+            ends_at = min(ends_at, max(self.deadline, began + LATE_WRITE_S))
+        self._holdings.begin_write(len(rest))
+        try:
+            while rest:
+                self._await_writable(ends_at)
+                rest = rest[send_some(self._connection, rest) :]
+                self._holdings.record_taken()
+        finally:
+            self._holdings.end_write()
+            self.was_blocked = self._clock() - began >= BLOCKED_S
+
+    def _await_writable(self, ends_at: float) -> None:
+        try:
+            wait_write(
+                self._connection.fileno(), timeout=max(0.001, ends_at - self._clock())
+            )
+        except TimeoutError as error:
+            self.fault = "the caller did not read its answer in time"
+            # What the kernel holds of the answer would stay there for long.
+            reset_on_close(self._connection, is_reset=True)
+            raise CallerDisconnectedError(self.fault) from error
--- a/src/rosemarystream/_internal/gateway/caller_connection.py
+++ b/src/rosemarystream/_internal/gateway/caller_connection.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from itertools import islice
 from typing import NamedTuple
 
 import gevent
@@ -12,24 +13,33 @@
 from gevent import socket
 from logbook import Logger
 
+from rosemarystream._internal.decisions.caller_budget import (
+    READ_BYTES,
+    CloseCause,
+    RefusalCause,
+)
 from rosemarystream._internal.exceptions import ErrorKind, Execution
 from rosemarystream._internal.gateway.answer_writer import (
     AnswerWriter,
     CallerDisconnectedError,
 )
+from rosemarystream._internal.gateway.caller_resources import (
+    NO_ROOM_RETRY_S,
+    CallerResources,
+)
 from rosemarystream._internal.gateway.disconnect_watch import DisconnectWatch
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.pipelined_requests import split_requests
-from rosemarystream._internal.gateway.request_errors import HostStoppedError
+from rosemarystream._internal.gateway.request_errors import (
+    HostStoppedError,
+    RefusedRequestError,
+)
 from rosemarystream._internal.gateway.request_ledger import (
     BegunRequest,
     RequestLedger,
     find_cause,
 )
 from rosemarystream._internal.gateway.request_reader import (
-    READ_BYTES,
-    HeldBytes,
-    RefusedRequestError,
     Request,
     RequestReader,
 )
@@ -40,11 +50,12 @@
 )
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.utils.loop_share import LoopShare
+from rosemarystream._internal.utils.socket_options import reset_on_close
 
 log = Logger(__name__)
 
-# Time in which a caller has to take in each piece of an answer.
-WRITE_TIMEOUT_S = 15.0
+# Requests behind the last one on a connection that are counted when it ends.
+MAX_COUNTED_UNSERVED = 32
 # Time in which what comes after the last answer, as the rest of a refused request, is
 # read and discarded.
 LINGER_TIMEOUT_S = 0.5
@@ -82,8 +93,10 @@
         Called with an error that no code expects.
     ledger : RequestLedger or None
         Counts the requests, if they are to be counted.
-    held : HeldBytes
-        Counts the bytes of request bodies, for all connections.
+    address : str
+        IP address of the caller.
+    resources : CallerResources
+        What is held for all connections.
     is_leaving : callable
         Returns whether the host is shutting down.
 
@@ -102,7 +115,8 @@
         record_error: Callable[[Exception], None],
         clock: Callable[[], float],
         ledger: RequestLedger | None,
-        held: HeldBytes,
+        address: str,
+        resources: CallerResources,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._socket = opened
@@ -112,10 +126,16 @@
         self._clock = clock
         self._ledger = ledger
         self._is_leaving = is_leaving
-        self._held = HeldBytes(whole=held)
-        self._reader = RequestReader(opened=opened, held=self._held, clock=clock)
+        self._resources = resources
+        self._holdings = resources.open(self, address)
+        self._reader = RequestReader(
+            opened=opened, holdings=self._holdings, clock=clock
+        )
         self.busy = False
         self._closed = False
+        # Whether the next request is refused, as the room of the connection was needed.
+        self._has_no_room = False
+        self._has_turn = False
         # Whether the last answer has announced that this host closes the connection.
         self._is_closing = False
         self._greenlet = gevent.getcurrent()
@@ -125,6 +145,7 @@
         self._connected_at = clock()
         self._requests = 0
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._holdings.limit_buffers(opened)
 
     def run(self) -> None:
         """Serve requests until either side closes."""
@@ -141,24 +162,36 @@
         except HostStoppedError:
             cause = EndingCause.HOST_STOPPED
         except OSError as error:
-            write_log_entry(log, CallerConnectionBroken(error=str(error)))
+            if not self._closed:
+                write_log_entry(log, CallerConnectionBroken(error=str(error)))
         finally:
             self._socket.close()
+            self._holdings.close()
+            if self._has_no_room:
+                self._resources.end_refusal()
         self._count_unserved(cause)
 
     def _count_unserved(self, cause: EndingCause) -> None:
-        """Count the whole requests that were read behind the last one."""
+        """Count the whole requests that were read behind the last one.
+
+        Of a caller that has sent more of them, the rest is taken for unread.
+        """
         # What follows a request that was refused unread may be its rest.
         if not self._reader.buffer or self._refusal is not None:
             return
         now = self._clock()
-        try:
-            for request in split_requests(self._reader.buffer, now):
+        requests = islice(
+            split_requests(self._reader.buffer, now), MAX_COUNTED_UNSERVED
+        )
+        # Many connections may be closed at once, and each waits for its share.
+        for request in [*requests]:
+            self._reader.buffer = bytearray()
+            try:
                 self._end(self._begin(request), cause)
                 self._loop_share.take_step()
-        except HostStoppedError:
-            # Those that are left are neither begun nor ended.
-            return
+            except (HostStoppedError, CallerDisconnectedError):
+                # Those that are left are neither begun nor ended.
+                return
 
     @property
     def is_idle(self) -> bool:
@@ -171,24 +204,86 @@
             self._closed = True
             self._socket.close()
 
+    def close_for_room(self, cause: CloseCause) -> None:
+        """Close the connection without waiting, for others that need the room."""
+        if cause is CloseCause.IDLE:
+            self.close_if_idle()
+            # A request that has arrived is refused, unless many are.
+            self._has_no_room = not self._closed and self._resources.begin_refusal()
+            if self._has_no_room or self._closed:
+                return
+        reset_on_close(self._socket, is_reset=True)
+        error = CallerDisconnectedError(f"closed to make room: {cause}")
+        gevent.kill(self._greenlet, error)
+
+    def refuse(self) -> None:
+        """Answer that there is no room for the connection, and close it."""
+        try:
+            refusal = _Refusal(
+                ErrorKind.OVERLOADED,
+                "too many connections",
+                NO_ROOM_RETRY_S,
+                Execution.NOT_RUN,
+            )
+            self._refuse(refusal)
+        except CallerDisconnectedError:
+            return
+        finally:
+            self._socket.close()
+            self._holdings.close()
+
     def end_request(self) -> None:
         """End the request that is being read or served."""
         gevent.kill(self._greenlet, HostStoppedError("this host stops"))
 
+    def _check_room(self) -> None:
+        """Refuse a request that arrived as the room of its connection was needed."""
+        if self._has_no_room:
+            raise RefusedRequestError(
+                ErrorKind.OVERLOADED,
+                "too many callers at once",
+                retry_after_s=NO_ROOM_RETRY_S,
+            )
+
+    def _await_turn(self, timeout_s: float) -> None:
+        """Wait for the turn of a request that was sent before an earlier answer.
+
+        Raises
+        ------
+        RefusedRequestError
+            If it doesn't come in time.
+        """
+        self._holdings.begin_wait()
+        self._holdings.hold_read_ahead(len(self._reader.buffer))
+        if not self._holdings.turns.acquire(timeout=timeout_s):
+            raise self._holdings.make_refusal(
+                RefusalCause.TURN, "too many requests were sent together"
+            )
+        self._has_turn = True
+
+    def _read_next(self) -> tuple[h11.Connection, Request] | None:
+        """Read the next request; None if the caller sends no more."""
+        idle_timeout_s = self._get_limits().idle_timeout_s
+        if self._requests and self._reader.buffer:
+            self._await_turn(idle_timeout_s)
+        if not self._reader.await_first_byte(idle_timeout_s):
+            return None
+        self._check_room()
+        # Those in force now: the connection may have been idle for long.
+        limits = self._get_limits()
+        protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes + 1024
+        )
+        request = self._reader.read(protocol, limits)
+        if request is None:
+            return None
+        self._holdings.begin_request()
+        return protocol, request
+
     def _serve_next(self) -> bool:
         try:
-            idle_timeout_s = self._get_limits().idle_timeout_s
-            if not self._reader.await_first_byte(idle_timeout_s):
-                return False
-            # Those in force now: the connection may have been idle for long.
-            limits = self._get_limits()
-            protocol = h11.Connection(
-                h11.SERVER, max_incomplete_event_size=limits.head_bytes + 1024
-            )
-            request = self._reader.read(protocol, limits)
-            if request is None:
-                return False
-            return self._serve(protocol, request)
+            read = self._read_next()
+            return read is not None and self._serve(*read)
         except RefusedRequestError as error:
             # Only its text is kept: the frames of its traceback hold the body.
             self._refusal = _Refusal(error.kind, str(error), error.retry_after)
@@ -207,7 +302,10 @@
             return False
         finally:
             self.busy = False
-            self._held.release()
+            self._holdings.end_request()
+            if self._has_turn:
+                self._has_turn = False
+                self._holdings.turns.release()
 
     def _serve(self, protocol: h11.Connection, request: Request) -> bool:
         """Serve a request that was read whole; return whether another may follow."""
@@ -245,11 +343,12 @@
             self._ledger.end(begun, cause, answer=answer)
 
     def _make_answer(self, protocol: h11.Connection, request: Request) -> AnswerWriter:
-        self._reader.buffer = protocol.trailing_data[0]
         is_closing = protocol.their_state is h11.MUST_CLOSE
         return AnswerWriter(
             connection=self._socket,
             protocol=protocol,
+            holdings=self._holdings,
+            clock=self._clock,
             has_body=request.method != b"HEAD",
             is_closing=is_closing,
             is_leaving=self._is_leaving,
@@ -260,14 +359,17 @@
         """Return whether another whole request was sent together with this one."""
         data = self._reader.buffer
         if self._watch is not None:
-            data += self._watch.data
+            data = data + self._watch.data
         return any(split_requests(data, 0.0))
 
     def _answer(self, request: Request, answer: AnswerWriter) -> None:
         try:
-            self._socket.settimeout(WRITE_TIMEOUT_S)
             watch = DisconnectWatch(
-                opened=self._socket, greenlet=gevent.getcurrent(), answer=answer
+                opened=self._socket,
+                greenlet=gevent.getcurrent(),
+                answer=answer,
+                holdings=self._holdings,
+                held=len(self._reader.buffer),
             )
             self._watch = watch
         except Exception as error:
@@ -304,10 +406,12 @@
         answer = AnswerWriter(
             connection=self._socket,
             protocol=new_protocol,
+            holdings=self._holdings,
+            clock=self._clock,
             is_closing=True,
             is_leaving=lambda: True,
         )
-        self._socket.settimeout(LINGER_TIMEOUT_S)
+        answer.deadline = self._clock()
         answer.send_error(
             refusal.kind,
             refusal.message,
--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection
 
+from rosemarystream._internal.gateway.caller_resources import SOCKET_BUFFER_BYTES
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.utils.http_connection import ClientConnection
 
@@ -15,10 +16,17 @@
 
 
 class ConnectionPool:
-    """Keeps idle connections by server incarnation; the last one used goes first."""
+    """Keeps idle connections by server incarnation; the last one used goes first.
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
+    Parameters
+    ----------
+    max_all_idle : int
+        Idle connections to all servers together.
+    """
+
+    def __init__(self, *, clock: Callable[[], float], max_all_idle: int) -> None:
         self._clock = clock
+        self._max_all_idle = max_all_idle
         self._idle: dict[tuple[str, str, int], list[ClientConnection]] = {}
         self._max_idle_s: dict[str, float] = {}
 
@@ -53,7 +61,10 @@
             If the connection is not made by the deadline.
         """
         connection = ClientConnection(address=endpoint.address, clock=self._clock)
-        connection.connect(min(deadline, self._clock() + CONNECT_TIMEOUT_S))
+        connection.connect(
+            min(deadline, self._clock() + CONNECT_TIMEOUT_S),
+            receive_bytes=SOCKET_BUFFER_BYTES,
+        )
         return connection
 
     def probe(self, endpoint: Endpoint) -> None:
@@ -83,11 +94,14 @@
         if keep_alive_s is not None:
             self._max_idle_s[endpoint.name] = keep_alive_s * KEEP_ALIVE_SHARE
         idle = self._idle.setdefault(_key(endpoint), [])
-        if len(idle) >= MAX_IDLE or not connection.finish():
+        if len(idle) >= MAX_IDLE or self._is_full() or not connection.finish():
             connection.close()
             return
         idle.append(connection)
 
+    def _is_full(self) -> bool:
+        return sum(map(len, self._idle.values())) >= self._max_all_idle
+
     def close_others(self, endpoints: list[Endpoint]) -> None:
         """Close the connections to all servers but those given."""
         kept = {_key(endpoint) for endpoint in endpoints}
--- a/src/rosemarystream/_internal/gateway/disconnect_watch.py
+++ b/src/rosemarystream/_internal/gateway/disconnect_watch.py
@@ -5,23 +5,28 @@
 reset by any byte. ``docs/design/half-closed-callers.md`` weighs the ways.
 """
 
+from collections.abc import Callable
+
 import gevent
 from gevent import socket
 
+from rosemarystream._internal.decisions.caller_budget import READ_BYTES
 from rosemarystream._internal.gateway.answer_writer import (
     AnswerWriter,
     CallerDisconnectedError,
 )
+from rosemarystream._internal.gateway.caller_resources import CallerHoldings
 
-READ_BYTES = 65_536
-# Bytes of pipelined requests that are buffered while one is being served.
-MAX_PIPELINED_BYTES = 262_144
 # Interval at which a connection whose caller has closed its sending side is checked,
 # and number of these checks; most callers that leave are noticed by then.
 CHECK_INTERVAL_S = 0.02
 FREQUENT_CHECKS = 16
 # Intervals between two later checks.
 INTERVALS_PER_LATE_CHECK = 5
+# Interval of the checks of a connection that isn't read.
+UNREAD_CHECK_INTERVAL_S = 0.25
+# State of a TCP connection whose far side has closed or reset it, as in `TCP_INFO`.
+CLOSE_WAIT, CLOSED = 8, 7
 # Event of a socket that gevent's loop watches.
 READABLE = 1
 
@@ -35,10 +40,14 @@
         Serves the request; `CallerDisconnectedError` is raised in it.
     answer : AnswerWriter
         The answer, of which single bytes are sent ahead.
+    holdings : CallerHoldings
+        Bounds how much is read ahead, and counts it.
+    held : int
+        Bytes of later requests that have been read already.
 
     Attributes
     ----------
-    data : bytes
+    data : bytearray
         Pipelined bytes that were read meanwhile.
     """
 
@@ -48,8 +57,12 @@
         opened: socket.socket,
         greenlet: gevent.greenlet.Greenlet,
         answer: AnswerWriter,
+        holdings: CallerHoldings,
+        held: int,
     ) -> None:
-        self.data = b""
+        self.data = bytearray()
+        self._holdings = holdings
+        self._held = held
         self._socket = opened
         self._greenlet = greenlet
         self._answer = answer
@@ -62,7 +75,10 @@
         self._timer = loop.timer(0.0, CHECK_INTERVAL_S)
         # With a callback, as in gevent's own socket waits.
         self._watcher = loop.io(opened.fileno(), READABLE)
-        self._watcher.start(self._on_readable)
+        if holdings.find_read_ahead(held) > 0:
+            self._watcher.start(self._on_readable)
+        else:
+            self._stop_reading()
 
     def _on_readable(self) -> None:
         try:
@@ -78,8 +94,24 @@
             self._timer.start(self._check)
             return
         self.data += data
-        if len(self.data) > MAX_PIPELINED_BYTES:
-            self.stop()
+        held = self._held + len(self.data)
+        self._holdings.hold_read_ahead(held)
+        if self._holdings.find_read_ahead(held) <= 0:
+            self._stop_reading()
+
+    def _stop_reading(self) -> None:
+        """Leave what arrives to the kernel, whose buffer then stops the caller."""
+        self._watcher.stop()
+        self._restart_timer(UNREAD_CHECK_INTERVAL_S, self._check_unread)
+
+    def _check_unread(self) -> None:
+        """Detect a disconnect behind bytes that are not read."""
+        state = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        if state == CLOSED:
+            self._end_request("reset")
+        elif state == CLOSE_WAIT:
+            self._restart_timer(CHECK_INTERVAL_S, self._check)
+            self._answer.is_half_closed = True
 
     def _check(self) -> None:
         """End the request if its caller has closed both sides."""
@@ -97,11 +129,13 @@
 
     def _check_less_often(self) -> None:
         self._intervals_per_check = INTERVALS_PER_LATE_CHECK
-        interval_s = INTERVALS_PER_LATE_CHECK * CHECK_INTERVAL_S
+        self._restart_timer(INTERVALS_PER_LATE_CHECK * CHECK_INTERVAL_S, self._check)
+
+    def _restart_timer(self, interval_s: float, check: Callable[[], None]) -> None:
         self._timer.stop()
         self._timer.close()
         self._timer = gevent.get_hub().loop.timer(interval_s, interval_s)
-        self._timer.start(self._check)
+        self._timer.start(check)
 
     def _send_ahead(self) -> None:
         try:
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -46,6 +46,11 @@
         self._splitter = EventSplitter()
         self._has_events = False
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of events that have not been taken."""
+        return self._splitter.pending_bytes
+
     def split(self, piece: bytes) -> Iterator[bytes]:
         """Return the events that a piece of the answer completes.
 
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -8,13 +8,13 @@
 from contextlib import closing
 from functools import partial
 
+from rosemarystream._internal.decisions.caller_budget import SMALL_BYTES
 from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.prompt_parts import hash_shared_parts
 from rosemarystream._internal.decisions.timeouts import compute_attempt_deadline
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_relay import (
-    BUFFERED_BODY_BYTES,
     SERVER_ERROR,
     AnswerRelay,
 )
@@ -174,7 +174,7 @@
         record = self._record
         route, workspace = self._routes.resolve(self._call, record.received_at)
         self._route = record.route = route
-        self._deadline = self._compute_deadline(route)
+        self._deadline = self._answer.deadline = self._compute_deadline(route)
         record.rank = route.rank
         if workspace is not None and workspace.rank is not None:
             record.rank = workspace.rank
@@ -313,13 +313,15 @@
         One that is too long to be kept is relayed at once.
         """
         body, is_whole = attempt.read_start(
-            self._deadline, max_bytes=BUFFERED_BODY_BYTES
+            self._deadline, max_bytes=self._answer.buffer_bytes
         )
         if not is_whole and not self._answer.has_begun:
             self._relay.relay_long(attempt, head, body)
             return
         if is_whole:
             self._failed_answer = (head, body)
+            if len(body) > SMALL_BYTES:
+                self._answer.hold(len(body))
         raise OutcomeUnknownError(f"failed with {head.status}")
 
     def _read_head(self, attempt: Attempt) -> AnswerHead:
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -6,12 +6,19 @@
 from gevent.server import StreamServer
 
 from rosemarystream._internal.gateway.caller_connection import CallerConnection, Handler
+from rosemarystream._internal.gateway.caller_resources import (
+    OPERATOR_LIMITS,
+    SOCKET_BUFFER_BYTES,
+    CallerResources,
+)
 from rosemarystream._internal.gateway.request_ledger import RequestLedger
-from rosemarystream._internal.gateway.request_reader import HeldBytes
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.utils.address import split_address
 
 BACKLOG = 1024
+# Connections accepted in one turn of the event loop. Those that are closed for them are
+# closed in later turns, which handle some dozens each.
+MAX_ACCEPTED = 16
 
 
 class Listener:
@@ -28,14 +35,16 @@
         Called with an error that no code expects.
     ledger : RequestLedger or None
         Counts the requests; None for listeners of operators.
+    resources : CallerResources or None
+        What is held for the callers; the limits for operators if None.
 
     Attributes
     ----------
     leaving : bool
         Whether the host is shutting down, so that each connection is closed after
         its answer.
-    held : HeldBytes
-        Bytes of request bodies that are held now, for all connections.
+    resources : CallerResources
+        What is held for the callers.
     """
 
     def __init__(
@@ -47,6 +56,7 @@
         record_error: Callable[[Exception], None],
         clock: Callable[[], float],
         ledger: RequestLedger | None = None,
+        resources: CallerResources | None = None,
     ) -> None:
         self.handler = handler
         self.get_limits = get_limits
@@ -54,14 +64,23 @@
         self.clock = clock
         self.ledger = ledger
         self.leaving = False
-        self.held = HeldBytes()
+        self.resources = resources or CallerResources(
+            limits=OPERATOR_LIMITS, clock=clock
+        )
         self._connections: set[CallerConnection] = set()
         self._server = StreamServer(
             split_address(address), self._serve, backlog=BACKLOG
         )
+        self._server.max_accept = MAX_ACCEPTED
 
     def start(self) -> None:
         """Start listening."""
+        self._server.init_socket()
+        # Inherited by each connection, and kept from growing.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._server.socket.setsockopt(
+                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+            )
         self._server.start()
 
     def stop(self) -> None:
@@ -94,19 +113,36 @@
         """Return whether any connection is open."""
         return bool(self._connections)
 
-    def _serve(self, opened: socket.socket, _: object) -> None:
-        connection = CallerConnection(
+    def _serve(self, opened: socket.socket, address: tuple[str, int]) -> None:
+        refused = self.resources.admit(address[0])
+        if refused is not None:
+            self._refuse(opened, address[0])
+            return
+        connection = self._make_connection(opened, address[0])
+        self._connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    def _refuse(self, opened: socket.socket, address: str) -> None:
+        if not self.resources.begin_refusal():
+            opened.close()
+            return
+        try:
+            self._make_connection(opened, address).refuse()
+        finally:
+            self.resources.end_refusal()
+
+    def _make_connection(self, opened: socket.socket, address: str) -> CallerConnection:
+        return CallerConnection(
             opened=opened,
             handler=self.handler,
             get_limits=self.get_limits,
             record_error=self.record_error,
             clock=self.clock,
             ledger=self.ledger,
-            held=self.held,
+            address=address,
+            resources=self.resources,
             is_leaving=lambda: self.leaving,
         )
-        self._connections.add(connection)
-        try:
-            connection.run()
-        finally:
-            self._connections.discard(connection)
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -41,6 +41,28 @@
     retries_left: float
 
 
+class CallerGauges(TypedDict):
+    """What a host holds for its callers, and its limits.
+
+    Attributes
+    ----------
+    connections, max_connections : int
+        Open connections of callers, and their highest number.
+    max_requests : int
+        Highest number of requests in progress.
+    max_bytes : int
+        Limit of what is held, as its cost in memory in bytes.
+    held : dict of str to int
+        What is held, by kind.
+    """
+
+    connections: int
+    max_connections: int
+    max_requests: int
+    max_bytes: int
+    held: dict[str, int]
+
+
 class HostGauges(TypedDict):
     """Gauges of a host; ages in seconds."""
 
@@ -51,6 +73,7 @@
     store_lost_s: float
     live_hosts: int
     lines_left_out: int
+    callers: CallerGauges
     services: dict[str, ServiceGauges]
 
 
@@ -131,6 +154,14 @@
         self.beats_bytes = counter(
             "beats_bytes", "Bytes of reports sent to other hosts"
         )
+        self.callers_refused = counter(
+            "callers_refused",
+            "Connections and requests refused for lack of room, by cause",
+            "cause",
+        )
+        self.callers_closed = counter(
+            "callers_closed", "Connections closed to make room, by cause", "cause"
+        )
         self.request_seconds = self._make_histogram(
             "request_seconds", "Time until a request was over, in seconds"
         )
@@ -152,6 +183,15 @@
         self._dropped_entries = gauge(
             "log_lines_left_out", "Log lines not written since the start"
         )
+        self._caller_connections = gauge(
+            "caller_connections", "Open connections of callers"
+        )
+        self._caller_bytes = gauge(
+            "caller_bytes", "Cost in memory of what is held for callers", "kind"
+        )
+        self._caller_bytes_limit = gauge(
+            "caller_bytes_limit", "Limit of their sum, from which requests are refused"
+        )
         self._ready = gauge("servers_ready", "Servers taking requests", "service")
         self._set_aside = gauge(
             "servers_set_aside", "Servers left alone for a while", "service"
@@ -218,6 +258,11 @@
         self._store_lost.set(gauges["store_lost_s"])
         self._live_hosts.set(gauges["live_hosts"])
         self._dropped_entries.set(gauges["lines_left_out"])
+        callers = gauges["callers"]
+        self._caller_connections.set(callers["connections"])
+        self._caller_bytes_limit.set(callers["max_bytes"])
+        for kind, size in callers["held"].items():
+            self._caller_bytes.labels(kind).set(size)
         for name, service in gauges["services"].items():
             self._ready.labels(name).set(service["ready"])
             self._set_aside.labels(name).set(service["set_aside"])
--- a/src/rosemarystream/_internal/gateway/pipelined_requests.py
+++ b/src/rosemarystream/_internal/gateway/pipelined_requests.py
@@ -4,34 +4,47 @@
 
 import h11
 
-from rosemarystream._internal.gateway.request_reader import Request
+from rosemarystream._internal.gateway.request_reader import Request, find_length
 from rosemarystream._internal.utils.http_heads import (
     HttpHeadError,
     check_http_head,
-    find_head_end,
 )
 
+_HEAD_END = b"\r\n\r\n"
 
-def split_requests(data: bytes, received_at: float) -> Iterator[Request]:
+
+def split_requests(data: bytearray, received_at: float) -> Iterator[Request]:
     """Yield the whole requests at the start of what was read from a connection.
 
     What follows the first one that is not whole, or malformed, is left out.
     """
-    while (found := _split_first(data, received_at)) is not None:
-        request, data = found
+    start = 0
+    while (found := _split_first(data, start, received_at)) is not None:
+        request, start = found
         yield request
 
 
-def _split_first(data: bytes, received_at: float) -> tuple[Request, bytes] | None:
-    data = data.lstrip(b"\r\n")
-    head_end = find_head_end(data)
-    if not head_end:
+def _split_first(
+    data: bytearray, start: int, received_at: float
+) -> tuple[Request, int] | None:
+    """Return the request that begins at a position, and the position of its end."""
+    while data[start : start + 1] in (b"\r", b"\n"):
+        start += 1
+    end = data.find(_HEAD_END, start) + len(_HEAD_END)
+    if end < len(_HEAD_END):
         return None
+    head = bytes(data[start:end])
     protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=len(data))
     try:
-        check_http_head(data[:head_end])
-        protocol.receive_data(data)
+        check_http_head(head)
+        protocol.receive_data(head)
         event = protocol.next_event()
+        length = find_length(event)
+        # What follows is copied only where its length isn't known before.
+        stop = len(data) if length is None else end + length
+        rest = bytes(data[end:stop])
+        if rest:
+            protocol.receive_data(rest)
         body = _read_body(protocol)
     except (HttpHeadError, h11.ProtocolError):
         # It would have been refused, not served.
@@ -41,7 +54,7 @@
     request = Request(
         event.method, event.target, list(event.headers), body, received_at
     )
-    return request, protocol.trailing_data[0]
+    return request, min(stop, len(data)) - len(protocol.trailing_data[0])
 
 
 def _read_body(protocol: h11.Connection) -> bytes | None:
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -2,7 +2,9 @@
 
 import gc
 import os
+import resource
 import signal
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -12,6 +14,7 @@
 from gevent.event import Event
 from logbook import Logger
 
+from rosemarystream._internal.decisions.caller_budget import derive_limits
 from rosemarystream._internal.decisions.context_map import ContextMap
 from rosemarystream._internal.decisions.crash_holds import HostTurn
 from rosemarystream._internal.decisions.hashing import hash_name_32
@@ -25,6 +28,7 @@
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.exceptions import SettingsError
 from rosemarystream._internal.gateway.block_records import BlockWatch
+from rosemarystream._internal.gateway.caller_resources import CallerResources
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.gateway.host_registry import HostRegistry
 from rosemarystream._internal.gateway.host_times import HostTimes
@@ -128,7 +132,13 @@
             times=self._times,
             clock=self._clock,
         )
-        self._pool = ConnectionPool(clock=self._clock)
+        resources = settings.resources
+        limits = derive_limits(
+            memory_mb=resources.memory_mb,
+            max_descriptors=min(resources.max_descriptors, _read_max_descriptors()),
+            per_address=resources.connections_per_address,
+        )
+        self._pool = ConnectionPool(clock=self._clock, max_all_idle=limits.idle_servers)
         self._router = Router(
             data_centre=host.data_centre,
             bounds=settings.bounds,
@@ -210,6 +220,9 @@
             record_error=self._record_error,
             clock=self._clock,
             ledger=self._ledger,
+            resources=CallerResources(
+                limits=limits, clock=self._clock, metrics=self._metrics
+            ),
         )
         self._state = StateReport(
             name=host.name,
@@ -223,6 +236,7 @@
             list_failing_loops=self._supervisor.list_failing,
             count_busy=self._caller_listener.count_busy,
             count_dropped_entries=count_dropped_entries,
+            collect_callers=self._caller_listener.resources.collect_gauges,
             left_out=self._left_out,
             times=self._times,
             ledger=self._ledger,
@@ -442,6 +456,12 @@
         self._ledger.log_counts(in_progress)
 
 
+def _read_max_descriptors() -> int:
+    """Return how many descriptors the operating system allows this process."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
 def run_gateway(path: Path) -> int:
     """Run an entry host with the settings of a file; return the exit code."""
     settings = load_gateway_settings(path)
--- a/src/rosemarystream/_internal/gateway/relay.py
+++ b/src/rosemarystream/_internal/gateway/relay.py
@@ -110,6 +110,7 @@
             self._record_unexpected(record, error)
         finally:
             if not answer.is_finished:
+                record.reason = record.reason or answer.fault
                 answer.notes = self._make_notes(exchange, record)
             self._log_ended(record, answer, outcome)
 
--- a/src/rosemarystream/_internal/gateway/request_errors.py
+++ b/src/rosemarystream/_internal/gateway/request_errors.py
@@ -1,6 +1,10 @@
 """Errors with which a request ends before it has an answer of a server."""
 
-from rosemarystream._internal.exceptions import ErrorKind, RosemarystreamError
+from rosemarystream._internal.exceptions import (
+    ErrorKind,
+    RequestError,
+    RosemarystreamError,
+)
 
 
 class RequestEndedError(RosemarystreamError):
@@ -20,6 +24,15 @@
         self.should_reconnect = False
 
 
+class RefusedRequestError(RequestError):
+    """A request is refused before it was read completely, or before it begins."""
+
+    def __init__(
+        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(message, kind=kind, retry_after=retry_after_s)
+
+
 class HostStoppedError(BaseException):
     """The host stops, and ends the request.
 
--- a/src/rosemarystream/_internal/gateway/request_reader.py
+++ b/src/rosemarystream/_internal/gateway/request_reader.py
@@ -7,8 +7,11 @@
 import h11
 from gevent import socket
 
-from rosemarystream._internal.exceptions import ErrorKind, RequestError
+from rosemarystream._internal.decisions.caller_budget import READ_BYTES, SMALL_BYTES
+from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_writer import CallerDisconnectedError
+from rosemarystream._internal.gateway.caller_resources import CallerHoldings
+from rosemarystream._internal.gateway.request_errors import RefusedRequestError
 from rosemarystream._internal.models.route import CallerLimits
 from rosemarystream._internal.utils.http_heads import (
     HttpHeadError,
@@ -17,17 +20,12 @@
 )
 from rosemarystream._internal.utils.loop_share import LoopShare
 
-READ_BYTES = 65_536
 # Line ends that are skipped before a request.
 MAX_LEADING_BYTES = 64
 # Bytes on the wire allowed for each byte of a body, as chunks add some to each, and
 # bytes allowed besides.
 MAX_WIRE_FACTOR = 16
 EXTRA_WIRE_BYTES = 65_536
-# Bytes of request bodies that a host holds at the same time.
-MAX_HELD_BYTES = 64_000_000
-# Delay advised to a caller whose body found no room, in seconds.
-NO_ROOM_RETRY_S = 0.5
 
 
 class Request(NamedTuple):
@@ -48,81 +46,33 @@
     received_at: float
 
 
-class RefusedRequestError(RequestError):
-    """A request is refused before it was read completely."""
-
-    def __init__(
-        self, kind: ErrorKind, message: str, *, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(message, kind=kind, retry_after=retry_after_s)
-
-
-class HeldBytes:
-    """Bytes of request bodies that a host holds.
-
-    Parameters
-    ----------
-    whole : HeldBytes or None
-        Those of all connections, for those of one of them.
-
-    Attributes
-    ----------
-    count : int
-        Bytes that are held now.
-    """
-
-    def __init__(self, *, whole: "HeldBytes | None" = None) -> None:
-        self.count = 0
-        self._whole = whole
-
-    def add(self, size: int) -> None:
-        """Count bytes that are held until their request is answered.
-
-        Raises
-        ------
-        RefusedRequestError
-            If there are too many.
-        """
-        self.count += size
-        if self._whole is not None:
-            self._whole.add(size)
-        elif self.count > MAX_HELD_BYTES:
-            raise RefusedRequestError(
-                ErrorKind.OVERLOADED,
-                "too many large requests at once",
-                retry_after_s=NO_ROOM_RETRY_S,
-            )
-
-    def release(self) -> None:
-        """Stop counting what is held."""
-        if self._whole is not None:
-            self._whole.count -= self.count
-        self.count = 0
-
-
 class RequestReader:
     """Reads the requests of one connection, one after the other.
 
     Parameters
     ----------
-    held : HeldBytes
-        Counts the bytes of the body that is read.
+    holdings : CallerHoldings
+        Counts what is read.
 
     Attributes
     ----------
-    buffer : bytes
+    buffer : bytearray
         What has been read, but not yet as a part of a request.
     has_begun : bool
         Whether a part of a request has been read; its user resets it.
     """
 
     def __init__(
-        self, *, opened: socket.socket, held: HeldBytes, clock: Callable[[], float]
+        self,
+        *,
+        opened: socket.socket,
+        holdings: CallerHoldings,
+        clock: Callable[[], float],
     ) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
         self.has_begun = False
         self._socket = opened
-        self._held = held
+        self._holdings = holdings
         self._clock = clock
         self._received_at = 0.0
         self._loop_share = LoopShare()
@@ -148,9 +98,7 @@
         skipped = 0
         while True:
             self._loop_share.take_step()
-            received = len(self.buffer)
-            self.buffer = self.buffer.lstrip(b"\r\n")
-            skipped += received - len(self.buffer)
+            skipped += self._skip_line_ends()
             if skipped > MAX_LEADING_BYTES:
                 raise RefusedRequestError(
                     ErrorKind.BAD_REQUEST, "too many line ends before the request"
@@ -158,9 +106,10 @@
             if self.buffer:
                 self.has_begun = True
                 self._received_at = self._clock()
+                self._holdings.begin_read()
                 return True
             try:
-                data = self._socket.recv(READ_BYTES)
+                data = self._socket.recv(self._holdings.read_bytes)
             except TimeoutError:
                 # A process that was paused may see the time-out first.
                 if self.has_data():
@@ -168,7 +117,22 @@
                 return False
             if not data:
                 return False
-            self.buffer = data
+            self.buffer += data
+            self._hold_buffer()
+
+    def _skip_line_ends(self) -> int:
+        """Remove line ends from the start of the buffer; return their number."""
+        # What the buffer holds need not be copied for most requests.
+        if self.buffer[:1] not in (b"\r", b"\n"):
+            return 0
+        kept = self.buffer.lstrip(b"\r\n")
+        skipped = len(self.buffer) - len(kept)
+        self.buffer = kept
+        return skipped
+
+    def _hold_buffer(self) -> None:
+        if len(self.buffer) > SMALL_BYTES:
+            self._holdings.hold_read_ahead(len(self.buffer))
 
     def read(self, protocol: h11.Connection, limits: CallerLimits) -> Request | None:
         """Read a whole request; None if the caller closes within its head.
@@ -191,7 +155,7 @@
             raise RefusedRequestError(ErrorKind.BAD_REQUEST, str(error)) from error
         if not isinstance(event, h11.Request):
             raise RefusedRequestError(ErrorKind.BAD_REQUEST, "not a request")
-        body = self._read_body(protocol, limits)
+        body = self._read_body(protocol, limits, find_length(event))
         return Request(
             event.method, event.target, list(event.headers), body, self._received_at
         )
@@ -208,12 +172,13 @@
                     ErrorKind.HEAD_TOO_LARGE, f"over {limits.head_bytes} bytes of head"
                 )
             if end:
-                head, self.buffer = self.buffer[:end], self.buffer[end:]
+                head = bytes(self.buffer[:end])
+                del self.buffer[:end]
                 return head
             remaining_s = deadline - self._clock()
             self._socket.settimeout(max(0.001, remaining_s))
             try:
-                data = self._socket.recv(READ_BYTES)
+                data = self._socket.recv(self._holdings.read_bytes)
             except TimeoutError:
                 raise RefusedRequestError(
                     ErrorKind.SLOW_SENDER, f"no whole head in {limits.head_timeout_s} s"
@@ -221,31 +186,42 @@
             if not data:
                 return None
             self.buffer += data
+            self._holdings.record_received()
+            self._hold_buffer()
 
-    def _read_body(self, protocol: h11.Connection, limits: CallerLimits) -> bytes:
+    def _read_body(
+        self, protocol: h11.Connection, limits: CallerLimits, length: int | None
+    ) -> bytes:
+        """Read a body of a length, or of chunks if it is None.
+
+        Only bytes of this request are passed to h11, which would keep a second copy of
+        those that were sent together with it.
+        """
         body = bytearray()
-        received = len(self.buffer)
+        received = 0
         max_received = MAX_WIRE_FACTOR * limits.body_bytes + EXTRA_WIRE_BYTES
         self._socket.settimeout(limits.idle_timeout_s)
-        if self.buffer:
-            protocol.receive_data(self.buffer)
-            self.buffer = b""
         while True:
             self._loop_share.take_step()
             try:
                 event = protocol.next_event()
                 if isinstance(event, h11.EndOfMessage):
+                    trailing = protocol.trailing_data[0]
+                    if trailing:
+                        self.buffer = bytearray(trailing) + self.buffer
                     return bytes(body)
                 if isinstance(event, h11.Data):
                     body += event.data
                     if len(body) > limits.body_bytes:
                         raise _make_too_large_error(limits)
-                    self._held.add(len(event.data))
+                    if len(body) > SMALL_BYTES:
+                        self._holdings.hold_body(len(body))
                     continue
                 # Only now none of what was received may belong to a later request.
                 if received > max_received:
                     raise _make_too_large_error(limits)
-                data = self._receive_body_bytes(protocol)
+                most = READ_BYTES if length is None else length - received
+                data = self._take_body_bytes(protocol, min(READ_BYTES, most))
             except h11.ProtocolError as error:
                 raise RefusedRequestError(ErrorKind.BAD_REQUEST, str(error)) from error
             except TimeoutError:
@@ -255,16 +231,31 @@
             received += len(data)
             protocol.receive_data(data)
 
-    def _receive_body_bytes(self, protocol: h11.Connection) -> bytes:
-        """Receive more of a body, after an interim answer if the caller awaits it."""
+    def _take_body_bytes(self, protocol: h11.Connection, most: int) -> bytes:
+        """Return more of a body, after an interim answer if the caller awaits it."""
+        if self.buffer:
+            data = bytes(self.buffer[:most])
+            del self.buffer[:most]
+            return data
         if protocol.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._socket.sendall(protocol.send(interim))
-        data = self._socket.recv(READ_BYTES)
+        data = self._socket.recv(most)
         if not data:
             raise CallerDisconnectedError("closed before its request was whole")
+        self._holdings.record_received()
         return data
 
 
+def find_length(request: h11.Request) -> int | None:
+    """Return the length of a request's body; None if it has chunks."""
+    for name, value in request.headers:
+        if name == b"content-length":
+            return int(value)
+        if name == b"transfer-encoding":
+            return None
+    return 0
+
+
 def _make_too_large_error(limits: CallerLimits) -> RefusedRequestError:
     return RefusedRequestError(ErrorKind.TOO_LARGE, f"over {limits.body_bytes} bytes")
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -64,6 +64,18 @@
     return milliseconds / _MS_PER_S if seconds is None else seconds
 
 
+class ResourcesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the machine has, from which the limits on callers are derived.
+
+    `max_descriptors` includes those that are reserved for files;
+    `connections_per_address` of 0 sets no limit.
+    """
+
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 1024
+    max_descriptors: Annotated[int, msgspec.Meta(ge=400)] = 16_384
+    connections_per_address: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Lowest level of the log entries that are written."""
 
@@ -82,6 +94,7 @@
     host: HostSection
     platform: PlatformSection
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
+    resources: ResourcesSection = msgspec.field(default_factory=ResourcesSection)
     log: LogSection = msgspec.field(default_factory=LogSection)
     metrics: MetricsSection = msgspec.field(default_factory=MetricsSection)
 
@@ -110,7 +123,7 @@
 
 
 # Sections whose changes take effect only when the process is restarted.
-RESTART_SECTIONS = ("host", "platform", "metrics")
+RESTART_SECTIONS = ("host", "platform", "metrics", "resources")
 
 
 class SettingsChange(NamedTuple):
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -10,7 +10,7 @@
 from rosemarystream._internal.decisions.prompt_parts import format_part
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.gateway.host_times import HostTimes
-from rosemarystream._internal.gateway.metrics import HostGauges
+from rosemarystream._internal.gateway.metrics import CallerGauges, HostGauges
 from rosemarystream._internal.gateway.request_ledger import (
     RequestBalance,
     RequestLedger,
@@ -115,6 +115,8 @@
         Returns the number of requests in progress.
     count_dropped_entries : callable
         Returns the number of log entries dropped since the start.
+    collect_callers : callable
+        Returns what is held for callers.
 
     Attributes
     ----------
@@ -136,6 +138,7 @@
         list_failing_loops: Callable[[], dict[str, FailingLoop]],
         count_busy: Callable[[], int],
         count_dropped_entries: Callable[[], int],
+        collect_callers: Callable[[], CallerGauges],
         left_out: IgnoredObjects,
         times: HostTimes,
         ledger: RequestLedger,
@@ -150,6 +153,7 @@
         self._blocks = blocks
         self._list_failing_loops = list_failing_loops
         self._count_busy = count_busy
+        self._collect_callers = collect_callers
         self._left_out = left_out
         self._times = times
         self._ledger = ledger
@@ -172,6 +176,7 @@
             store_lost_s=round(self.store_lost_s, 1),
             live_hosts=self._peer_table.count_live(now),
             lines_left_out=self._count_dropped_entries(),
+            callers=self._collect_callers(),
             services=self._router.list_gauges(),
         )
 
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -1,6 +1,10 @@
 """The catalogue of all kinds of log entries."""
 
 from rosemarystream._internal.models.log_entries.base import LogEntry
+from rosemarystream._internal.models.log_entries.callers import (
+    CallerClosed,
+    CallerRefused,
+)
 from rosemarystream._internal.models.log_entries.endings import (
     RequestsCounted,
     RequestsUnbalanced,
@@ -74,6 +78,8 @@
     PromptPartReleased,
     RequestRefusedEarly,
     CallerConnectionBroken,
+    CallerRefused,
+    CallerClosed,
     RequestsUnbalanced,
     RequestsCounted,
     LimitedSends,
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -18,6 +18,7 @@
 from rosemarystream._internal.utils.loop_share import LoopShare
 from rosemarystream._internal.utils.read_watch import ReadWatch
 from rosemarystream._internal.utils.remainder_sender import (
+    Piece,
     RemainderSender,
     send_some,
 )
@@ -99,9 +100,14 @@
         self._loop_share = LoopShare()
         self._late_until: float | None = None
 
-    def connect(self, deadline: float) -> None:
+    def connect(self, deadline: float, *, receive_bytes: int | None = None) -> None:
         """Open the connection.
 
+        Parameters
+        ----------
+        receive_bytes : int or None
+            Bound on what the kernel receives before it is read, in bytes.
+
         Raises
         ------
         ConnectError
@@ -110,6 +116,10 @@
         tcp_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         tcp_socket.settimeout(max(MIN_WAIT_S, deadline - self._clock()))
         try:
+            if receive_bytes is not None:
+                tcp_socket.setsockopt(
+                    plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, receive_bytes
+                )
             tcp_socket.connect(split_address(self.address))
             set_socket_options(tcp_socket)
         except OSError as error:
@@ -143,20 +153,35 @@
         if body:
             self._request_events.append(h11.Data(data=body))
         self._request_events.append(h11.EndOfMessage())
-        data = self._encode_request()
+        pieces = self._encode_request()
+        is_long = len(body) > LONG_REQUEST_BYTES
+        if not is_long:
+            pieces = [b"".join(pieces)]
         try:
-            self._allow_long_request(len(data) > LONG_REQUEST_BYTES)
-            sent = send_some(self._socket, data)
+            self._allow_long_request(is_long)
+            rest = self._send_at_once(pieces)
         except OSError as error:
             raise ConnectionBrokenError(
                 f"sending to {self.address}: {error}"
             ) from error
-        if sent < len(data):
-            self._remainder = RemainderSender(opened=self._socket, data=data[sent:])
+        if rest:
+            self._remainder = RemainderSender(opened=self._socket, pieces=rest)
+
+    def _encode_request(self) -> list[bytes]:
+        """Encode the request; h11 expects its answer from then on.
 
-    def _encode_request(self) -> bytes:
-        """Encode the request; h11 expects its answer from then on."""
-        return b"".join(self._protocol.send(event) for event in self._request_events)
+        The body is not copied, as it may be megabytes long.
+        """
+        return [self._protocol.send(event) or b"" for event in self._request_events]
+
+    def _send_at_once(self, pieces: list[bytes]) -> list[Piece]:
+        """Send what the socket accepts; return the rest."""
+        assert self._socket is not None
+        for number, piece in enumerate(pieces):
+            sent = send_some(self._socket, piece)
+            if sent < len(piece):
+                return [memoryview(piece)[sent:], *pieces[number + 1 :]]
+        return []
 
     def _allow_long_request(self, is_long: bool) -> None:
         if is_long != self._is_long:
--- a/src/rosemarystream/_internal/utils/remainder_sender.py
+++ b/src/rosemarystream/_internal/utils/remainder_sender.py
@@ -1,9 +1,13 @@
 """Sends the rest of a request while its answer is read."""
 
+from collections.abc import Sequence
+
 import gevent
 from gevent import socket
 from gevent.socket import wait_write
 
+Piece = bytes | memoryview
+
 
 class RemainderSender:
     """Sends bytes in a greenlet, since a server may answer before it has them all.
@@ -12,7 +16,7 @@
     ----------
     opened : socket
         Connection to the server.
-    data : bytes
+    pieces : sequence of bytes or memoryview
         What the socket has not accepted yet.
 
     Attributes
@@ -21,10 +25,10 @@
         Unexpected error that ended the sending; the connection is shut down then.
     """
 
-    def __init__(self, *, opened: socket.socket, data: bytes) -> None:
+    def __init__(self, *, opened: socket.socket, pieces: Sequence[Piece]) -> None:
         self.error: Exception | None = None
         self._socket = opened
-        self._greenlet = gevent.spawn(self._send, data)
+        self._greenlet = gevent.spawn(self._send, pieces)
 
     def is_done(self) -> bool:
         """Return whether the sending has ended."""
@@ -34,13 +38,14 @@
         """End the sending."""
         self._greenlet.kill(block=False)
 
-    def _send(self, data: bytes) -> None:
-        rest = memoryview(data)
+    def _send(self, pieces: Sequence[Piece]) -> None:
         try:
-            while rest:
-                # By itself: the time limit of the socket is that of its reads.
-                wait_write(self._socket.fileno())
-                rest = rest[send_some(self._socket, rest) :]
+            for piece in pieces:
+                rest = memoryview(piece)
+                while rest:
+                    # By itself: the time limit of the socket is that of its reads.
+                    wait_write(self._socket.fileno())
+                    rest = rest[send_some(self._socket, rest) :]
         except OSError:
             # Reading the answer fails with the same error.
             return
@@ -50,7 +55,7 @@
             self._socket.shutdown(socket.SHUT_RDWR)
 
 
-def send_some(opened: socket.socket, data: bytes | memoryview) -> int:
+def send_some(opened: socket.socket, data: Piece) -> int:
     """Send what a socket accepts at once; return the number of bytes."""
     try:
         return opened._sock.send(data)
--- a/src/rosemarystream/_internal/utils/server_sent_events.py
+++ b/src/rosemarystream/_internal/utils/server_sent_events.py
@@ -49,6 +49,11 @@
             start = match.end()
         del self._buffer[:start]
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes that are buffered."""
+        return len(self._buffer)
+
     @property
     def remainder(self) -> bytes:
         """Bytes of the incomplete event at the end of the stream."""
--- a/standins/bulk_server.py
+++ b/standins/bulk_server.py
@@ -62,8 +62,7 @@
             return None
         missing -= len(piece)
     name = "x-rosemarystream-attempt-id"
-    identity = next(line for line in lines if line.lower().startswith(name))
-    return identity
+    return next(line for line in lines if line.lower().startswith(name))
 
 
 if __name__ == "__main__":
--- a/tests/properties/test_parsers.py
+++ b/tests/properties/test_parsers.py
@@ -13,6 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rosemarystream._internal.decisions.caller_budget import HeldKind
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.gateway.listener import Listener
 from rosemarystream._internal.models.gossip import (
@@ -164,7 +165,7 @@
     with socket.create_connection(address, timeout=DEADLINE_S) as caller:
         caller.sendall(whole)
         assert caller.recv(100).startswith(b"HTTP/1.1 200")
-    assert listener.held.count == 0
+    assert listener.resources.budget.held[HeldKind.BODIES] == 0
 
 
 def send_and_read_to_end(far, pieces):
--- a/tests/unit/test_request_reader.py
+++ b/tests/unit/test_request_reader.py
@@ -2,7 +2,11 @@
 
 import time
 
-from rosemarystream._internal.gateway.request_reader import HeldBytes, RequestReader
+from rosemarystream._internal.gateway.caller_resources import (
+    OPERATOR_LIMITS,
+    CallerResources,
+)
+from rosemarystream._internal.gateway.request_reader import RequestReader
 
 
 class _PausedSocket:
@@ -25,9 +29,14 @@
         return self._data
 
 
+def make_holdings():
+    resources = CallerResources(limits=OPERATOR_LIMITS, clock=time.monotonic)
+    return resources.open(None, "127.0.0.1")
+
+
 def test_a_request_that_arrived_before_the_idle_time_was_seen_to_be_over_is_read():
     reader = RequestReader(
-        opened=_PausedSocket(b"GET /"), held=HeldBytes(), clock=time.monotonic
+        opened=_PausedSocket(b"GET /"), holdings=make_holdings(), clock=time.monotonic
     )
     assert reader.await_first_byte(1.0)
     assert reader.buffer == b"GET /"
@@ -35,6 +44,6 @@
 
 def test_a_connection_that_stays_idle_is_left():
     reader = RequestReader(
-        opened=_PausedSocket(b""), held=HeldBytes(), clock=time.monotonic
+        opened=_PausedSocket(b""), holdings=make_holdings(), clock=time.monotonic
     )
     assert not reader.await_first_byte(1.0)
