--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -27,6 +27,7 @@
     def __init__(self, *, clock: Callable[[], float], max_all_idle: int) -> None:
         self._clock = clock
         self._max_all_idle = max_all_idle
+        self._all_idle = 0
         self._idle: dict[tuple[str, str, int], list[ClientConnection]] = {}
         self._max_idle_s: dict[str, float] = {}
 
@@ -46,6 +47,7 @@
             if connection in excluded:
                 continue
             idle.remove(connection)
+            self._all_idle -= 1
             fresh = self._clock() - connection.idle_since < max_idle_s
             if fresh and connection.is_reusable():
                 return connection
@@ -94,13 +96,12 @@
         if keep_alive_s is not None:
             self._max_idle_s[endpoint.name] = keep_alive_s * KEEP_ALIVE_SHARE
         idle = self._idle.setdefault(_key(endpoint), [])
-        if len(idle) >= MAX_IDLE or self._is_full() or not connection.finish():
+        is_full = len(idle) >= MAX_IDLE or self._all_idle >= self._max_all_idle
+        if is_full or not connection.finish():
             connection.close()
             return
         idle.append(connection)
-
-    def _is_full(self) -> bool:
-        return sum(map(len, self._idle.values())) >= self._max_all_idle
+        self._all_idle += 1
 
     def close_others(self, endpoints: list[Endpoint]) -> None:
         """Close the connections to all servers but those given."""
@@ -108,6 +109,7 @@
         for key in [key for key in self._idle if key not in kept]:
             for connection in self._idle.pop(key):
                 connection.close()
+                self._all_idle -= 1
             self._max_idle_s.pop(key[0], None)
 
 
--- a/tests/functional/test_late_refusals.py
+++ b/tests/functional/test_late_refusals.py
@@ -99,7 +99,7 @@
 
 def test_a_pool_keeps_the_connections_that_a_request_must_not_use():
     endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
-    pool = ConnectionPool(clock=lambda: 10.0)
+    pool = ConnectionPool(clock=lambda: 10.0, max_all_idle=9)
     connections = [_Connection() for _ in range(3)]
     for connection in connections:
         pool.put(endpoint, connection, keep_alive_s=None)
--- a/tests/unit/test_answer_relay.py
+++ b/tests/unit/test_answer_relay.py
@@ -15,7 +15,11 @@
 
 def make_relay():
     answer = SimpleNamespace(
-        has_begun=False, send_head=lambda *a: None, end=lambda: None
+        has_begun=False,
+        was_blocked=False,
+        send_head=lambda *a: None,
+        end=lambda: None,
+        hold=lambda size: None,
     )
     router = SimpleNamespace(record_outcome=lambda *a, **b: None)
     crashes = SimpleNamespace(record_answer=lambda *a: None)
