Count the pieces of answers that are on their way to callers

Cause: 1,600 callers that don't read answers of 250 KB, four times the load of the table, took 302 MB: requests began while little was held, and each of them then held a piece of 64 KB in three copies.

--- a/src/rosemarystream/_internal/decisions/caller_budget.py
+++ b/src/rosemarystream/_internal/decisions/caller_budget.py
@@ -42,9 +42,13 @@
 CLOSE_TARGET_SHARE = 0.7
 
 # Cost of a connection and of a request in progress, without their bytes: 11 KB and
-# 20 KB of the process, and what the kernel keeps for their sockets.
+# 20 KB of the process, and what the kernel keeps for their sockets. To that comes one
+# piece of the answer as it is read while scarce, in three copies: as it was received,
+# split off, and as it is sent. Without it, requests that begin before their answers
+# arrive exceed the budget together.
 CONNECTION_COST = 16_000
-REQUEST_COST = 32_000
+REQUEST_COST = 80_000
+COPIES = 3
 # Bytes that are part of these costs.
 SMALL_BYTES = 4_096
 # What a caller that doesn't read takes of the kernel beside the bytes not yet sent: its
--- a/src/rosemarystream/_internal/gateway/caller_resources.py
+++ b/src/rosemarystream/_internal/gateway/caller_resources.py
@@ -10,6 +10,7 @@
 from rosemarystream._internal.decisions.caller_budget import (
     ANSWER_BYTES,
     BODY_COST_FACTOR,
+    COPIES,
     MAX_RECEIVE_BYTES,
     PIPELINED_REQUESTS,
     READ_AHEAD_BYTES,
@@ -45,6 +46,8 @@
 # 64 KB carries 100 Mbit/s over 5 ms. The larger one takes fewer reads for a long body.
 ANSWER_BUFFER_BYTES = 65_536
 REQUEST_BUFFER_BYTES = MAX_RECEIVE_BYTES // 2
+# Buffers for answers of requests that begin while memory is scarce.
+SCARCE_BUFFER_BYTES = 16_384
 # Refused connections that are answered at the same time; others are closed at once.
 ANSWERED_REFUSALS = 32
 # Limits of the addresses for operators, from which few connections come.
@@ -166,6 +169,16 @@
         )
         write_log_entry(log, entry)
 
+    @property
+    def answer_read_bytes(self) -> int:
+        """Most bytes of an answer to read from a server at once."""
+        return SCARCE_ANSWER_BYTES if self.budget.is_scarce else READ_BYTES
+
+    @property
+    def answer_buffer_bytes(self) -> int:
+        """Receive buffer of a new connection to a server."""
+        return SCARCE_BUFFER_BYTES if self.budget.is_scarce else ANSWER_BUFFER_BYTES
+
     def collect_gauges(self) -> CallerGauges:
         """Return what is held now."""
         budget = self.budget
@@ -199,9 +212,11 @@
         self._budget = resources.budget
         self._clock = clock
         self._is_begun = False
+        self._socket: socket.socket | None = None
 
     def limit_buffers(self, opened: socket.socket) -> None:
         """Set the receive buffer of the connection, where the usual one is too much."""
+        self._socket = opened
         granted = self.account.receive_bytes
         if granted < MAX_RECEIVE_BYTES:
             # The kernel doubles what it is given.
@@ -283,6 +298,12 @@
         self.account.requests += 1
         self.account.enter(Phase.SERVING, self._clock())
         self.account.hold(HeldKind.REQUESTS, REQUEST_COST)
+        if budget.is_scarce and self._socket is not None:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SCARCE_BUFFER_BYTES
+            )
+            # Once for each connection.
+            self._socket = None
 
     def end_request(self) -> None:
         """Stop counting a request, whether it had begun or was only being read."""
@@ -297,7 +318,7 @@
     def begin_write(self, size: int) -> None:
         """Count bytes that the caller has not taken yet."""
         self.account.enter(Phase.WRITING, self._clock())
-        self.account.hold(HeldKind.UNREAD, size + UNREAD_COST)
+        self.account.hold(HeldKind.UNREAD, COPIES * size + UNREAD_COST)
         self._resources.make_room()
 
     def end_write(self) -> None:
--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Collection
 
-from rosemarystream._internal.gateway.caller_resources import ANSWER_BUFFER_BYTES
+from rosemarystream._internal.gateway.caller_resources import CallerResources
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.utils.http_connection import ClientConnection
 
@@ -20,13 +20,16 @@
 
     Parameters
     ----------
-    max_all_idle : int
-        Idle connections to all servers together.
+    resources : CallerResources
+        Bounds the idle connections to all servers together, and what is read at once.
     """
 
-    def __init__(self, *, clock: Callable[[], float], max_all_idle: int) -> None:
+    def __init__(
+        self, *, clock: Callable[[], float], resources: CallerResources
+    ) -> None:
         self._clock = clock
-        self._max_all_idle = max_all_idle
+        self._resources = resources
+        self._max_all_idle = resources.budget.limits.idle_servers
         self._all_idle = 0
         self._idle: dict[tuple[str, str, int], list[ClientConnection]] = {}
         self._max_idle_s: dict[str, float] = {}
@@ -62,10 +65,14 @@
         ConnectError
             If the connection is not made by the deadline.
         """
-        connection = ClientConnection(address=endpoint.address, clock=self._clock)
+        connection = ClientConnection(
+            address=endpoint.address,
+            clock=self._clock,
+            get_read_bytes=lambda: self._resources.answer_read_bytes,
+        )
         connection.connect(
             min(deadline, self._clock() + CONNECT_TIMEOUT_S),
-            receive_bytes=ANSWER_BUFFER_BYTES,
+            receive_bytes=self._resources.answer_buffer_bytes,
         )
         return connection
 
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -138,7 +138,10 @@
             max_descriptors=min(resources.max_descriptors, _read_max_descriptors()),
             per_address=resources.connections_per_address,
         )
-        self._pool = ConnectionPool(clock=self._clock, max_all_idle=limits.idle_servers)
+        callers = CallerResources(
+            limits=limits, clock=self._clock, metrics=self._metrics
+        )
+        self._pool = ConnectionPool(clock=self._clock, resources=callers)
         self._router = Router(
             data_centre=host.data_centre,
             bounds=settings.bounds,
@@ -220,9 +223,7 @@
             record_error=self._record_error,
             clock=self._clock,
             ledger=self._ledger,
-            resources=CallerResources(
-                limits=limits, clock=self._clock, metrics=self._metrics
-            ),
+            resources=callers,
         )
         self._state = StateReport(
             name=host.name,
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -80,6 +80,8 @@
         ``ip:port`` of the server.
     clock : callable
         Returns the current time in seconds.
+    get_read_bytes : callable, optional
+        Returns how many bytes are read at once.
 
     Attributes
     ----------
@@ -87,11 +89,18 @@
         When bytes last arrived for the request in progress; None if none have.
     """
 
-    def __init__(self, *, address: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: Clock,
+        get_read_bytes: Callable[[], int] = lambda: READ_BYTES,
+    ) -> None:
         self.address = address
         self.idle_since = 0.0
         self.received_at: float | None = None
         self._clock = clock
+        self._get_read_bytes = get_read_bytes
         self._socket: socket.socket | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._request_events: list[h11.Event] = []
@@ -275,7 +284,7 @@
                 if event is not h11.NEED_DATA:
                     return event
                 self._socket.settimeout(wait_s)
-                data = self._socket.recv(READ_BYTES)
+                data = self._socket.recv(self._get_read_bytes())
                 is_closed = not data
                 self.received_at = self._clock()
                 if self._remainder is not None:
--- a/tests/functional/test_late_refusals.py
+++ b/tests/functional/test_late_refusals.py
@@ -3,6 +3,10 @@
 import gevent
 import pytest
 
+from rosemarystream._internal.gateway.caller_resources import (
+    OPERATOR_LIMITS,
+    CallerResources,
+)
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from tests.lib.entry_world import World, make_configuration, make_route, wait_until
@@ -99,7 +103,10 @@
 
 def test_a_pool_keeps_the_connections_that_a_request_must_not_use():
     endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
-    pool = ConnectionPool(clock=lambda: 10.0, max_all_idle=9)
+    resources = CallerResources(
+        limits=OPERATOR_LIMITS._replace(idle_servers=9), clock=lambda: 10.0
+    )
+    pool = ConnectionPool(clock=lambda: 10.0, resources=resources)
     connections = [_Connection() for _ in range(3)]
     for connection in connections:
         pool.put(endpoint, connection, keep_alive_s=None)
