--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection
 
+from rosemarystream._internal.gateway.caller_resources import CallerResources
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.utils.http_connection import ClientConnection
 
@@ -15,10 +16,21 @@
 
 
 class ConnectionPool:
-    """Keeps idle connections by server incarnation; the last one used goes first."""
+    """Keeps idle connections by server incarnation; the last one used goes first.
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
+    Parameters
+    ----------
+    resources : CallerResources
+        Bounds the idle connections to all servers together, and what is read at once.
+    """
+
+    def __init__(
+        self, *, clock: Callable[[], float], resources: CallerResources
+    ) -> None:
         self._clock = clock
+        self._resources = resources
+        self._max_all_idle = resources.budget.limits.idle_servers
+        self._all_idle = 0
         self._idle: dict[tuple[str, str, int], list[ClientConnection]] = {}
         self._max_idle_s: dict[str, float] = {}
 
@@ -45,6 +57,7 @@
             if connection in excluded or connection.had_request(request_id):
                 continue
             idle.remove(connection)
+            self._all_idle -= 1
             fresh = self._clock() - connection.idle_since < max_idle_s
             if fresh and connection.is_reusable():
                 return connection
@@ -59,8 +72,15 @@
         ConnectError
             If the connection is not made by the deadline.
         """
-        connection = ClientConnection(address=endpoint.address, clock=self._clock)
-        connection.connect(min(deadline, self._clock() + CONNECT_TIMEOUT_S))
+        connection = ClientConnection(
+            address=endpoint.address,
+            clock=self._clock,
+            get_read_bytes=lambda: self._resources.answer_read_bytes,
+        )
+        connection.connect(
+            min(deadline, self._clock() + CONNECT_TIMEOUT_S),
+            receive_bytes=self._resources.answer_buffer_bytes,
+        )
         return connection
 
     def probe(self, endpoint: Endpoint) -> None:
@@ -90,10 +110,12 @@
         if keep_alive_s is not None:
             self._max_idle_s[endpoint.name] = keep_alive_s * KEEP_ALIVE_SHARE
         idle = self._idle.setdefault(_key(endpoint), [])
-        if len(idle) >= MAX_IDLE or not connection.finish():
+        is_full = len(idle) >= MAX_IDLE or self._all_idle >= self._max_all_idle
+        if is_full or not connection.finish():
             connection.close()
             return
         idle.append(connection)
+        self._all_idle += 1
 
     def close_others(self, endpoints: list[Endpoint]) -> None:
         """Close the connections to all servers but those given."""
@@ -101,6 +123,7 @@
         for key in [key for key in self._idle if key not in kept]:
             for connection in self._idle.pop(key):
                 connection.close()
+                self._all_idle -= 1
             self._max_idle_s.pop(key[0], None)
 
 
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -19,6 +19,7 @@
 from rosemarystream._internal.utils.loop_share import LoopShare
 from rosemarystream._internal.utils.read_watch import ReadWatch
 from rosemarystream._internal.utils.remainder_sender import (
+    Piece,
     RemainderSender,
     send_some,
 )
@@ -83,6 +84,8 @@
         ``ip:port`` of the server.
     clock : callable
         Returns the current time in seconds.
+    get_read_bytes : callable, optional
+        Returns how many bytes are read at once.
 
     Attributes
     ----------
@@ -90,11 +93,18 @@
         When bytes last arrived for the request in progress; None if none have.
     """
 
-    def __init__(self, *, address: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: Clock,
+        get_read_bytes: Callable[[], int] = lambda: READ_BYTES,
+    ) -> None:
         self.address = address
         self.idle_since = 0.0
         self.received_at: float | None = None
         self._clock = clock
+        self._get_read_bytes = get_read_bytes
         self._socket: socket.socket | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._request_events: list[h11.Event] = []
@@ -114,9 +124,14 @@
         """Return whether one of the last requests had this id."""
         return hash(request_id) in self._recent_requests
 
-    def connect(self, deadline: float) -> None:
+    def connect(self, deadline: float, *, receive_bytes: int | None = None) -> None:
         """Open the connection.
 
+        Parameters
+        ----------
+        receive_bytes : int or None
+            Bound on what the kernel receives before it is read, in bytes.
+
         Raises
         ------
         ConnectError
@@ -125,6 +140,10 @@
         tcp_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         tcp_socket.settimeout(max(MIN_WAIT_S, deadline - self._clock()))
         try:
+            if receive_bytes is not None:
+                tcp_socket.setsockopt(
+                    plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, receive_bytes
+                )
             tcp_socket.connect(split_address(self.address))
             set_socket_options(tcp_socket)
         except OSError as error:
@@ -158,20 +177,35 @@
         if body:
             self._request_events.append(h11.Data(data=body))
         self._request_events.append(h11.EndOfMessage())
-        data = self._encode_request()
+        pieces = self._encode_request()
+        is_long = len(body) > LONG_REQUEST_BYTES
+        if not is_long:
+            pieces = [b"".join(pieces)]
         try:
-            self._allow_long_request(len(data) > LONG_REQUEST_BYTES)
-            sent = send_some(self._socket, data)
+            self._allow_long_request(is_long)
+            rest = self._send_at_once(pieces)
         except OSError as error:
             raise ConnectionBrokenError(
                 f"sending to {self.address}: {error}"
             ) from error
-        if sent < len(data):
-            self._remainder = RemainderSender(opened=self._socket, data=data[sent:])
+        if rest:
+            self._remainder = RemainderSender(opened=self._socket, pieces=rest)
+
+    def _encode_request(self) -> list[bytes]:
+        """Encode the request; h11 expects its answer from then on.
 
-    def _encode_request(self) -> bytes:
-        """Encode the request; h11 expects its answer from then on."""
-        return b"".join(self._protocol.send(event) for event in self._request_events)
+        The body is not copied, as it may be megabytes long.
+        """
+        return [self._protocol.send(event) or b"" for event in self._request_events]
+
+    def _send_at_once(self, pieces: list[bytes]) -> list[Piece]:
+        """Send what the socket accepts; return the rest."""
+        assert self._socket is not None
+        for number, piece in enumerate(pieces):
+            sent = send_some(self._socket, piece)
+            if sent < len(piece):
+                return [memoryview(piece)[sent:], *pieces[number + 1 :]]
+        return []
 
     def _allow_long_request(self, is_long: bool) -> None:
         if is_long != self._is_long:
@@ -265,7 +299,7 @@
                 if event is not h11.NEED_DATA:
                     return event
                 self._socket.settimeout(wait_s)
-                data = self._socket.recv(READ_BYTES)
+                data = self._socket.recv(self._get_read_bytes())
                 is_closed = not data
                 self.received_at = self._clock()
                 if self._remainder is not None:
--- a/tests/functional/test_late_refusals.py
+++ b/tests/functional/test_late_refusals.py
@@ -3,6 +3,10 @@
 import gevent
 import pytest
 
+from rosemarystream._internal.gateway.caller_resources import (
+    OPERATOR_LIMITS,
+    CallerResources,
+)
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from tests.lib.entry_world import World, make_configuration, make_route, wait_until
@@ -121,9 +125,15 @@
         raise AssertionError("a connection that can be used was closed")
 
 
+def make_pool():
+    limits = OPERATOR_LIMITS._replace(idle_servers=9)
+    resources = CallerResources(limits=limits, clock=lambda: 10.0)
+    return ConnectionPool(clock=lambda: 10.0, resources=resources)
+
+
 def test_a_pool_keeps_the_connections_that_a_request_must_not_use():
     endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
-    pool = ConnectionPool(clock=lambda: 10.0)
+    pool = make_pool()
     connections = [_Connection() for _ in range(3)]
     for connection in connections:
         pool.put(endpoint, connection, keep_alive_s=None)
@@ -136,7 +146,7 @@
 
 def test_a_pool_keeps_the_connections_that_had_a_request_with_the_same_id():
     endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
-    pool = ConnectionPool(clock=lambda: 10.0)
+    pool = make_pool()
     connections = [_Connection() for _ in range(2)]
     for connection in connections:
         pool.put(endpoint, connection, keep_alive_s=None)
--- a/tests/lib/late_copies.py
+++ b/tests/lib/late_copies.py
@@ -1,6 +1,7 @@
 """Backend servers that follow steps, and send second copies of their answers."""
 
 import contextlib
+import time
 from types import SimpleNamespace
 from typing import NamedTuple
 
@@ -10,6 +11,10 @@
 from gevent.server import StreamServer
 
 from rosemarystream._internal.gateway.answer_writer import AnswerWriter
+from rosemarystream._internal.gateway.caller_resources import (
+    OPERATOR_LIMITS,
+    CallerResources,
+)
 
 ACTS = ("wait", "refuse", "misdirect", "answer", "fail", "close", "hang")
 # Acts that take a connection away from the requests that follow are rare.
@@ -199,9 +204,17 @@
     protocol = h11.Connection(h11.SERVER)
     protocol.receive_data(method + b" / HTTP/1.1\r\nhost: x\r\n\r\n")
     protocol.next_event()
+    resources = CallerResources(limits=OPERATOR_LIMITS, clock=time.monotonic)
+
+    def send(data, *_):
+        sent.extend(data)
+        return len(data)
+
     return AnswerWriter(
-        connection=SimpleNamespace(sendall=sent.extend),
+        connection=SimpleNamespace(_sock=SimpleNamespace(send=send)),
         protocol=protocol,
+        holdings=resources.open(None, "127.0.0.1"),
+        clock=time.monotonic,
         has_body=method != b"HEAD",
         is_closing=False,
         is_leaving=bool,
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -342,6 +342,12 @@
     ProcessPauses.measure_hold = lambda self, now: 0.0
 
 
+def close_no_caller():
+    from rosemarystream._internal.decisions.caller_budget import CallerBudget
+
+    CallerBudget.choose_closed = lambda self, now: []
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -388,6 +394,7 @@
         serve_without_evacuations,
         send_once_connected,
         send_after_pauses,
+        close_no_caller,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -179,6 +179,11 @@
         "send_after_pauses",
         f"{EVACUATIONS} -k paused_host",
     ),
+    Row(
+        "entry-callers",
+        "close_no_caller",
+        f"{UNIT}test_caller_budget.py -k reads_nothing",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
