Plain services: requests wait or are refused unsent while servers are full (unfinished)

Cause: at 2.4 times the usual rate of one kind every host sends all its requests to servers that refuse them, and callers return after 0.1 s. Functional test not yet passing.

--- /dev/null
+++ b/src/rosemarystream/_internal/decisions/admission_share.py
@@ -0,0 +1,108 @@
+"""The share of the requests for a plain service that a host sends at each look.
+
+Handles demand above the capacity of a service at many hosts that know each other's
+counts some tenths of a second late. In that time the servers change all of their
+requests, so free places can't be counted and taken: all hosts would take the same ones.
+Each host instead sends a share of its requests. It lowers the share while the servers
+hold more than they should and raises it while they hold less; as all hosts see about
+the same counts, their shares move together, and no host needs to know how many others
+there are or how fast the servers work.
+"""
+
+from math import exp
+from typing import NamedTuple
+
+# Requests that servers should hold for each of their slots. Hosts can't level the
+# servers out within the age of the counts: with 1.5 a server has idle slots, some 12 in
+# 100 of them in the replayed bursts, while others queue requests.
+TARGET_FILL = 2.2
+# Below this, places are free at the servers, and every request is sent at once.
+OPEN_FILL = 1.0
+# Time constant of the mean over the known fill, in seconds; single counts scatter.
+SMOOTHING_S = 0.2
+# Change of the share in a second for each request too many or too few at a slot. With
+# the age of the counts, a larger one makes the shares of all hosts swing together.
+INTEGRAL_PER_S = 0.25
+# Change of the share at once.
+PROPORTIONAL = 0.2
+# Time in which the share rises from 0 to 1 while places are free, in seconds.
+RECOVERY_S = 0.2
+# Least share, so that no kind of request is kept from the service.
+MIN_SHARE = 0.02
+# Longest time between two observations that counts; more would be a guess.
+MAX_GAP_S = 1.0
+# Part of the share that the less urgent ranks of a service get.
+OTHER_RANKS = 0.95
+# Fill from which requests that can't meet their objective are not sent at all, and
+# decrease of their part for each request at a slot.
+LATE_FILL = 1.4
+LATE_SLOPE = 4.0
+
+
+class ServiceLoad(NamedTuple):
+    """Load of a service as a host knows it.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that its servers run at once.
+    requests : float
+        Requests that they hold, over all hosts.
+    """
+
+    slots: int
+    requests: float
+
+    @property
+    def fill(self) -> float:
+        """Requests for each slot."""
+        return self.requests / self.slots if self.slots else 0.0
+
+
+class AdmissionShare:
+    """Share of a service's requests that one host sends."""
+
+    def __init__(self) -> None:
+        self._share = 1.0
+        self._fill = 0.0
+        self._observed_at = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether places are known to be free."""
+        return self._fill < OPEN_FILL
+
+    @property
+    def value(self) -> float:
+        """The share, 0 to 1, without what depends on the request."""
+        return self._share
+
+    def observe(self, load: ServiceLoad, now: float) -> None:
+        """Enter the known load at a time."""
+        elapsed_s = max(0.0, min(now - self._observed_at, MAX_GAP_S))
+        self._observed_at = now
+        weight = 1.0 - exp(-elapsed_s / SMOOTHING_S)
+        self._fill += weight * (load.fill - self._fill)
+        if self.is_open:
+            change = elapsed_s / RECOVERY_S
+        else:
+            change = INTEGRAL_PER_S * elapsed_s * (TARGET_FILL - self._fill)
+        self._share = min(1.0, max(MIN_SHARE, self._share + change))
+
+    def find(self, *, is_urgent: bool, is_late: bool) -> float:
+        """Return the share for a request, 0 to 1.
+
+        Parameters
+        ----------
+        is_urgent : bool
+            Whether its rank is the most urgent one of the service.
+        is_late : bool
+            Whether it can't meet its objective any more. Such a request gets what
+            others leave.
+        """
+        share = self._share + PROPORTIONAL * (TARGET_FILL - self._fill)
+        share = min(1.0, max(MIN_SHARE, share))
+        if is_late:
+            left = LATE_SLOPE * (LATE_FILL - self._fill)
+            return share * min(1.0, max(0.0, left))
+        return share if is_urgent else share * OTHER_RANKS
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from rosemarystream._internal.decisions.admission_share import ServiceLoad
 from rosemarystream._internal.decisions.hashing import order_candidates, pick_candidate
 from rosemarystream._internal.decisions.load_spreading import pick_spread
 from rosemarystream._internal.models.call import PromptPart
@@ -146,6 +147,8 @@
         Server from which the cached context of the prompt is copied.
     slowness : float
         How much longer work probably takes at the server at this moment.
+    service_load : ServiceLoad or None
+        Load of a plain service; None if it isn't known.
     """
 
     endpoint: Endpoint
@@ -159,6 +162,7 @@
     counts_age_s: float = 0.0
     source: Endpoint | None = None
     slowness: float = 1.0
+    service_load: ServiceLoad | None = None
 
 
 def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -27,6 +27,7 @@
     Priority,
     PriorityTable,
     build_priority_table,
+    find_urgent_ranks,
 )
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.server_availability import (
@@ -38,6 +39,7 @@
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
 from rosemarystream._internal.gateway.retry_budgets import RetryBudgets
 from rosemarystream._internal.gateway.server_statements import ServerStatements
+from rosemarystream._internal.gateway.service_lines import ServiceLines
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
@@ -103,6 +105,12 @@
             clock=clock,
             read_epoch_s=read_epoch_s,
         )
+        self.lines = ServiceLines(
+            availability=self.availability,
+            loads=loads,
+            occupancy=self.statements.occupancy,
+            clock=clock,
+        )
         self.observations = FleetObservations(
             speeds=self.speeds,
             limits=self.limits,
@@ -117,6 +125,8 @@
         self._on_load = on_load
         self._priorities = PriorityTable(pairs=())
         self._priorities_version = 0
+        self._urgent_ranks: dict[str, int] = {}
+        self._urgent_ranks_version = 0
         self._incarnations: dict[str, int] = {}
         self._retries = RetryBudgets(bounds=bounds, peer_table=peer_table, clock=clock)
         self._placer = ContextPlacer(
@@ -207,6 +217,10 @@
             load.counts[endpoint.number],
             counts_age_s=counts_age_s,
             slowness=self.speeds.estimate(endpoint.number, now),
+            # Without all of its servers the load of the service isn't known.
+            service_load=None
+            if exclude
+            else self.lines.sum_load(candidates, load, counts_age_s, now),
         )
 
     def _estimate_unseen(self, service: str, age_s: float, now: float) -> float:
@@ -264,6 +278,20 @@
             self._priorities_version = self.replica.version
         return self._priorities.find(rank, route.objective_s)
 
+    def is_plain(self, service: str) -> bool:
+        """Return whether the servers of a service keep no context."""
+        configuration = self.replica.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known is not None and not known.cache_tokens
+
+    def is_most_urgent(self, rank: int, service: str) -> bool:
+        """Return whether no request for a service can have a more urgent rank."""
+        if self._urgent_ranks_version != self.replica.version:
+            assert self.replica.configuration is not None
+            self._urgent_ranks = find_urgent_ranks(self.replica.configuration)
+            self._urgent_ranks_version = self.replica.version
+        return rank <= self._urgent_ranks.get(service, rank)
+
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
         self._loads.begin(endpoint.number)
@@ -306,6 +334,7 @@
                 self.contexts.forget_server(number)
                 self.speeds.forget_server(number)
                 self.availability.forget(name, number)
+                self.statements.occupancy.forget_server(number)
         self._incarnations = present
         self.availability.set_registered(endpoints)
 
@@ -385,6 +414,8 @@
             leaving=len(self.replica.list_ready(service)) - len(ready),
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
             retries_left=round(self._retries.count_left(service), 1),
+            requests_waiting=self.lines.count_waiting(service),
+            admission_share=round(self.lines.find_share(service), 3),
         )
 
     def suggest_retry_after(self) -> float:
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -51,6 +51,10 @@
     ServerStillUnreachable,
     ServicesUnreachable,
 )
+from rosemarystream._internal.models.log_entries.services import (
+    ServiceFull,
+    ServiceNotFull,
+)
 from rosemarystream._internal.models.log_entries.store import (
     BlockNotStored,
     BlockRecordInvalid,
@@ -89,6 +93,8 @@
     ServerLimitChanged,
     ServicesUnreachable,
     ServerStillUnreachable,
+    ServiceFull,
+    ServiceNotFull,
     BlockNotStored,
     BlockRecordInvalid,
     HostRecordInvalid,
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -122,6 +122,10 @@
         Whether it answers with a stream of server-sent events.
     work_s : float
         Time until its answer, or between two events, in seconds.
+    slots : int
+        Slots that its entry states.
+    places : int or None
+        Requests that it holds at once; it turns others away. None for any number.
 
     Attributes
     ----------
@@ -165,6 +169,8 @@
         data_centre: str = "a",
         events: bool = False,
         work_s: float = 0.005,
+        slots: int = 8,
+        places: int | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -178,6 +184,9 @@
         self.faults_without_limit: set[Fault] = set()
         self.is_leaving = False
         self.states_leaving_in_earlier_answers = False
+        self.slots = slots
+        self.places = places
+        self._held = 0
         self.retry_after: str | None = None
         self.refusal_delays_s: list[float] = []
         self.repeats_refusals = False
@@ -221,7 +230,7 @@
             "address": self.address,
             "zone": self.data_centre,
             "version": "v1",
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "warmup-left-ms": 0,
             "seq": seq,
@@ -270,14 +279,19 @@
                 self._late_copies[connection] = refusal
             connection.sendall(refusal)
             return True
-        if fault is Fault.TURN_AWAY:
+        is_full = self.places is not None and self._held >= self.places
+        if fault is Fault.TURN_AWAY or is_full:
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             return _answer(connection, protocol, 503, identity, b"")
         run = Run(
             request_id.decode(), request.method, request.target, headers, body, []
         )
         self.runs.append(run)
-        return self._work(connection, protocol, run, fault, identity)
+        self._held += 1
+        try:
+            return self._work(connection, protocol, run, fault, identity)
+        finally:
+            self._held -= 1
 
     def _work(self, connection, protocol, run, fault, identity) -> bool:
         if fault is Fault.HANG:
@@ -295,7 +309,11 @@
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
-        identity.append((b"x-rosemarystream-server-load", self.load.encode("latin-1")))
+        load = self.load
+        if self.places is not None:
+            running = min(self._held, self.slots)
+            load = f"{running},{self._held - running},{self.slots}"
+        identity.append((b"x-rosemarystream-server-load", load.encode("latin-1")))
         identity.extend(self.odd_headers)
         if fault in ERRORS:
             error = ERRORS[fault]
