--- a/src/rosemarystream/_internal/decisions/admission_share.py
+++ b/src/rosemarystream/_internal/decisions/admission_share.py
@@ -23,6 +23,12 @@
 # Change of the share in a second for each request too many or too few at a slot. With
 # the age of the counts, a larger one makes the shares of all hosts swing together.
 INTEGRAL_PER_S = 0.25
+# Sends of this host whose refusals count. Some refusals are normal, as servers are full
+# in turn; beyond that part, each weighs like this many requests at a slot. Counts alone
+# don't show how much more is sent than servers with short queues can hold.
+REFUSED_SENDS = 10
+REFUSED_NORMAL = 0.5
+REFUSED_WEIGHT = 8.0
 # Change of the share at once.
 PROPORTIONAL = 0.2
 # Time in which the share rises from 0 to 1 while places are free, in seconds.
@@ -48,16 +54,27 @@
         Requests that its servers run at once.
     requests : float
         Requests that they hold, over all hosts.
+    own : int
+        Those of this host, which are counted exactly.
     """
 
     slots: int
     requests: float
+    own: int = 0
 
     @property
     def fill(self) -> float:
         """Requests for each slot."""
         return self.requests / self.slots if self.slots else 0.0
 
+    @property
+    def is_filled_by_host(self) -> bool:
+        """Whether the requests of this host alone are as many as servers should hold.
+
+        That is certain and known at once, unlike what others have sent.
+        """
+        return bool(self.slots) and self.own >= TARGET_FILL * self.slots
+
 
 class AdmissionShare:
     """Share of a service's requests that one host sends."""
@@ -65,6 +82,7 @@
     def __init__(self) -> None:
         self._share = 1.0
         self._fill = 0.0
+        self._refused = 0.0
         self._observed_at = 0.0
 
     @property
@@ -86,9 +104,14 @@
         if self.is_open:
             change = elapsed_s / RECOVERY_S
         else:
-            change = INTEGRAL_PER_S * elapsed_s * (TARGET_FILL - self._fill)
+            excess = REFUSED_WEIGHT * max(0.0, self._refused - REFUSED_NORMAL)
+            change = INTEGRAL_PER_S * elapsed_s * (TARGET_FILL - self._fill - excess)
         self._share = min(1.0, max(MIN_SHARE, self._share + change))
 
+    def record_send(self, *, is_refused: bool) -> None:
+        """Record whether a server refused a request of this host as it was full."""
+        self._refused += (is_refused - self._refused) / REFUSED_SENDS
+
     def find(self, *, is_urgent: bool, is_late: bool) -> float:
         """Return the share for a request, 0 to 1.
 
--- a/src/rosemarystream/_internal/decisions/waiting_line.py
+++ b/src/rosemarystream/_internal/decisions/waiting_line.py
@@ -26,6 +26,8 @@
 MIN_STEP_S = 0.004
 # Requests of one service that wait in a host.
 MAX_WAITING = 64
+# Weight of a new response time in the mean; some 30 count.
+RESPONSE_WEIGHT = 1 / 30
 # How much earlier a request of the most urgent rank has its turn, and how much later
 # one for each request of its workspace that waits already, in seconds. As both are
 # bounded, nothing waits behind later requests for ever.
@@ -97,6 +99,7 @@
         self._waiting: list[Ticket] = []
         # Sum of the shares of the looks so far; a request is sent for each 1.0.
         self._credit = 0.5
+        self._response_s = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -106,6 +109,12 @@
         self.share.observe(load, now)
         return not self._waiting and self.share.is_open and load.fill < TARGET_FILL
 
+    def record_response(self, seconds: float) -> None:
+        """Record the time from the send of a request to the head of its answer."""
+        if not self._response_s:
+            self._response_s = seconds
+        self._response_s += RESPONSE_WEIGHT * (seconds - self._response_s)
+
     def join(self, ticket: Ticket) -> bool:
         """Add a request; return False if too many wait already."""
         if len(self._waiting) >= MAX_WAITING:
@@ -128,7 +137,9 @@
         """Return what a request that waits may do now."""
         self.share.observe(load, now)
         is_late = ticket.is_late(now)
-        if not ticket.is_granted:
+        if now + self._response_s > ticket.deadline:
+            return Decision(Action.REFUSE)
+        if not ticket.is_granted and not load.is_filled_by_host:
             share = self.share.find(is_urgent=ticket.is_urgent, is_late=is_late)
             self._grant(share, now)
         if ticket.is_granted:
@@ -149,10 +160,11 @@
         first.is_granted = True
 
     def _find_end(self, ticket: Ticket) -> float:
-        """Return until when a request may wait.
+        """Return until when a request may wait, so that it's served by its deadline.
 
         The smaller the share, the earlier: its caller may then return with enough time
         left, as a returning request looks for a place in time again.
         """
         most_s = ticket.deadline - ticket.joined_at
-        return ticket.joined_at + max(ticket.hold_s, self.share.value * most_s)
+        end = ticket.joined_at + max(ticket.hold_s, self.share.value * most_s)
+        return min(end, ticket.deadline - self._response_s)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -290,7 +290,9 @@
             if not attempt.is_sent:
                 self._send(current)
             head = self._read_head(attempt)
-        self._router.record_answer(attempt.endpoint, slowness=head.slowness)
+        self._router.record_answer(
+            attempt.endpoint, slowness=head.slowness, response_s=attempt.response_s
+        )
         if head.status >= SERVER_ERROR and self._attempts.may_repeat:
             self._relay_or_keep_failure(attempt, head)
         else:
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -350,7 +350,11 @@
                 self.health.record_reported_unreachable(endpoint.name, now)
 
     def record_answer(
-        self, endpoint: Endpoint, *, slowness: float | None = None
+        self,
+        endpoint: Endpoint,
+        *,
+        slowness: float | None = None,
+        response_s: float | None = None,
     ) -> None:
         """Record that a server has begun to answer, so it is reachable.
 
@@ -358,7 +362,11 @@
         ----------
         slowness : float or None
             How much longer work takes there at this moment, if it tells.
+        response_s : float or None
+            Time from the send of a request to this answer, in seconds.
         """
+        if response_s is not None:
+            self.lines.record_response(endpoint.service, response_s)
         self.health.record_data_centre_answer(endpoint.data_centre)
         if slowness is not None:
             self.speeds.record(endpoint.number, slowness, self._clock())
@@ -366,6 +374,7 @@
     def record_rejected(self, endpoint: Endpoint) -> None:
         """Record that a server received a request and refused to run it."""
         self.metrics.attempts.labels("turned_away").inc()
+        self.lines.record_send(endpoint.service, is_refused=True)
         self._record_outcome(endpoint, failed=True)
 
     def record_unreachable(self, endpoint: Endpoint) -> None:
@@ -386,6 +395,7 @@
     def record_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
         """Record whether a server answered a request or failed."""
         self.metrics.attempts.labels("failed" if failed else "answered").inc()
+        self.lines.record_send(endpoint.service, is_refused=False)
         self._record_outcome(endpoint, failed=failed)
 
     def _record_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
--- a/src/rosemarystream/_internal/gateway/service_lines.py
+++ b/src/rosemarystream/_internal/gateway/service_lines.py
@@ -78,16 +78,16 @@
             own counts are exact.
         """
         delay_s = counts_age_s + REPORT_DELAY_S if counts_age_s else 0.0
-        requests = sum(
-            self._occupancy.estimate(
-                number,
-                load.counts[number],
-                now - delay_s,
-                own=self._loads.find_own(number),
+        slots = requests = all_own = 0
+        for endpoint in endpoints:
+            number = endpoint.number
+            own = self._loads.find_own(number)
+            slots += endpoint.slots
+            all_own += own
+            requests += self._occupancy.estimate(
+                number, load.counts[number], now - delay_s, own=own
             )
-            for number in (endpoint.number for endpoint in endpoints)
-        )
-        return ServiceLoad(sum(e.slots for e in endpoints), requests)
+        return ServiceLoad(slots, requests, all_own)
 
     def measure_load(self, service: str, now: float) -> ServiceLoad:
         """Return the load of all servers of a service that may get a request."""
@@ -105,6 +105,16 @@
         share = self.find_share(service)
         return compute_retry_after(share=share, left_s=left_s, key=request_id)
 
+    def record_send(self, service: str, *, is_refused: bool) -> None:
+        """Record whether a server refused a request that it was sent."""
+        if service in self._lines:
+            self._lines[service].share.record_send(is_refused=is_refused)
+
+    def record_response(self, service: str, seconds: float) -> None:
+        """Record the time from the send of a request to the head of its answer."""
+        if service in self._lines:
+            self._lines[service].record_response(seconds)
+
     def record_waiting(self, service: str) -> None:
         """Count a request that has to wait."""
         self._count_full(service)[0] += 1
@@ -130,7 +140,8 @@
         """
         for service in [*self._full]:
             line = self._lines[service]
-            if line.is_open(self.measure_load(service, now), now):
+            is_open = line.is_open(self.measure_load(service, now), now)
+            if is_open and line.share.value == 1.0:
                 waited, refused = self._full.pop(service)
                 entry = ServiceNotFull(service=service, waited=waited, refused=refused)
                 write_log_entry(log, entry)
