--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -300,6 +300,12 @@
     CrashHolds.find_held = lambda self, parts, now: None
 
 
+def send_without_waiting():
+    from rosemarystream._internal.decisions.waiting_line import WaitingLine
+
+    WaitingLine.is_open = lambda self, load, now: True
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -339,6 +345,7 @@
         wait_for_silent_hosts,
         use_any_connection,
         hold_no_requests,
+        send_without_waiting,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -146,6 +146,11 @@
         "hold_no_requests",
         f"{UNIT}test_crash_holds.py",
     ),
+    Row(
+        "entry-full-services",
+        "send_without_waiting",
+        "python -m pytest -x -q tests/functional/test_full_services.py",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
--- a/tests/unit/test_waiting_line.py
+++ b/tests/unit/test_waiting_line.py
@@ -2,6 +2,16 @@
 
 import pytest
 
+from rosemarystream._internal.decisions.admission_share import ServiceLoad
+from rosemarystream._internal.decisions.return_times import compute_retry_after
+from rosemarystream._internal.decisions.server_occupancy import ServerOccupancy
+from rosemarystream._internal.decisions.waiting_line import (
+    MAX_WAITING,
+    Action,
+    Ticket,
+    WaitingLine,
+)
+from rosemarystream._internal.platform.headers import decode_answer
 from tests.lib.service_replay import WORKSPACES, Replay, sum_shares
 
 HOSTS = 87
@@ -84,3 +94,125 @@
     for before, after in zip(at_once, waiting, strict=True):
         assert after[0] >= before[0] - NOISE
         assert after[1] >= before[1] - NOISE
+
+
+FULL, FREE = ServiceLoad(18, 50), ServiceLoad(18, 10)
+
+
+def make_ticket(now, *, is_urgent=True, workspace="w", objective_s=0.3, time_s=1.0):
+    return Ticket(
+        is_urgent=is_urgent,
+        workspace=workspace,
+        joined_at=now,
+        objective_at=now + objective_s,
+        deadline=now + time_s,
+    )
+
+
+def make_full_line():
+    """Return the line of a service that has been full for long, and the time."""
+    line = WaitingLine()
+    for step in range(200):
+        line.is_open(FULL, step * 0.1)
+    return line, 20.0
+
+
+def let_go(line, tickets, load, now, *, seconds=0.06):
+    """Return the tickets in the order in which they may be sent."""
+    order, end = [], now + seconds
+    while now < end:
+        for ticket in tickets:
+            if line.decide(ticket, load, now).action is Action.SEND:
+                line.leave(ticket)
+                order.append(ticket)
+        tickets = [ticket for ticket in tickets if ticket not in order]
+        now += 0.002
+    return order
+
+
+def test_nothing_waits_while_places_are_free():
+    line = WaitingLine()
+    assert all(line.is_open(FREE, step * 0.01) for step in range(1_000))
+
+
+def test_all_are_sent_soon_after_places_are_free_again():
+    line, now = make_full_line()
+    ticket = make_ticket(now)
+    line.join(ticket)
+    assert line.decide(ticket, FULL, now).action is Action.WAIT
+    assert let_go(line, [ticket], FREE, now, seconds=0.5) == [ticket]
+    assert line.is_open(FREE, now + 1.0)
+
+
+def test_a_request_waits_no_longer_than_it_can_be_answered_in_its_time():
+    line, now = make_full_line()
+    line.record_response(0.5)
+    ticket = make_ticket(now, time_s=0.4)
+    line.join(ticket)
+    assert line.decide(ticket, FULL, now).action is Action.REFUSE
+
+
+def test_the_urgent_rank_and_those_in_time_go_first_but_nothing_starves():
+    line, now = make_full_line()
+    late = make_ticket(now - 0.2)
+    other = make_ticket(now, is_urgent=False)
+    urgent = make_ticket(now + 0.004)
+    for ticket in (late, other, urgent):
+        line.join(ticket)
+    moderate = ServiceLoad(18, 22)
+    order = let_go(line, [late, other, urgent], moderate, now + 0.005, seconds=0.8)
+    assert order == [urgent, other, late]
+    # One that came much earlier goes first, whatever its rank.
+    line, now = make_full_line()
+    other, urgent = make_ticket(now, is_urgent=False), make_ticket(now + 0.02)
+    for ticket in (other, urgent):
+        line.join(ticket)
+    assert let_go(line, [other, urgent], moderate, now + 0.02, seconds=0.8)[0] is other
+
+
+def test_a_workspace_with_many_requests_lets_others_pass():
+    line, now = make_full_line()
+    many = [make_ticket(now, workspace="many") for _ in range(4)]
+    one = make_ticket(now + 0.003, workspace="one")
+    for ticket in (*many, one):
+        line.join(ticket)
+    order = let_go(line, [*many, one], ServiceLoad(18, 22), now + 0.004, seconds=0.8)
+    assert order.index(one) == 1
+
+
+def test_the_line_is_bounded():
+    line, now = make_full_line()
+    assert all(line.join(make_ticket(now)) for _ in range(MAX_WAITING))
+    assert not line.join(make_ticket(now))
+
+
+def test_callers_return_the_later_the_less_is_sent_and_not_together():
+    def list_times(share):
+        return [
+            compute_retry_after(share=share, left_s=1.5, key=str(n)) for n in range(99)
+        ]
+
+    assert set(list_times(1.0)) == {0.1}
+    assert 0.1 <= min(list_times(0.9)) < max(list_times(0.9)) <= 0.4
+    assert 0.25 <= min(list_times(0.1)) < 0.3 < 0.45 < max(list_times(0.1)) <= 0.5
+    assert len(set(list_times(0.1))) == 99
+
+
+def test_the_newer_of_counts_and_statements_is_used():
+    occupancy = ServerOccupancy()
+    assert occupancy.estimate(1, 7, 9.9, own=0) == 7
+    occupancy.record(1, 12, 10.0)
+    assert occupancy.estimate(1, 7, 9.9, own=0) == 12
+    assert occupancy.estimate(1, 7, 10.1, own=0) == 7
+    assert occupancy.estimate(1, 15, 9.9, own=14) == 14
+    occupancy.forget_server(1)
+    assert occupancy.estimate(1, 7, 9.9, own=0) == 7
+
+
+def test_the_header_tells_the_requests_that_a_server_holds():
+    def decode(value):
+        return decode_answer(200, [(b"x-rosemarystream-server-load", value)]).requests
+
+    assert decode(b"6,3,6") == decode(b"6, 3,6,250") == 9
+    odd = (b"", b"6", b"6,3", b"x,3,6", b"-1,3,6", b"9" * 30 + b",3,6")
+    assert [decode(value) for value in odd] == [None] * 6
