--- a/src/rosemarystream/_internal/decisions/admission_share.py
+++ b/src/rosemarystream/_internal/decisions/admission_share.py
@@ -12,10 +12,15 @@
 from math import exp
 from typing import NamedTuple
 
-# Requests that servers should hold for each of their slots. Hosts can't level the
-# servers out within the age of the counts: with 1.5 a server has idle slots, some 12 in
-# 100 of them in the replayed bursts, while others queue requests.
-TARGET_FILL = 2.2
+# Requests that servers should queue for each of their slots. Hosts can't level the
+# servers out within the age of the counts: with 0.5, some 12 in 100 slots were idle in
+# the replayed bursts while other servers queued requests; with 1.2 some 3 in 100.
+MIN_QUEUE = 0.5
+MAX_QUEUE = 1.5
+# Part of the time between work and objective that requests may spend in that queue.
+QUEUE_SHARE = 0.6
+# Weight of a new response in the mean times; some 30 count.
+RESPONSE_WEIGHT = 1 / 30
 # Below this, places are free at the servers, and every request is sent at once.
 OPEN_FILL = 1.0
 # Time constant of the mean over the known fill, in seconds; single counts scatter.
@@ -68,12 +73,9 @@
         return self.requests / self.slots if self.slots else 0.0
 
     @property
-    def is_filled_by_host(self) -> bool:
-        """Whether the requests of this host alone are as many as servers should hold.
-
-        That is certain and known at once, unlike what others have sent.
-        """
-        return bool(self.slots) and self.own >= TARGET_FILL * self.slots
+    def own_fill(self) -> float:
+        """Requests of this host for each slot."""
+        return self.own / self.slots if self.slots else 0.0
 
 
 class AdmissionShare:
@@ -83,6 +85,9 @@
         self._share = 1.0
         self._fill = 0.0
         self._refused = 0.0
+        self._response_s = 0.0
+        self._work_s = 0.0
+        self._objective_s = 0.0
         self._observed_at = 0.0
 
     @property
@@ -95,6 +100,41 @@
         """The share, 0 to 1, without what depends on the request."""
         return self._share
 
+    @property
+    def target_fill(self) -> float:
+        """Requests that servers should hold for each slot."""
+        if not self._work_s:
+            return 1.0 + MAX_QUEUE
+        queue = QUEUE_SHARE * (self._objective_s - self._work_s) / self._work_s
+        return 1.0 + min(MAX_QUEUE, max(MIN_QUEUE, queue))
+
+    @property
+    def response_s(self) -> float:
+        """Mean time to the head of an answer, in seconds; 0 if it isn't known."""
+        return self._response_s
+
+    def is_overfilled(self, load: ServiceLoad) -> bool:
+        """Return whether this host alone fills the servers as far as it may.
+
+        That is certain and known at once, unlike what others have sent.
+        """
+        return load.own_fill >= self.target_fill
+
+    def record_response(self, seconds: float, objective_s: float) -> None:
+        """Record the time from the send of a request to the head of its answer.
+
+        Parameters
+        ----------
+        objective_s : float
+            Time in which the answer was due, in seconds.
+        """
+        # Servers that hold more than their slots queue it for the rest of the time.
+        work_s = seconds / max(1.0, self._fill)
+        weight = RESPONSE_WEIGHT if self._work_s else 1.0
+        self._response_s += weight * (seconds - self._response_s)
+        self._work_s += weight * (work_s - self._work_s)
+        self._objective_s += weight * (objective_s - self._objective_s)
+
     def observe(self, load: ServiceLoad, now: float) -> None:
         """Enter the known load at a time."""
         elapsed_s = max(0.0, min(now - self._observed_at, MAX_GAP_S))
@@ -105,7 +145,8 @@
             change = elapsed_s / RECOVERY_S
         else:
             excess = REFUSED_WEIGHT * max(0.0, self._refused - REFUSED_NORMAL)
-            change = INTEGRAL_PER_S * elapsed_s * (TARGET_FILL - self._fill - excess)
+            missing = self.target_fill - self._fill - excess
+            change = INTEGRAL_PER_S * elapsed_s * missing
         self._share = min(1.0, max(MIN_SHARE, self._share + change))
 
     def record_send(self, *, is_refused: bool) -> None:
@@ -123,7 +164,7 @@
             Whether it can't meet its objective any more. Such a request gets what
             others leave.
         """
-        share = self._share + PROPORTIONAL * (TARGET_FILL - self._fill)
+        share = self._share + PROPORTIONAL * (self.target_fill - self._fill)
         share = min(1.0, max(MIN_SHARE, share))
         if is_late:
             left = LATE_SLOPE * (LATE_FILL - self._fill)
--- a/src/rosemarystream/_internal/decisions/waiting_line.py
+++ b/src/rosemarystream/_internal/decisions/waiting_line.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.admission_share import (
-    TARGET_FILL,
     AdmissionShare,
     ServiceLoad,
 )
@@ -26,8 +25,6 @@
 MIN_STEP_S = 0.004
 # Requests of one service that wait in a host.
 MAX_WAITING = 64
-# Weight of a new response time in the mean; some 30 count.
-RESPONSE_WEIGHT = 1 / 30
 # How much earlier a request of the most urgent rank has its turn, and how much later
 # one for each request of its workspace that waits already, in seconds. As both are
 # bounded, nothing waits behind later requests for ever.
@@ -99,7 +96,6 @@
         self._waiting: list[Ticket] = []
         # Sum of the shares of the looks so far; a request is sent for each 1.0.
         self._credit = 0.5
-        self._response_s = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -107,13 +103,9 @@
     def is_open(self, load: ServiceLoad, now: float) -> bool:
         """Return whether a request is sent at once, as places are known to be free."""
         self.share.observe(load, now)
-        return not self._waiting and self.share.is_open and load.fill < TARGET_FILL
-
-    def record_response(self, seconds: float) -> None:
-        """Record the time from the send of a request to the head of its answer."""
-        if not self._response_s:
-            self._response_s = seconds
-        self._response_s += RESPONSE_WEIGHT * (seconds - self._response_s)
+        if self._waiting or not self.share.is_open:
+            return False
+        return load.fill < self.share.target_fill
 
     def join(self, ticket: Ticket) -> bool:
         """Add a request; return False if too many wait already."""
@@ -137,9 +129,9 @@
         """Return what a request that waits may do now."""
         self.share.observe(load, now)
         is_late = ticket.is_late(now)
-        if now + self._response_s > ticket.deadline:
+        if now + self.share.response_s > ticket.deadline:
             return Decision(Action.REFUSE)
-        if not ticket.is_granted and not load.is_filled_by_host:
+        if not ticket.is_granted and not self.share.is_overfilled(load):
             share = self.share.find(is_urgent=ticket.is_urgent, is_late=is_late)
             self._grant(share, now)
         if ticket.is_granted:
@@ -167,4 +159,4 @@
         """
         most_s = ticket.deadline - ticket.joined_at
         end = ticket.joined_at + max(ticket.hold_s, self.share.value * most_s)
-        return min(end, ticket.deadline - self._response_s)
+        return min(end, ticket.deadline - self.share.response_s)
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -354,7 +354,6 @@
         endpoint: Endpoint,
         *,
         slowness: float | None = None,
-        response_s: float | None = None,
     ) -> None:
         """Record that a server has begun to answer, so it is reachable.
 
@@ -362,11 +361,7 @@
         ----------
         slowness : float or None
             How much longer work takes there at this moment, if it tells.
-        response_s : float or None
-            Time from the send of a request to this answer, in seconds.
         """
-        if response_s is not None:
-            self.lines.record_response(endpoint.service, response_s)
         self.health.record_data_centre_answer(endpoint.data_centre)
         if slowness is not None:
             self.speeds.record(endpoint.number, slowness, self._clock())
--- a/src/rosemarystream/_internal/gateway/service_lines.py
+++ b/src/rosemarystream/_internal/gateway/service_lines.py
@@ -110,10 +110,10 @@
         if service in self._lines:
             self._lines[service].share.record_send(is_refused=is_refused)
 
-    def record_response(self, service: str, seconds: float) -> None:
+    def record_response(self, service: str, seconds: float, objective_s: float) -> None:
         """Record the time from the send of a request to the head of its answer."""
         if service in self._lines:
-            self._lines[service].record_response(seconds)
+            self._lines[service].share.record_response(seconds, objective_s)
 
     def record_waiting(self, service: str) -> None:
         """Count a request that has to wait."""
