--- a/src/rosemarystream/_internal/decisions/waiting_line.py
+++ b/src/rosemarystream/_internal/decisions/waiting_line.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.admission_share import (
+    OPEN_FILL,
     AdmissionShare,
     ServiceLoad,
 )
@@ -107,10 +108,13 @@
             return False
         return load.fill < self.share.target_fill
 
-    def join(self, ticket: Ticket) -> bool:
-        """Add a request; return False if too many wait already."""
-        if len(self._waiting) >= MAX_WAITING:
-            return False
+    @property
+    def is_full(self) -> bool:
+        """Whether no more requests may wait."""
+        return len(self._waiting) >= MAX_WAITING
+
+    def join(self, ticket: Ticket) -> None:
+        """Add a request."""
         same = sum(other.workspace == ticket.workspace for other in self._waiting)
         ticket.turn_at = ticket.joined_at + min(
             MAX_WORKSPACE_DELAY_S, WORKSPACE_DELAY_S * same
@@ -118,7 +122,6 @@
         if ticket.is_urgent:
             ticket.turn_at -= RANK_LEAD_S
         self._waiting.append(ticket)
-        return True
 
     def leave(self, ticket: Ticket) -> None:
         """Remove a request that is sent, refused, or whose caller has left."""
@@ -138,7 +141,9 @@
             return Decision(Action.SEND)
         step_s = LATE_STEP_S if is_late else ticket.hold_s / LOOKS
         if now + step_s > self._find_end(ticket):
-            return Decision(Action.REFUSE)
+            # The mean load lags behind; none is refused while places are known free.
+            has_place = load.fill < OPEN_FILL
+            return Decision(Action.SEND if has_place else Action.REFUSE)
         return Decision(Action.WAIT, max(MIN_STEP_S, step_s))
 
     def _grant(self, share: float, now: float) -> None:
--- a/src/rosemarystream/_internal/gateway/request_turn.py
+++ b/src/rosemarystream/_internal/gateway/request_turn.py
@@ -59,9 +59,10 @@
         line = self._lines.find(self._service)
         if line.is_open(load, now):
             return False
-        ticket = self._make_ticket(now)
-        if not line.join(ticket):
+        if line.is_full:
             raise self._make_refusal()
+        ticket = self._make_ticket(now)
+        line.join(ticket)
         try:
             decision = line.decide(ticket, load, now)
             if decision.action is Action.SEND:
--- a/tests/unit/test_waiting_line.py
+++ b/tests/unit/test_waiting_line.py
@@ -197,8 +197,23 @@
 
 def test_the_line_is_bounded():
     line, now = make_full_line()
-    assert all(line.join(make_ticket(now)) for _ in range(MAX_WAITING))
-    assert not line.join(make_ticket(now))
+    for _ in range(MAX_WAITING):
+        assert not line.is_full
+        line.join(make_ticket(now))
+    assert line.is_full
+
+
+def test_none_is_refused_while_places_are_known_to_be_free():
+    line, now = make_full_line()
+    ticket = make_ticket(now)
+    line.join(ticket)
+    # At the end of its time to wait; the mean of the last load still calls it full.
+    now += 0.3
+    assert line.decide(ticket, FREE, now).action is Action.SEND
+    line, now = make_full_line()
+    ticket = make_ticket(now)
+    line.join(ticket)
+    assert line.decide(ticket, FULL, now + 0.3).action is Action.REFUSE
 
 
 def test_callers_return_the_later_the_less_is_sent_and_not_together():
