--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -59,6 +59,10 @@
     ServerWarm,
     ServicesUnreachable,
 )
+from rosemarystream._internal.models.log_entries.services import (
+    ServiceFull,
+    ServiceNotFull,
+)
 from rosemarystream._internal.models.log_entries.store import (
     BlockNotStored,
     BlockRecordInvalid,
@@ -104,6 +108,8 @@
     ServerWarm,
     ServicesUnreachable,
     ServerStillUnreachable,
+    ServiceFull,
+    ServiceNotFull,
     BlockNotStored,
     BlockRecordInvalid,
     HostRecordInvalid,
