--- a/src/rosemarystream/_internal/decisions/admission_share.py
+++ b/src/rosemarystream/_internal/decisions/admission_share.py
@@ -38,9 +38,8 @@
 PROPORTIONAL = 0.2
 # Time in which the share rises from 0 to 1 while places are free, in seconds.
 RECOVERY_S = 0.2
-# Least share at a look, so that no kind of request is kept from the service. A request
-# looks some six times.
-MIN_SHARE = 0.003
+# Least share, so that no kind of request is kept from the service.
+MIN_SHARE = 0.02
 # Longest time between two observations that counts; more would be a guess.
 MAX_GAP_S = 1.0
 # Part of the share that the less urgent ranks of a service get.
--- a/src/rosemarystream/_internal/decisions/waiting_line.py
+++ b/src/rosemarystream/_internal/decisions/waiting_line.py
@@ -157,10 +157,11 @@
         first.is_granted = True
 
     def _find_end(self, ticket: Ticket) -> float:
-        """Return until when a request may wait.
+        """Return until when a request may wait, so that it's served by its deadline.
 
-        One that can't meet its objective any more isn't kept waiting behind others
-        that can: its caller learns at once that it has to return later.
+        The smaller the share, the earlier: its caller may then return with enough time
+        left, as a returning request looks for a place in time again.
         """
-        end = ticket.joined_at + ticket.hold_s
+        most_s = ticket.deadline - ticket.joined_at
+        end = ticket.joined_at + max(ticket.hold_s, self.share.value * most_s)
         return min(end, ticket.deadline - self.share.response_s)
--- a/src/rosemarystream/_internal/gateway/request_turn.py
+++ b/src/rosemarystream/_internal/gateway/request_turn.py
@@ -87,20 +87,10 @@
             is_urgent=self._router.is_most_urgent(self._record.rank, self._service),
             workspace=self._record.workspace,
             joined_at=now,
-            objective_at=self._find_objective(now),
+            objective_at=self._record.received_at + self._route.objective_s,
             deadline=self._deadline,
         )
 
-    def _find_objective(self, now: float) -> float:
-        """Return when the answer is due, which counts from the caller's first try."""
-        objective_at = self._record.received_at + self._route.objective_s
-        wait_s = self._record.call.wait_s
-        if wait_s is None:
-            return objective_at
-        return objective_at - self._lines.caller_times.estimate_elapsed(
-            self._route.name, self._record.workspace, wait_s, now
-        )
-
     def _make_refusal(self) -> RequestEndedError:
         self._lines.record_refused(self._service)
         self._router.metrics.plain_refusals.inc()
--- a/src/rosemarystream/_internal/gateway/service_lines.py
+++ b/src/rosemarystream/_internal/gateway/service_lines.py
@@ -5,7 +5,6 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.admission_share import ServiceLoad
-from rosemarystream._internal.decisions.caller_times import CallerTimes
 from rosemarystream._internal.decisions.load_table import Load, LoadTable
 from rosemarystream._internal.decisions.return_times import compute_retry_after
 from rosemarystream._internal.decisions.server_availability import (
@@ -33,11 +32,6 @@
     ----------
     occupancy : ServerOccupancy
         Requests that servers hold, as they state it.
-
-    Attributes
-    ----------
-    caller_times : CallerTimes
-        How long callers have been waiting when their requests arrive.
     """
 
     def __init__(
@@ -48,7 +42,6 @@
         occupancy: ServerOccupancy,
         clock: Callable[[], float],
     ) -> None:
-        self.caller_times = CallerTimes()
         self._availability = availability
         self._loads = loads
         self._occupancy = occupancy
--- a/tests/unit/test_waiting_line.py
+++ b/tests/unit/test_waiting_line.py
@@ -3,7 +3,6 @@
 import pytest
 
 from rosemarystream._internal.decisions.admission_share import ServiceLoad
-from rosemarystream._internal.decisions.caller_times import CallerTimes
 from rosemarystream._internal.decisions.return_times import compute_retry_after
 from rosemarystream._internal.decisions.server_occupancy import ServerOccupancy
 from rosemarystream._internal.decisions.waiting_line import (
@@ -247,30 +246,3 @@
     assert decode(b"6,3,6") == decode(b"6, 3,6,250") == 9
     odd = (b"", b"6", b"6,3", b"x,3,6", b"-1,3,6", b"9" * 30 + b",3,6")
     assert [decode(value) for value in odd] == [None] * 6
-
-
-def test_the_objective_of_a_returning_caller_counts_from_its_first_try():
-    """Else those that are late already take places from those that are in time."""
-    times = CallerTimes()
-    assert times.estimate_elapsed("r", "w", 3.0, 10.0) == 0.0
-    assert times.estimate_elapsed("r", "w", 1.8, 11.2) == pytest.approx(1.2, abs=0.01)
-    # Callers of other workspaces may wait for other times.
-    assert times.estimate_elapsed("r", "v", 1.8, 11.2) == 0.0
-    # Callers that come to wait for less don't count as returning for ever.
-    assert times.estimate_elapsed("r", "w", 1.8, 5_000.0) == 0.0
-
-
-def test_a_late_request_is_refused_at_once_while_its_service_is_full():
-    line, now = WaitingLine(), 10.0
-    full = ServiceLoad(slots=6, requests=30.0)
-    for step in range(20):
-        line.share.observe(full, now + 0.1 * step)
-    ticket = Ticket(
-        is_urgent=True,
-        workspace="w",
-        joined_at=12.0,
-        objective_at=11.0,
-        deadline=15.0,
-    )
-    line.join(ticket)
-    assert line.decide(ticket, full, 12.0).action is Action.REFUSE
