--- a/src/rosemarystream/_internal/decisions/load_table.py
+++ b/src/rosemarystream/_internal/decisions/load_table.py
@@ -97,10 +97,6 @@
         """Return the number of this host's own requests in progress."""
         return self._own.total()
 
-    def find_own(self, server: int) -> int:
-        """Return the number of this host's own requests at a server."""
-        return self._own[server]
-
     def sum_own(self) -> Load:
         """Return this host's own load."""
         return Load(Counter(self._own), Counter(self._own_prefill))
--- a/src/rosemarystream/_internal/decisions/placement.py
+++ b/src/rosemarystream/_internal/decisions/placement.py
@@ -11,7 +11,6 @@
 from math import inf
 from typing import NamedTuple
 
-from rosemarystream._internal.decisions.admission_share import ServiceLoad
 from rosemarystream._internal.decisions.hashing import order_candidates, pick_candidate
 from rosemarystream._internal.decisions.load_spreading import pick_spread
 from rosemarystream._internal.models.call import PromptPart
@@ -158,8 +157,6 @@
     send_by : float
         Time after which the request must not be sent there any more, as its permission
         has lapsed by then; infinite if the server can't be cold.
-    service_load : ServiceLoad or None
-        Load of a plain service; None if it isn't known.
     """
 
     endpoint: Endpoint
@@ -174,7 +171,6 @@
     source: Endpoint | None = None
     slowness: float = 1.0
     send_by: float = inf
-    service_load: ServiceLoad | None = None
 
 
 def estimate_cost_ms(load: ContextLoad, objective_ms: float) -> float:
--- a/src/rosemarystream/_internal/decisions/priorities.py
+++ b/src/rosemarystream/_internal/decisions/priorities.py
@@ -54,17 +54,6 @@
         return self._priorities.get((rank, objective_s), Priority(LEVELS - 1, 1.0))
 
 
-def find_urgent_ranks(configuration: FleetConfiguration) -> dict[str, int]:
-    """Return the most urgent rank of the routes of each service."""
-    ranks: dict[str, int] = {}
-    for group in configuration.routes.values():
-        for route in group:
-            for target in route.targets:
-                known = ranks.get(target.service, route.rank)
-                ranks[target.service] = min(known, route.rank)
-    return ranks
-
-
 def build_priority_table(configuration: FleetConfiguration) -> PriorityTable:
     """Return the priorities of the requests that a configuration allows."""
     routes = [
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -99,7 +99,6 @@
         self._head: AnswerHead | None = None
         # Whether the rest of a late answer to an earlier request comes first.
         self._is_discarding = False
-        self._sent_at: float | None = None
         self.reused = False
         self.is_sent = False
         self.begun_at: float | None = None
@@ -172,7 +171,7 @@
         self.last_act = ServerAct.NO_ANSWER
         try:
             connection.send(self.call.method, self.call.target, headers, body)
-            self.heard_at = self._sent_at = self._clock()
+            self.heard_at = self._clock()
         except ConnectionBrokenError as error:
             raise convert_error(error) from error
 
@@ -187,13 +186,6 @@
         if self._clock() > self._send_by:
             raise NotRunError("its permission has lapsed", sent=False, is_late=True)
 
-    @property
-    def response_s(self) -> float | None:
-        """Time in seconds from the send to the head of the answer, if it has come."""
-        if self.begun_at is None or self._sent_at is None:
-            return None
-        return self.begun_at - self._sent_at
-
     @property
     def received_at(self) -> float | None:
         """When the server last sent anything; None before that."""
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -14,7 +14,6 @@
 from rosemarystream._internal.gateway.limit_gate import LimitGate
 from rosemarystream._internal.gateway.request_errors import RequestEndedError
 from rosemarystream._internal.gateway.request_record import RequestRecord
-from rosemarystream._internal.gateway.request_turn import RequestTurn
 from rosemarystream._internal.gateway.router import Router
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.route import Route
@@ -72,15 +71,6 @@
         self._gate = gate
         self._blocks = blocks
         self._clock = clock
-        self._turn = RequestTurn(
-            record=record,
-            route=route,
-            service=service,
-            deadline=deadline,
-            router=router,
-            clock=clock,
-        )
-        self._is_plain = not route.keeps_context and router.is_plain(service)
         self._excluded: set[str] = set()
         self._unsent_attempts = 0
         self._reserved_at = 0.0
@@ -180,9 +170,6 @@
             Whether it may be one that is assumed to be unreachable.
         """
         limited: list[str] = []
-        # An attempt beside another one isn't made to wait, nor one of a request that
-        # may have run, which can't be refused as not run.
-        has_turn = not may_probe or self.may_have_run or not self._is_plain
         while True:
             placement = self._router.place(
                 self._route,
@@ -194,10 +181,6 @@
             )
             if placement is None:
                 return None
-            if not has_turn:
-                has_turn = True
-                if self._turn.wait(placement.service_load):
-                    continue
             asked_at = self._clock()
             if self._gate.admit(placement.endpoint):
                 if self._is_wanted(placement.endpoint):
@@ -340,8 +323,6 @@
         advised_s = self._router.suggest_retry_after()
         if availability.is_all_evacuated(self._service):
             return max(advised_s, EVACUATED_RETRY_S)
-        if self._is_plain:
-            advised_s = max(advised_s, self._turn.compute_retry_after())
         if retry_at is None or availability.has_accepting(self._service, now):
             return advised_s
         return max(advised_s, retry_at - now)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -293,10 +293,6 @@
                 self._send(current)
             head = self._read_head(attempt)
         self._router.record_answer(attempt.endpoint, slowness=head.slowness)
-        if attempt.response_s is not None:
-            self._router.lines.record_response(
-                self._service, attempt.response_s, self._route.objective_s
-            )
         if head.status >= SERVER_ERROR and self._attempts.may_repeat:
             self._relay_or_keep_failure(attempt, head)
         else:
--- a/src/rosemarystream/_internal/gateway/housekeeping.py
+++ b/src/rosemarystream/_internal/gateway/housekeeping.py
@@ -83,7 +83,6 @@
             self._log_block_changes,
             self._log_evacuations,
             self._log_server_statements,
-            self._observe_full_services,
             self._record_version,
             self._record_store_loss,
             self._check_request_balance,
@@ -117,9 +116,6 @@
     def _log_server_statements(self, now: float) -> None:
         self._router.statements.log_changes()
 
-    def _observe_full_services(self, now: float) -> None:
-        self._router.lines.observe_full(now)
-
     def _record_version(self, now: float) -> None:
         self._state.record_version()
 
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -32,10 +32,6 @@
         Highest load of a server relative to its bound; over 1 if it is exceeded.
     retries_left : float
         Retries that this host may still make in the window of the retry budget.
-    requests_waiting : int
-        Requests that wait in this host for a place at a server.
-    admission_share : float
-        Share of the requests that it sends at each look; 1 while places are free.
     """
 
     ready: int
@@ -47,8 +43,6 @@
     load_share: float
     retries_left: float
     evacuated: int
-    requests_waiting: int
-    admission_share: float
 
 
 class CallerGauges(TypedDict):
@@ -137,12 +131,6 @@
             "permissions_lapsed",
             "Requests not sent as too long had passed since they were permitted",
         )
-        self.plain_waits = counter(
-            "plain_waits", "Requests that had to wait for a place at a plain service"
-        )
-        self.plain_refusals = counter(
-            "plain_refusals", "Requests refused unsent for want of such a place"
-        )
         self.retry_after_unreadable = counter(
             "retry_after_unreadable",
             "Refusals of servers with a Retry-After that can't be read",
@@ -241,12 +229,6 @@
         self._retries_left = gauge(
             "retries_left", "Repeats this host may still make", "service"
         )
-        self._requests_waiting = gauge(
-            "requests_waiting", "Requests that wait for a place here", "service"
-        )
-        self._admission_share = gauge(
-            "admission_share", "Share of requests sent; 1 with free places", "service"
-        )
 
     def _make_histogram(self, name: str, text: str) -> Histogram:
         return Histogram(
@@ -310,8 +292,6 @@
             self._evacuated.labels(name).set(service["evacuated"])
             self._load_share.labels(name).set(service["load_share"])
             self._retries_left.labels(name).set(service["retries_left"])
-            self._requests_waiting.labels(name).set(service["requests_waiting"])
-            self._admission_share.labels(name).set(service["admission_share"])
 
     def format_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/rosemarystream/_internal/gateway/request_record.py
+++ b/src/rosemarystream/_internal/gateway/request_record.py
@@ -33,8 +33,6 @@
         Reason if the request was not simply answered.
     placement : Placement or None
         The last decision on a server.
-    waited_s : float
-        Time for which it waited in this host for a place at a server, in seconds.
     first_event_s : float or None
         Time until the first event of a stream, in seconds.
     ending_cause : EndingCause or None
@@ -54,7 +52,6 @@
         self.limited: list[str] = []
         self.reason = ""
         self.placement: Placement | None = None
-        self.waited_s = 0.0
         self.first_event_s: float | None = None
         self.ending_cause: EndingCause | None = None
 
@@ -85,7 +82,6 @@
             tried=self.tried,
             sends=self.sends,
             limited=self.limited,
-            waited_ms=_round_ms(self.waited_s),
             version=router.replica.version,
             revision=router.replica.revision,
             prompt=call.format_prompt(),
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -29,7 +29,6 @@
     Priority,
     PriorityTable,
     build_priority_table,
-    find_urgent_ranks,
 )
 from rosemarystream._internal.decisions.replica import Replica
 from rosemarystream._internal.decisions.server_availability import (
@@ -41,7 +40,6 @@
 from rosemarystream._internal.gateway.metrics import GatewayMetrics, ServiceGauges
 from rosemarystream._internal.gateway.retry_budgets import RetryBudgets
 from rosemarystream._internal.gateway.server_statements import ServerStatements
-from rosemarystream._internal.gateway.service_lines import ServiceLines
 from rosemarystream._internal.gateway.settings import BoundsSection
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint, ServerEntry
@@ -109,12 +107,6 @@
             clock=clock,
             read_epoch_s=read_epoch_s,
         )
-        self.lines = ServiceLines(
-            availability=self.availability,
-            loads=loads,
-            occupancy=self.statements.occupancy,
-            clock=clock,
-        )
         self.observations = FleetObservations(
             speeds=self.speeds,
             limits=self.limits,
@@ -129,8 +121,6 @@
         self._on_load = on_load
         self._priorities = PriorityTable(pairs=())
         self._priorities_version = 0
-        self._urgent_ranks: dict[str, int] = {}
-        self._urgent_ranks_version = 0
         self._incarnations: dict[str, int] = {}
         self._retries = RetryBudgets(bounds=bounds, peer_table=peer_table, clock=clock)
         self._placer = ContextPlacer(
@@ -222,10 +212,6 @@
             load.counts[endpoint.number],
             counts_age_s=counts_age_s,
             slowness=self.speeds.estimate(endpoint.number, now),
-            # Without all of its servers the load of the service isn't known.
-            service_load=None
-            if exclude
-            else self.lines.sum_load(candidates, load, counts_age_s, now),
         )
 
     def _estimate_unseen(self, service: str, age_s: float, now: float) -> float:
@@ -289,20 +275,6 @@
             self._priorities_version = self.replica.version
         return self._priorities.find(rank, route.objective_s)
 
-    def is_plain(self, service: str) -> bool:
-        """Return whether the servers of a service keep no context."""
-        configuration = self.replica.configuration
-        known = configuration.services.get(service) if configuration else None
-        return known is not None and not known.cache_tokens
-
-    def is_most_urgent(self, rank: int, service: str) -> bool:
-        """Return whether no request for a service can have a more urgent rank."""
-        if self._urgent_ranks_version != self.replica.version:
-            assert self.replica.configuration is not None
-            self._urgent_ranks = find_urgent_ranks(self.replica.configuration)
-            self._urgent_ranks_version = self.replica.version
-        return rank <= self._urgent_ranks.get(service, rank)
-
     def begin(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a server."""
         self._loads.begin(endpoint.number)
@@ -345,7 +317,6 @@
                 self.contexts.forget_server(number)
                 self.speeds.forget_server(number)
                 self.availability.forget(name, number)
-                self.statements.occupancy.forget_server(number)
         self._incarnations = present
         self.cold.update(endpoints, self.replica.configuration, self._clock())
         self.availability.set_registered(endpoints)
@@ -362,10 +333,7 @@
                 self.health.record_reported_unreachable(endpoint.name, now)
 
     def record_answer(
-        self,
-        endpoint: Endpoint,
-        *,
-        slowness: float | None = None,
+        self, endpoint: Endpoint, *, slowness: float | None = None
     ) -> None:
         """Record that a server has begun to answer, so it is reachable.
 
@@ -382,7 +350,6 @@
     def record_rejected(self, endpoint: Endpoint) -> None:
         """Record that a server received a request and refused to run it."""
         self.metrics.attempts.labels("turned_away").inc()
-        self.lines.record_send(endpoint.service, is_refused=True)
         self._record_outcome(endpoint, failed=True)
 
     def record_unreachable(
@@ -424,7 +391,6 @@
     def record_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
         """Record whether a server answered a request or failed."""
         self.metrics.attempts.labels("failed" if failed else "answered").inc()
-        self.lines.record_send(endpoint.service, is_refused=False)
         self._record_outcome(endpoint, failed=failed)
 
     def _record_outcome(self, endpoint: Endpoint, *, failed: bool) -> None:
@@ -456,8 +422,6 @@
             load_share=round(max(loads) / bound, 3) if bound else 0.0,
             retries_left=round(self._retries.count_left(service), 1),
             evacuated=evacuated,
-            requests_waiting=self.lines.count_waiting(service),
-            admission_share=round(self.lines.find_share(service), 3),
         )
 
     def suggest_retry_after(self) -> float:
--- a/src/rosemarystream/_internal/gateway/server_statements.py
+++ b/src/rosemarystream/_internal/gateway/server_statements.py
@@ -13,7 +13,6 @@
     ServerAvailability,
 )
 from rosemarystream._internal.decisions.server_limits import UNLIMITED
-from rosemarystream._internal.decisions.server_occupancy import ServerOccupancy
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.gateway.metrics import GatewayMetrics
 from rosemarystream._internal.models.endpoint import Endpoint
@@ -40,11 +39,6 @@
     ----------
     read_epoch_s : callable
         Returns the time since the epoch in seconds.
-
-    Attributes
-    ----------
-    occupancy : ServerOccupancy
-        Requests that servers hold, as they state it.
     """
 
     def __init__(
@@ -64,7 +58,6 @@
         self._clock = clock
         self._read_epoch_s = read_epoch_s
         self._limited_sends: Counter[str] = Counter()
-        self.occupancy = ServerOccupancy()
 
     def record(self, endpoint: Endpoint, head: AnswerHead) -> None:
         """Record what an answer of a server states about the requests that it takes.
@@ -74,8 +67,6 @@
         """
         if head.is_leaving:
             self._record_leaving(endpoint)
-        if head.requests is not None:
-            self.occupancy.record(endpoint.number, head.requests, self._clock())
         if head.asks_to_wait:
             self._record_retry_after(endpoint, head)
         if head.limit_per_s is not None or head.is_success:
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -59,10 +59,6 @@
     ServerWarm,
     ServicesUnreachable,
 )
-from rosemarystream._internal.models.log_entries.services import (
-    ServiceFull,
-    ServiceNotFull,
-)
 from rosemarystream._internal.models.log_entries.store import (
     BlockNotStored,
     BlockRecordInvalid,
@@ -108,8 +104,6 @@
     ServerWarm,
     ServicesUnreachable,
     ServerStillUnreachable,
-    ServiceFull,
-    ServiceNotFull,
     BlockNotStored,
     BlockRecordInvalid,
     HostRecordInvalid,
--- a/src/rosemarystream/_internal/models/log_entries/requests.py
+++ b/src/rosemarystream/_internal/models/log_entries/requests.py
@@ -40,8 +40,6 @@
         Number of those servers that received the request.
     limited : list of str
         Servers to which it was not sent because they limit their requests.
-    waited_ms : float
-        Time for which it waited in the host for a place at a server.
     server : str or None
         The last server; the following fields are the inputs of its choice.
     requests, bound : int, float
@@ -83,7 +81,6 @@
     tried: list[str] = []
     sends: int = 0
     limited: list[str] = []
-    waited_ms: float = 0.0
     server: str | None = None
     requests: int = 0
     bound: float = 0.0
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -76,8 +76,6 @@
 _MAX_DIGITS = 18
 _MS_PER_S = 1000.0
 MAX_PRIORITY = 9
-# Requests running or waiting at one server above which a statement is not believed.
-MAX_STATED_REQUESTS = 1_000_000
 # Place of the slowness in a server's load, and its value at the usual speed.
 _SLOWNESS_FIGURE = 3
 _USUAL_SLOWNESS = 100.0
@@ -114,8 +112,6 @@
         Whether the server states that it leaves.
     retry_after : RetryAfter or None
         When the server wants requests again; None if it doesn't tell.
-    requests : int or None
-        Requests that the server holds, running and waiting; None if it doesn't tell.
     """
 
     status: int
@@ -132,7 +128,6 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after: RetryAfter | None = None
-    requests: int | None = None
 
     @property
     def is_success(self) -> bool:
@@ -188,7 +183,6 @@
         limit_per_s=_parse_rate(first_values.get(SERVER_LIMIT)),
         is_leaving=first_values.get(SERVER_LEAVING) == _LEAVING,
         retry_after=parse_retry_after(first_values.get(RETRY_AFTER)),
-        requests=_parse_requests(first_values.get(SERVER_LOAD, b"")),
     )
 
 
@@ -271,16 +265,6 @@
     return figure / _USUAL_SLOWNESS if figure else None
 
 
-def _parse_requests(value: bytes) -> int | None:
-    """Return the sum of the first two figures of a server's load."""
-    figures = value.split(b",")
-    if len(figures) < _SLOWNESS_FIGURE:
-        return None
-    running = _parse_whole(figures[0].strip(), MAX_STATED_REQUESTS)
-    waiting = _parse_whole(figures[1].strip(), MAX_STATED_REQUESTS)
-    return None if running is None or waiting is None else running + waiting
-
-
 def _parse_rate(value: bytes | None) -> float | None:
     """Return a rate per second; None if it isn't a plain decimal number."""
     if value is None or not _DECIMAL.fullmatch(value):
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -122,10 +122,6 @@
         Whether it answers with a stream of server-sent events.
     work_s : float
         Time until its answer, or between two events, in seconds.
-    slots : int
-        Slots that its entry states.
-    places : int or None
-        Requests that it holds at once; it turns others away. None for any number.
 
     Attributes
     ----------
@@ -171,8 +167,6 @@
         data_centre: str = "a",
         events: bool = False,
         work_s: float = 0.005,
-        slots: int = 8,
-        places: int | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -186,9 +180,6 @@
         self.faults_without_limit: set[Fault] = set()
         self.is_leaving = False
         self.states_leaving_in_earlier_answers = False
-        self.slots = slots
-        self.places = places
-        self._held = 0
         self.retry_after: str | None = None
         self.refusal_delays_s: list[float] = []
         self.repeats_refusals = False
@@ -233,17 +224,13 @@
             "address": self.address,
             "zone": self.data_centre,
             "version": "v1",
-            "slots": self.slots,
+            "slots": 8,
             "state": state,
             "warmup-left-ms": max(0, int((self.cold_until - time.monotonic()) * 1000)),
             "seq": seq,
             "born": self.born,
         }
 
-    @property
-    def _is_full(self) -> bool:
-        return self.places is not None and self._held >= self.places
-
     def _serve(self, connection: socket.socket, _: object) -> None:
         self.connections += 1
         self._open.add(connection)
@@ -286,22 +273,14 @@
                 self._late_copies[connection] = refusal
             connection.sendall(refusal)
             return True
-        if fault is Fault.TURN_AWAY or self._is_full:
+        if fault is Fault.TURN_AWAY:
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             return _answer(connection, protocol, 503, identity, b"")
         run = Run(
             request_id.decode(), request.method, request.target, headers, body, []
         )
-        return self._hold(connection, protocol, run, fault, identity)
-
-    def _hold(self, connection, protocol, run, fault, identity) -> bool:
-        """Count a request while it is processed."""
         self.runs.append(run)
-        self._held += 1
-        try:
-            return self._work(connection, protocol, run, fault, identity)
-        finally:
-            self._held -= 1
+        return self._work(connection, protocol, run, fault, identity)
 
     def _work(self, connection, protocol, run, fault, identity) -> bool:
         if fault is Fault.HANG:
@@ -319,8 +298,7 @@
         gevent.sleep(self.work_s)
         if fault is not Fault.UNSEALED:
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
-        load = self._describe_load().encode("latin-1")
-        identity.append((b"x-rosemarystream-server-load", load))
+        identity.append((b"x-rosemarystream-server-load", self.load.encode("latin-1")))
         identity.extend(self.odd_headers)
         if fault in ERRORS:
             error = ERRORS[fault]
@@ -334,12 +312,6 @@
             return self._stream(connection, protocol, run, fault, identity)
         return self._answer_plain(connection, protocol, run, fault, identity)
 
-    def _describe_load(self) -> str:
-        if self.places is None:
-            return self.load
-        running = min(self._held, self.slots)
-        return f"{running},{self._held - running},{self.slots}"
-
     def _make_earlier_answer(self, fault: Fault) -> bytes:
         answer = EARLIER_ANSWERS[fault]
         if not self.states_leaving_in_earlier_answers:
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -348,12 +348,6 @@
     CallerBudget.choose_closed = lambda self, now: []
 
 
-def send_without_waiting():
-    from rosemarystream._internal.decisions.waiting_line import WaitingLine
-
-    WaitingLine.is_open = lambda self, load, now: True
-
-
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -401,7 +395,6 @@
         send_once_connected,
         send_after_pauses,
         close_no_caller,
-        send_without_waiting,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -184,11 +184,6 @@
         "close_no_caller",
         f"{UNIT}test_caller_budget.py -k reads_nothing",
     ),
-    Row(
-        "entry-full-services",
-        "send_without_waiting",
-        "python -m pytest -x -q tests/functional/test_full_services.py",
-    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
