--- a/src/rosemarystream/_internal/models/route.py
+++ b/src/rosemarystream/_internal/models/route.py
@@ -73,11 +73,26 @@
         Connections that one server accepts from all hosts together.
     cache_tokens : int
         Capacity of an engine's KV cache in tokens; 0 for a plain service.
+    backups : bool
+        Whether a server takes copies of runs of others.
+    moves : bool
+        Whether a server stops a run and moves it to another one on request.
+    kv_token_bytes : float
+        Bytes of a token in the KV cache; 0 if it isn't stated.
+    link_mbps : float
+        Rate between two servers in Mbit/s; 0 if it isn't stated.
+    handle_s : float
+        Time for which a copy is kept after its last part, in seconds.
     """
 
     name: str
     max_connections: int
     cache_tokens: int
+    backups: bool = False
+    moves: bool = False
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    handle_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -1,12 +1,14 @@
 """Decoders of the platform's configuration documents and server entries."""
 
 import re
+from typing import Any
 
 import msgspec
 
 from rosemarystream._internal.exceptions import PlatformError
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.ranges import (
+    MAX_COUNT,
     MAX_NAME_CHARS,
     Attempts,
     Count,
@@ -73,6 +75,12 @@
 
 class _Engine(msgspec.Struct, rename="kebab"):
     kv_capacity: Count = 0
+    # Of any type: backups are an addition, so an odd value only switches them off.
+    backups: Any = False
+    moves: Any = False
+    kv_token_bytes: Any = 0
+    link_mbps: Any = 0
+    handle_s: Any = 0
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -186,13 +194,25 @@
 
 
 def _convert_service(row: _Service) -> Service:
+    engine = row.engine or _Engine()
     return Service(
         name=row.name,
         max_connections=row.max_connections,
-        cache_tokens=row.engine.kv_capacity if row.engine else 0,
+        cache_tokens=engine.kv_capacity,
+        backups=engine.backups is True,
+        moves=engine.moves is True,
+        kv_token_bytes=_read_number(engine.kv_token_bytes),
+        link_mbps=_read_number(engine.link_mbps),
+        handle_s=_read_number(engine.handle_s),
     )
 
 
+def _read_number(value: Any) -> float:
+    """Return a number that isn't negative; 0 in place of anything else."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number and 0 <= value <= MAX_COUNT else 0.0
+
+
 def _convert_tenant(row: _Tenant) -> Workspace:
     if not _HEADER_VALUE.fullmatch(row.name):
         raise DocumentError(f"tenant {row.name!r} has a name that no header can carry")
