Continue streams that may run only once at their backup servers

An engine that crashes or resets its connections in the middle of a stream that may run only once ended the stream for good. With [streams] backups on, and backups in the service's configuration, such a request names a backup server, which takes copies of the run. After a break the first server is asked on a new connection; only if it refuses that, is another instance, or says that the run has stopped or isn't there, the same request goes to the holder of the run with the caller's last event. Events are counted across both servers.

Ruled out: running the request again (it may run once), and going on after a timeout (the first server may be at work). Ids that servers may read otherwise, or that two requests have, get no backup server, as a 404 about them proves nothing. With the setting off no header and no decision changes.

--- a/src/rosemarystream/_internal/decisions/stream_backups.py
+++ b/src/rosemarystream/_internal/decisions/stream_backups.py
@@ -5,6 +5,7 @@
 once the first one is known to work on it no more.
 """
 
+import re
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from enum import StrEnum
@@ -24,6 +25,9 @@
 # Bits that a link of 1 Mbit/s transfers in a millisecond.
 _BITS_PER_MS = 1_000.0
 
+# Visible characters of ASCII but the slash, which ends the address before an id.
+_USABLE_ID = re.compile(r"[!-.0-~]{1,256}")
+
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -37,6 +41,14 @@
     return may_run_once and service.backups
 
 
+def can_be_named(request_id: str) -> bool:
+    """Return whether servers read an id alike in a header, in JSON and in a path.
+
+    A server that doesn't recognize the id of a run denies that it works on it.
+    """
+    return bool(_USABLE_ID.fullmatch(request_id))
+
+
 def estimate_break_cost_ms(level: int, *, share_left: float = 1.0) -> float:
     """Return what a break costs the caller of a stream, in milliseconds.
 
@@ -175,7 +187,7 @@
 
 
 class BackupTable:
-    """The copies that this host has placed, and the ids of requests that may have one.
+    """The copies that this host has placed, and the ids of its requests in progress.
 
     Servers tell runs apart by the id of the request. So if two requests in progress
     have the same id, neither is continued.
@@ -192,7 +204,7 @@
         self._shared: set[str] = set()
 
     def begin_request(self, request_id: str) -> None:
-        """Record a request that may have a copy."""
+        """Record a request that is sent to a server."""
         self._requests[request_id] += 1
         if self._requests[request_id] > 1:
             self._shared.add(request_id)
@@ -206,7 +218,7 @@
 
     def is_unique(self, request_id: str) -> bool:
         """Return whether no other request in progress has or had the same id."""
-        return bool(request_id) and request_id not in self._shared
+        return request_id not in self._shared
 
     def add_copy(self, server: str) -> None:
         """Count a copy at a server."""
--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -83,6 +83,24 @@
         """Identifier of the last event that the caller has, or empty."""
         return self._stream.last_event
 
+    @property
+    def can_be_continued(self) -> bool:
+        """Whether another server can tell from a number where to go on."""
+        has_begun = self._answer.has_begun and self._stream.has_begun
+        return has_begun and self._stream.ends_numbered
+
+    def continue_stream(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Relay what a server adds to a stream that another one has begun.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If it is no stream, has gaps or is not complete.
+        """
+        if not head.is_event_stream:
+            raise OutcomeUnknownError("a stream can't go on as an answer")
+        self._relay_events(attempt, head, is_continuation=True)
+
     def relay(self, attempt: Attempt, head: AnswerHead) -> None:
         """Relay an answer to its end.
 
@@ -141,8 +159,10 @@
         else:
             self._crashes.report_ended(attempt.endpoint, self._call, self._shared_parts)
 
-    def _relay_events(self, attempt: Attempt, head: AnswerHead) -> None:
-        self._stream.begin_attempt()
+    def _relay_events(
+        self, attempt: Attempt, head: AnswerHead, *, is_continuation: bool = False
+    ) -> None:
+        self._stream.begin_attempt(is_continuation=is_continuation)
         self._expect_progress()
         sound_at = self._clock() + SOUND_ANSWER_S
         while (piece := self._read_piece(attempt)) is not None:
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -108,6 +108,8 @@
         level: int,
         last_event_id: bytes,
         source: str | None,
+        backup: str | None = None,
+        run: tuple[str, str] | None = None,
     ) -> None:
         """Send the request.
 
@@ -121,6 +123,10 @@
             Identifier of the last event that the caller has, if any.
         source : str or None
             Address of a server to copy the cached context of the prompt from.
+        backup : str or None
+            Address of a server that takes copies of the run.
+        run : tuple of (str, str) or None
+            Server and name of a run to be continued.
 
         Raises
         ------
@@ -155,6 +161,8 @@
             level=level,
             last_event_id=last_event_id,
             source=source,
+            backup=backup,
+            run=run,
         )
         self.is_sent = True
         self.last_act = ServerAct.NO_ANSWER
--- a/src/rosemarystream/_internal/gateway/attempt_sequence.py
+++ b/src/rosemarystream/_internal/gateway/attempt_sequence.py
@@ -15,7 +15,7 @@
 from rosemarystream._internal.gateway.request_errors import RequestEndedError
 from rosemarystream._internal.gateway.request_record import RequestRecord
 from rosemarystream._internal.gateway.router import Router
-from rosemarystream._internal.models.endpoint import Endpoint
+from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.route import Route
 
 # Attempts per request at servers to which no connection could be made.
@@ -195,6 +195,41 @@
         """Return whether a server that was chosen a moment ago still wants requests."""
         return self._router.availability.is_wanted(endpoint, self._clock())
 
+    def find_continuation_objection(self, endpoint: Endpoint) -> str:
+        """Return why a server may not continue a run of another one now, or ""."""
+        now = self._clock()
+        known = self._router.replica.find_endpoint(endpoint.name)
+        if known is None or known.incarnation != endpoint.incarnation:
+            return "the server has left or restarted"
+        if known.state is not ServerState.READY:
+            return "the server drains"
+        if not self._is_wanted(endpoint):
+            return "the server wants no requests, or its data centre is evacuated"
+        if self._router.availability.is_unreachable(endpoint, now):
+            return "the server can't be reached"
+        if not self._router.limits.is_open(endpoint.number, now):
+            return "the server limits its requests"
+        blocked = self._blocks.find_blocked(self._shared_parts, now)
+        return "" if blocked is None else "servers crash on a part of the prompt"
+
+    def choose_continuation(self, endpoint: Endpoint) -> tuple[Placement | None, str]:
+        """Return the placement of a run at a given server, else why it can't be there.
+
+        The number of attempts of the route doesn't count, as it is the same run.
+        """
+        reason = self.find_continuation_objection(endpoint)
+        if not reason and not self._gate.admit(endpoint):
+            reason = "the server limits its requests"
+        if reason:
+            return None, reason
+        placement = Placement(endpoint, 0)
+        self._record_choice(placement)
+        return placement, ""
+
+    def record_continued(self) -> None:
+        """Record that a server has continued a run to its end."""
+        self._record.sends += 1
+
     def find_objection(self, endpoint: Endpoint) -> str:
         """Return why a server that is connected may no longer get the request, or "".
 
--- a/src/rosemarystream/_internal/gateway/event_stream.py
+++ b/src/rosemarystream/_internal/gateway/event_stream.py
@@ -39,9 +39,25 @@
         self.can_continue = True
         self._splitter = EventSplitter()
         self._has_events = False
+        self._is_continuation = False
+        self._is_repeating = False
 
-    def begin_attempt(self) -> None:
-        """Forget what is left of the answer of the attempt before."""
+    @property
+    def ends_numbered(self) -> bool:
+        """Whether the last event that the caller has bears a number."""
+        return self.can_continue and self._last_number is not None
+
+    def begin_attempt(self, *, is_continuation: bool = False) -> None:
+        """Forget what is left of the answer of the attempt before.
+
+        Parameters
+        ----------
+        is_continuation : bool
+            Whether a run is continued that may be run only once, so that an event
+            that can't be told from one that the caller has is an error.
+        """
+        self._is_continuation = is_continuation
+        self._is_repeating = False
         self.has_begun = True
         self._splitter = EventSplitter()
         self._has_events = False
@@ -68,6 +84,8 @@
         """
         self._has_events = True
         identifier = find_event_id(event)
+        if self._is_continuation:
+            self._check_continuation(event, identifier)
         if not identifier:
             self.can_continue &= not has_data(event)
             return True
@@ -75,6 +93,7 @@
         if number is not None and self._last_number is not None:
             ahead = number - self._last_number
             if ahead <= 0:
+                self._is_repeating = True
                 return False
             if ahead > 1:
                 raise OutcomeUnknownError(
@@ -83,8 +102,17 @@
         self.last_event = identifier
         self.can_continue = True
         self._last_number = number
+        self._is_repeating = False
         return True
 
+    def _check_continuation(self, event: bytes, identifier: bytes) -> None:
+        if identifier:
+            if _read_number(identifier) is None:
+                raise OutcomeUnknownError(f"event {identifier!r} bears no number")
+        elif self._is_repeating and has_data(event):
+            # It may belong to the repeated events, or follow them.
+            raise OutcomeUnknownError("an event without a number came among old ones")
+
     def check_end(self, *, is_delimited: bool) -> None:
         """Check that an answer that has ended is complete.
 
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -11,6 +11,7 @@
 from rosemarystream._internal.decisions.placement import Placement
 from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
 from rosemarystream._internal.decisions.prompt_parts import hash_shared_parts
+from rosemarystream._internal.decisions.stream_backups import Step
 from rosemarystream._internal.decisions.timeouts import compute_attempt_deadline
 from rosemarystream._internal.exceptions import ErrorKind
 from rosemarystream._internal.gateway.answer_relay import (
@@ -39,6 +40,8 @@
 from rosemarystream._internal.gateway.request_record import RequestRecord
 from rosemarystream._internal.gateway.route_lookup import RouteLookup
 from rosemarystream._internal.gateway.router import Router
+from rosemarystream._internal.gateway.run_moves import RunMover
+from rosemarystream._internal.gateway.stream_continuation import StreamContinuation
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.route import Route
 from rosemarystream._internal.platform.headers import AnswerHead
@@ -96,6 +99,7 @@
         self._attempts: AttemptSequence | None = None
         self._current: CountedAttempt | None = None
         self._failover: Failover | None = None
+        self._continuation: StreamContinuation | None = None
         self._used_connections: list[ClientConnection] = []
         self._relay: AnswerRelay | None = None
         self._failed_answer: tuple[AnswerHead, bytes] | None = None
@@ -141,7 +145,7 @@
             return "failed"
         finally:
             # They call back: the cycles would keep all buffers until a collection.
-            self._relay = self._failover = None
+            self._relay = self._failover = self._continuation = None
 
     def _serve(self) -> None:
         try:
@@ -154,6 +158,8 @@
         finally:
             if self._failover is not None:
                 self._failover.close()
+            if self._continuation is not None:
+                self._continuation.close()
 
     def _make_stopped_error(self) -> RequestEndedError:
         """Return the error of a request that this host ends because it stops."""
@@ -223,6 +229,20 @@
             on_progress=self._failover.give_up_other,
             leave_unresponsive=self._leave_unresponsive,
         )
+        self._continuation = StreamContinuation(
+            call=self._call,
+            route=route,
+            service=self._service,
+            deadline=self._deadline,
+            attempts=self._attempts,
+            outcomes=self._outcomes,
+            relay=self._relay,
+            router=self._router,
+            mover=RunMover(pool=self._pool, clock=self._clock),
+            begin=self._begin_continuation,
+            send=self._send_continuation,
+            clock=self._clock,
+        )
 
     def _compute_deadline(self, route: Route) -> float:
         wait_s = route.timeout_s
@@ -263,6 +283,10 @@
             raise
         return counted
 
+    def _begin_continuation(self, placement: Placement) -> CountedAttempt:
+        self._current = self._begin_attempt(placement)
+        return self._current
+
     def _complete(self, current: CountedAttempt) -> bool:
         """Make an attempt and record how it ends; return whether it is the last."""
         try:
@@ -277,6 +301,10 @@
         except OutcomeUnknownError as error:
             self._outcomes.record_unknown(current.attempt, error)
             if not self._failover.has_other:
+                if self._continuation.run(current):
+                    return True
+                # The log tells of the server that broke the stream.
+                self._current = current
                 self._relay.check_resumable(str(error))
                 self._attempts.check_retry(sent=True, reason=str(error))
         except (Exception, HostStoppedError):
@@ -299,6 +327,9 @@
 
     def _send(self, current: CountedAttempt) -> None:
         source = current.placement.source
+        backup = self._continuation.choose_backup(
+            current.endpoint, self._record.priority
+        )
         current.attempt.send(
             self._body,
             deadline=self._deadline,
@@ -306,6 +337,18 @@
             level=self._record.priority,
             last_event_id=self._relay.last_event,
             source=source.address if source else None,
+            backup=backup.address if backup else None,
+        )
+
+    def _send_continuation(self, current: CountedAttempt, step: Step) -> None:
+        current.attempt.send(
+            self._body,
+            deadline=self._deadline,
+            workspace=self._record.workspace,
+            level=self._record.priority,
+            last_event_id=self._relay.last_event,
+            source=None,
+            run=(step.holder, step.name),
         )
 
     def _relay_or_keep_failure(self, attempt: Attempt, head: AnswerHead) -> None:
--- a/src/rosemarystream/_internal/gateway/metrics.py
+++ b/src/rosemarystream/_internal/gateway/metrics.py
@@ -100,6 +100,16 @@
         self.retries_refused = counter(
             "retries_refused", "Repeats not made because the budget was used up"
         )
+        self.streams_backed_up = counter(
+            "streams_backed_up", "Attempts of streams that have a backup server"
+        )
+        self.streams_continued = counter(
+            "streams_continued", "Broken streams that went on at another server"
+        )
+        self.streams_not_continued = counter(
+            "streams_not_continued",
+            "Broken streams with a backup server that were not continued to their end",
+        )
         self.limit_refusals = counter(
             "limit_refusals", "Choices of a server that its limit did not permit"
         )
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -143,6 +143,7 @@
             read_epoch_s=Clock().now,
             on_load=self._report_load_change,
         )
+        self._router.backups.is_enabled = settings.streams.backups
         self._puller = StatePuller(
             address=(host.ip, host.peer_port),
             clock=self._clock,
@@ -436,6 +437,7 @@
         write_log_entry(log, entry)
         if settings.bounds != self._settings.bounds:
             self._router.set_bounds(settings.bounds)
+        self._router.backups.is_enabled = settings.streams.backups
         self._settings = settings
 
     def leave(self) -> None:
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -39,6 +39,7 @@
 from rosemarystream._internal.gateway.retry_budgets import RetryBudgets
 from rosemarystream._internal.gateway.server_statements import ServerStatements
 from rosemarystream._internal.gateway.settings import BoundsSection
+from rosemarystream._internal.gateway.stream_backups import StreamBackups
 from rosemarystream._internal.models.call import Call
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.models.log_entries.servers import (
@@ -118,6 +119,9 @@
         self._priorities = PriorityTable(pairs=())
         self._priorities_version = 0
         self._incarnations: dict[str, int] = {}
+        self.backups = StreamBackups(
+            replica=replica, availability=self.availability, loads=loads, clock=clock
+        )
         self._retries = RetryBudgets(bounds=bounds, peer_table=peer_table, clock=clock)
         self._placer = ContextPlacer(
             replica=replica,
--- a/src/rosemarystream/_internal/gateway/settings.py
+++ b/src/rosemarystream/_internal/gateway/settings.py
@@ -64,6 +64,12 @@
     return milliseconds / _MS_PER_S if seconds is None else seconds
 
 
+class StreamsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Whether streams that may run only once have backup servers."""
+
+    backups: bool = False
+
+
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Lowest level of the log entries that are written."""
 
@@ -82,6 +88,7 @@
     host: HostSection
     platform: PlatformSection
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
+    streams: StreamsSection = msgspec.field(default_factory=StreamsSection)
     log: LogSection = msgspec.field(default_factory=LogSection)
     metrics: MetricsSection = msgspec.field(default_factory=MetricsSection)
 
--- a/src/rosemarystream/_internal/gateway/state.py
+++ b/src/rosemarystream/_internal/gateway/state.py
@@ -99,6 +99,8 @@
         Requests that were begun, have ended and are in progress.
     left_out : dict of str to str
         Why objects of the store or of other hosts are left out, by kind and name.
+    stream_copies : dict of str to int
+        Copies of runs that this host has placed, by the servers that take them.
     evacuations_known : bool
         Whether this host knows which data centres are evacuated.
     evacuations : dict of str to EvacuationState
@@ -122,6 +124,7 @@
     collectors: list[str]
     servers: dict[str, ServerState]
     peers: dict[str, PeerState]
+    stream_copies: dict[str, int]
     evacuations_known: bool
     evacuations: dict[str, EvacuationState]
 
@@ -227,6 +230,7 @@
             collectors=collectors,
             servers=self._list_servers(now),
             peers=self._list_peers(now),
+            stream_copies=dict(self._router.backups.table.copies),
             evacuations_known=self._evacuations.is_known,
             evacuations={
                 record.data_centre: EvacuationState(
--- a/src/rosemarystream/_internal/models/log_entries/catalogue.py
+++ b/src/rosemarystream/_internal/models/log_entries/catalogue.py
@@ -35,6 +35,8 @@
     RequestEnded,
     RequestRefusedEarly,
     ServerCrashed,
+    StreamContinued,
+    StreamNotContinued,
     UnexpectedError,
 )
 from rosemarystream._internal.models.log_entries.servers import (
@@ -71,6 +73,8 @@
     RequestUnanswered,
     AttemptNotRun,
     AttemptBroken,
+    StreamContinued,
+    StreamNotContinued,
     UnexpectedError,
     ServerCrashed,
     PromptPartBlocked,
--- a/src/rosemarystream/_internal/models/log_entries/requests.py
+++ b/src/rosemarystream/_internal/models/log_entries/requests.py
@@ -159,6 +159,56 @@
     reason: str
 
 
+class StreamContinued(LogEntry, frozen=True, kw_only=True):
+    """A stream that may run only once broke, and goes on at another server.
+
+    Attributes
+    ----------
+    first, server : str
+        The server whose stream broke, and the one that continues it.
+    first_state : str
+        Why the first one is no longer at work: ``gone`` (it refuses connections, or
+        another one has its address), ``moved`` or ``stopped`` (at this host's request,
+        and with or without a move to the backup server) or ``absent`` (it knows no such
+        run).
+    after : str
+        Identifier of the last event that the caller had.
+    pause_ms : float
+        Time from the break to the head of the continuation.
+    """
+
+    message = "stream continued"
+    limit_per_s = REQUEST_ENTRIES_PER_S
+    request: str
+    first: str
+    server: str
+    first_state: str
+    after: str
+    pause_ms: float
+
+
+class StreamNotContinued(LogEntry, frozen=True, kw_only=True):
+    """A stream with a backup server broke, and was not continued to its end.
+
+    Attributes
+    ----------
+    first, backup : str
+        The server whose stream broke, and its backup server.
+    first_state : str
+        What is known of the first one's work, see ``stream continued``; ``busy`` if
+        another call about the run was in progress, ``unknown`` if it may be at work or
+        was not asked.
+    """
+
+    message = "stream not continued"
+    limit_per_s = REQUEST_ENTRIES_PER_S
+    request: str
+    first: str
+    backup: str
+    first_state: str
+    reason: str
+
+
 class UnexpectedError(LogEntry, frozen=True, kw_only=True):
     """An error that no code expects was raised while a request was served.
 
--- a/src/rosemarystream/_internal/platform/headers.py
+++ b/src/rosemarystream/_internal/platform/headers.py
@@ -29,6 +29,8 @@
 MODEL = b"x-rosemarystream-model"
 PRIORITY = b"x-rosemarystream-request-priority"
 CACHE_SOURCE = b"kv-fetch"
+BACKUP = b"x-rosemarystream-kv-backup"
+RUN_SOURCE = b"kv-from"
 KEY = b"api-key"
 
 # Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
@@ -58,9 +60,9 @@
         LAST_EVENT_ID,
         b"x-rosemarystream-hold",
         b"x-rosemarystream-pin-ms",
-        b"x-rosemarystream-kv-backup",
+        BACKUP,
         b"x-rosemarystream-expect-version",
-        b"kv-from",
+        RUN_SOURCE,
         CACHE_SOURCE,
     }
 )
@@ -195,6 +197,8 @@
     level: int,
     last_event_id: bytes,
     source: str | None,
+    backup: str | None = None,
+    run: tuple[str, str] | None = None,
 ) -> Headers:
     """Encode the headers of a request to a server, without framing headers.
 
@@ -204,6 +208,11 @@
         Priority for the engine; 0 is first. Clipped to 0..`MAX_PRIORITY`.
     source : str or None
         Address of a server from which the engine copies the KV cache of the prompt.
+    backup : str or None
+        Address of a server to which the engine sends copies of the run.
+    run : tuple of (str, str) or None
+        Address of the server that holds a run to be continued, and the id of its
+        request or a handle.
     """
     headers = list(call.headers)
     headers.append((DEADLINE, b"%d" % max(1, int(wait_s * _MS_PER_S))))
@@ -213,6 +222,10 @@
         headers.append((WORKSPACE, workspace.encode()))
     if source is not None:
         headers.append((CACHE_SOURCE, source.encode("latin-1")))
+    if backup is not None:
+        headers.append((BACKUP, backup.encode("latin-1")))
+    if run is not None:
+        headers.append((RUN_SOURCE, "/".join(run).encode("latin-1")))
     if last_event_id:
         headers.append((LAST_EVENT_ID, last_event_id))
     return headers
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -16,6 +16,7 @@
 from gevent.server import StreamServer
 
 from standins.link import reset_connection
+from standins.run_copies import MOVE_TARGET, RunCopies
 
 READ_BYTES = 65_536
 EVENTS = 8
@@ -53,6 +54,8 @@
     PAUSE = "pause"
     PAUSE_IN_HEAD = "pause_in_head"
     PAUSE_IN_BODY = "pause_in_body"
+    CRASH = "crash"
+    RESET_AND_RUN = "reset_and_run"
 
 
 ANOTHER_ANSWER = (
@@ -154,6 +157,8 @@
         Prompt parts on which it crashes.
     on_crash : callable
         Called with the server when it has crashed.
+    copies : RunCopies
+        Its runs, copies of runs of others, and handles of runs that it has moved.
     """
 
     def __init__(
@@ -186,6 +191,7 @@
         self.arrived_at: list[float] = []
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[[BackendServer], object] = str
+        self.copies = RunCopies(address=self.address)
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.arrivals = 0
@@ -207,8 +213,9 @@
             self._server.stop(timeout=0)
 
     def crash(self) -> None:
-        """Stop listening and reset all connections."""
+        """Stop listening and reset all connections; its memory is lost."""
         self.stop()
+        self.copies.clear()
         for connection in self._open:
             reset_connection(connection)
         self._open.clear()
@@ -246,6 +253,8 @@
         request, body = _read_request(connection, protocol)
         if request is None:
             return False
+        if request.target == MOVE_TARGET:
+            return self.copies.serve_move(connection, protocol, request, body)
         self.arrivals += 1
         self.arrived_at.append(time.monotonic())
         connection.sendall(self._late_copies.pop(connection, b""))
@@ -261,23 +270,28 @@
         if expected != self.name:
             return _answer(connection, protocol, 421, identity, b"")
         if self.retry_after is not None:
-            if self.refusal_delays_s:
-                gevent.sleep(self.refusal_delays_s.pop(0))
-            identity.append((b"x-rosemarystream-not-executed", b"1"))
-            identity.append((b"retry-after", self.retry_after.encode()))
-            refusal = _encode_answer(protocol, 503, identity, b"")
-            if self.repeats_refusals:
-                self._late_copies[connection] = refusal
-            connection.sendall(refusal)
+            self._ask_to_wait(connection, protocol, identity)
             return True
-        if fault is Fault.TURN_AWAY:
+        has_source = self.copies.take_source(headers, request_id.decode())
+        if fault is Fault.TURN_AWAY or not has_source:
             identity.append((b"x-rosemarystream-not-executed", b"1"))
             return _answer(connection, protocol, 503, identity, b"")
         run = Run(
             request_id.decode(), request.method, request.target, headers, body, []
         )
         self.runs.append(run)
-        return self._work(connection, protocol, run, fault, identity)
+        with self.copies.work_on(run):
+            return self._work(connection, protocol, run, fault, identity)
+
+    def _ask_to_wait(self, connection, protocol, identity) -> None:
+        if self.refusal_delays_s:
+            gevent.sleep(self.refusal_delays_s.pop(0))
+        identity.append((b"x-rosemarystream-not-executed", b"1"))
+        identity.append((b"retry-after", self.retry_after.encode()))
+        refusal = _encode_answer(protocol, 503, identity, b"")
+        if self.repeats_refusals:
+            self._late_copies[connection] = refusal
+        connection.sendall(refusal)
 
     def _work(self, connection, protocol, run, fault, identity) -> bool:
         if fault is Fault.HANG:
@@ -378,6 +392,17 @@
                 half = event[: len(event) // 2]
                 connection.sendall(protocol.send(h11.Data(data=half)))
                 return False
+            if fault is Fault.RESET_AND_RUN and sent == self._cut_after:
+                reset_connection(connection)
+                self.copies.wait_until_stopped(run)
+                return False
+            if fault is Fault.CRASH and sent == self._cut_after:
+                half = event[: len(event) // 2]
+                connection.sendall(protocol.send(h11.Data(data=half)))
+                # The half event has to arrive before the reset, which discards it.
+                gevent.sleep(self.work_s)
+                self.crash()
+                return False
             if fault is Fault.TRICKLE and sent == self._cut_after:
                 return _trickle(connection, protocol, run)
             if fault is Fault.CORRUPT_EVENT and sent == self._cut_after:
@@ -390,6 +415,7 @@
                     return False
                 continue
             connection.sendall(data)
+            self.copies.send_copy(run)
             if _wait_for_close(connection, run, self.work_s):
                 return False
         return True
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -122,7 +122,16 @@
         self.store.write("servers", successor.name, successor.describe())
         return successor
 
-    def add_host(self, name, data_centre="a", *, seeds=(), wait=True, shutdown_ms=3000):
+    def add_host(
+        self,
+        name,
+        data_centre="a",
+        *,
+        seeds=(),
+        wait=True,
+        shutdown_ms=3000,
+        backups=False,
+    ):
         ip = f"{self.net}.{next(self._ips)}"
         store_address = self.store.add_address(
             (f"{self.net}.{next(self._ips)}", STORE_PORT)
@@ -140,6 +149,7 @@
             },
             "platform": {"address": store_address},
             "bounds": {"shutdown_ms": shutdown_ms},
+            "streams": {"backups": backups},
         }
         settings = msgspec.convert(document, GatewaySettings)
         gateway = Gateway(settings=settings, path=Path("none"))
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -330,6 +330,31 @@
     ProcessPauses.measure_hold = lambda self, now: 0.0
 
 
+def continue_beside_first_servers():
+    from rosemarystream._internal.decisions.stream_backups import FirstServer
+    from rosemarystream._internal.gateway import stream_continuation
+
+    plan = stream_continuation.plan_steps
+
+    def plan_whatever_it_does(state, **arguments):
+        return plan(FirstServer.GONE, **arguments)
+
+    stream_continuation.plan_steps = plan_whatever_it_does
+
+
+def accept_any_continued_event():
+    from rosemarystream._internal.gateway.event_stream import EventStream
+
+    accept = EventStream.accept
+
+    def accept_unnumbered(self, event):
+        if self._is_continuation:
+            self._last_number = None
+        return accept(self, event)
+
+    EventStream.accept = accept_unnumbered
+
+
 SWITCHES = {
     function.__name__: function
     for function in (
@@ -374,6 +399,8 @@
         serve_without_evacuations,
         send_once_connected,
         send_after_pauses,
+        continue_beside_first_servers,
+        accept_any_continued_event,
     )
 }
 
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -26,6 +26,7 @@
 UNIT = "python -m pytest -x -q tests/unit/"
 ENTRY = "python -m pytest -x -q tests/functional/test_entry_"
 EVACUATIONS = "python -m pytest -x -q tests/functional/test_evacuations.py"
+BACKUPS = "python -m pytest -x -q tests/functional/test_continued_streams.py"
 BEHAVE = "behave --no-capture --stop tests/features/"
 ROWS = (
     Row("load-bound", "ignore_bound", f"{PYTEST}test_load_bound.py"),
@@ -169,6 +170,16 @@
         "send_after_pauses",
         f"{EVACUATIONS} -k paused_host",
     ),
+    Row(
+        "entry-stream-backups",
+        "continue_beside_first_servers",
+        f"{BACKUPS} -k not_say_that_it_stopped",
+    ),
+    Row(
+        "entry-stream-continuations",
+        "accept_any_continued_event",
+        f"{BACKUPS} -k gap",
+    ),
     Row("entry-logs", "log_without_limit", f"{UNIT}test_log_limits.py"),
 )
 
--- a/tests/unit/test_stream_backups.py
+++ b/tests/unit/test_stream_backups.py
@@ -7,6 +7,7 @@
 from rosemarystream._internal.decisions.stream_backups import (
     BackupTable,
     FirstServer,
+    can_be_named,
     choose_backup,
     estimate_break_cost_ms,
     estimate_copy_cost_ms,
@@ -124,7 +125,12 @@
     assert not table.is_unique("r")
     table.end_request("r")
     assert table.is_unique("r")
-    assert not table.is_unique("")
+
+
+@pytest.mark.parametrize("request_id", ["", "a/b", "caf\xe9", "a b", "r" * 257])
+def test_an_id_that_a_server_may_read_otherwise_gets_no_copy(request_id):
+    assert not can_be_named(request_id)
+    assert can_be_named("0f-R_1.x:~")
 
 
 def test_copies_count_until_they_are_removed():
