--- a/src/rosemarystream/_internal/gateway/run_moves.py
+++ b/src/rosemarystream/_internal/gateway/run_moves.py
@@ -12,11 +12,13 @@
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.platform.headers import decode_answer
 from rosemarystream._internal.platform.run_moves import (
+    FREE_METHOD,
     MOVE_METHOD,
     MOVE_TARGET,
     decode_handle,
+    encode_free_target,
+    encode_headers,
     encode_move,
-    encode_move_headers,
 )
 from rosemarystream._internal.utils.http_connection import (
     ClientConnection,
@@ -31,6 +33,8 @@
 # about to crash, or that has another call about the run in progress.
 REPEAT_DELAY_S = 0.05
 MAX_ANSWER_BYTES = 16_384
+# Time for freeing a handle, for which the end of a broken stream waits.
+FREE_TIMEOUT_S = 0.1
 
 
 class RunState(NamedTuple):
@@ -81,6 +85,22 @@
                 return found
             gevent.sleep(REPEAT_DELAY_S)
 
+    def free_handle(self, first: Endpoint, handle: str) -> None:
+        """Free a handle that isn't used; if that fails it expires at its server."""
+        deadline = self._clock() + FREE_TIMEOUT_S
+        try:
+            connection = self._pool.open(first, deadline)
+        except ConnectError:
+            return
+        try:
+            headers = encode_headers(server=first.name, address=first.address)
+            connection.send(FREE_METHOD, encode_free_target(handle), headers)
+            connection.read_head(deadline)
+        except ConnectionBrokenError:
+            return
+        finally:
+            connection.close()
+
     def _ask(
         self,
         call: Call,
@@ -115,7 +135,7 @@
         backup: Endpoint,
         deadline: float,
     ) -> RunState:
-        headers = encode_move_headers(server=first.name, address=first.address)
+        headers = encode_headers(server=first.name, address=first.address)
         body = encode_move(call.request_id, to=backup.address)
         connection.send(MOVE_METHOD, MOVE_TARGET, headers, body)
         head = decode_answer(*connection.read_head(deadline))
--- a/src/rosemarystream/_internal/gateway/stream_continuation.py
+++ b/src/rosemarystream/_internal/gateway/stream_continuation.py
@@ -178,6 +178,8 @@
             if not reason:
                 return True
         self._record_ended(first, found.state, reason)
+        if found.handle:
+            self._mover.free_handle(first, found.handle)
         return False
 
     def _make_step(
--- a/src/rosemarystream/_internal/platform/run_moves.py
+++ b/src/rosemarystream/_internal/platform/run_moves.py
@@ -1,6 +1,7 @@
 """Calls that stop a run at its server and move it to another one."""
 
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 
@@ -11,6 +12,8 @@
 
 MOVE_METHOD = b"POST"
 MOVE_TARGET = b"/v1/kv-move"
+FREE_METHOD = b"DELETE"
+_FREE_TARGET = "/v1/kv-handle/"
 
 
 class _Answer(msgspec.Struct):
@@ -32,8 +35,8 @@
     return msgspec.json.encode(body)
 
 
-def encode_move_headers(*, server: str, address: str) -> Headers:
-    """Encode the headers of such a call, without framing headers.
+def encode_headers(*, server: str, address: str) -> Headers:
+    """Encode the headers of a call about a run, without framing headers.
 
     Parameters
     ----------
@@ -47,6 +50,11 @@
     ]
 
 
+def encode_free_target(handle: str) -> bytes:
+    """Encode the target of a call that frees a handle that isn't used."""
+    return (_FREE_TARGET + quote(handle, safe="", encoding="latin-1")).encode()
+
+
 def decode_handle(body: bytes) -> str:
     """Return the handle that an answer has; empty if it has no usable one."""
     try:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -16,7 +16,7 @@
 from gevent.server import StreamServer
 
 from standins.link import reset_connection
-from standins.run_copies import MOVE_TARGET, RunCopies
+from standins.run_copies import RUN_TARGETS, RunCopies
 
 READ_BYTES = 65_536
 EVENTS = 8
@@ -253,8 +253,8 @@
         request, body = _read_request(connection, protocol)
         if request is None:
             return False
-        if request.target == MOVE_TARGET:
-            return self.copies.serve_move(connection, protocol, request, body)
+        if request.target.startswith(RUN_TARGETS):
+            return self.copies.serve(connection, protocol, request, body)
         self.arrivals += 1
         self.arrived_at.append(time.monotonic())
         connection.sendall(self._late_copies.pop(connection, b""))
--- a/standins/run_copies.py
+++ b/standins/run_copies.py
@@ -13,7 +13,8 @@
 import h11
 import msgspec
 
-MOVE_TARGET = b"/v1/kv-move"
+FREE_TARGET = b"/v1/kv-handle/"
+RUN_TARGETS = (b"/v1/kv-move", FREE_TARGET)
 STOP_CHECK_S = 0.005
 _copies_by_address: WeakValueDictionary[str, "RunCopies"] = WeakValueDictionary()
 
@@ -53,6 +54,11 @@
         self._handles: dict[str, str] = {}
         _copies_by_address[address] = self
 
+    @property
+    def handles(self) -> list[str]:
+        """Handles that are neither used nor freed."""
+        return [*self._handles]
+
     def clear(self) -> None:
         """Lose everything, as in a crash."""
         self.held.clear()
@@ -96,8 +102,15 @@
         while run.request_id in self.active:
             gevent.sleep(STOP_CHECK_S)
 
-    def serve_move(self, connection, protocol, request, body: bytes) -> bool:
-        """Answer a call that asks for the move of a run."""
+    def serve(self, connection, protocol, request, body: bytes) -> bool:
+        """Answer a call about a run, and close the connection."""
+        if request.target.startswith(FREE_TARGET):
+            handle = request.target.removeprefix(FREE_TARGET).decode()
+            status = 404 if self._handles.pop(handle, None) is None else 200
+            return self._answer(connection, protocol, status, {})
+        return self._serve_move(connection, protocol, body)
+
+    def _serve_move(self, connection, protocol, body: bytes) -> bool:
         call = msgspec.json.decode(body)
         self.moves.append(call)
         gevent.sleep(self.move_delay_s)
@@ -113,6 +126,9 @@
             self._handles[answer["handle"]] = holder
             if call["last"]:
                 self.active.discard(call["id"])
+        return self._answer(connection, protocol, status, answer)
+
+    def _answer(self, connection, protocol, status: int, answer: dict) -> bool:
         data = msgspec.json.encode(answer)
         head = h11.Response(
             status_code=status, headers=[(b"content-length", b"%d" % len(data))]
--- a/tests/functional/test_continued_streams.py
+++ b/tests/functional/test_continued_streams.py
@@ -188,6 +188,19 @@
     assert runs[1].headers[b"kv-from"].decode().endswith("/h1")
 
 
+def test_a_handle_that_is_not_used_is_freed(make_fleet):
+    """Otherwise the memory of the run stays taken until the handle expires."""
+    fleet = make_fleet(Fault.RESET_AND_RUN)
+    for engine in fleet.engines:
+        engine.copies.take_source = lambda headers, request_id: (
+            b"kv-from" not in headers
+        )
+    check_broken(fleet.call())
+    assert fleet.other.arrivals == 1
+    assert fleet.first.copies.moves
+    assert not fleet.first.copies.handles
+
+
 def test_a_server_that_is_busy_with_a_run_is_asked_again(make_fleet):
     fleet = make_fleet(Fault.RESET_AND_RUN)
     for engine in fleet.engines:
