Streams with backup servers: trace, operators' page, settings; unused field removed

Traces say which server went on, after which event and why, or why none did. The time for which a server keeps a copy isn't read, as nothing depends on it.

--- a/src/rosemarystream/_internal/models/route.py
+++ b/src/rosemarystream/_internal/models/route.py
@@ -81,8 +81,6 @@
         Bytes of a token in the KV cache; 0 if it isn't stated.
     link_mbps : float
         Rate between two servers in Mbit/s; 0 if it isn't stated.
-    handle_s : float
-        Time for which a copy is kept after its last part, in seconds.
     """
 
     name: str
@@ -92,7 +90,6 @@
     moves: bool = False
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
-    handle_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/src/rosemarystream/_internal/operators/tracing.py
+++ b/src/rosemarystream/_internal/operators/tracing.py
@@ -23,6 +23,8 @@
     AttemptBroken,
     AttemptNotRun,
     RequestEnded,
+    StreamContinued,
+    StreamNotContinued,
 )
 from rosemarystream._internal.models.log_entries.servers import (
     ServersNotReturned,
@@ -312,6 +314,16 @@
             findings.append(f"{entry.server} {how} ({entry.reason})")
         elif isinstance(entry, AttemptBroken):
             findings.append(f"the answer of {entry.server} broke off ({entry.reason})")
+        elif isinstance(entry, StreamContinued):
+            findings.append(
+                f"{entry.server} went on after event {entry.after}, as the run at "
+                f"{entry.first} was {entry.first_state}"
+            )
+        elif isinstance(entry, StreamNotContinued):
+            findings.append(
+                f"{entry.backup} did not go on to the end; the run at {entry.first}: "
+                f"{entry.first_state} ({entry.reason})"
+            )
     return findings
 
 
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -80,7 +80,6 @@
     moves: Any = False
     kv_token_bytes: Any = 0
     link_mbps: Any = 0
-    handle_s: Any = 0
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -203,7 +202,6 @@
         moves=engine.moves is True,
         kv_token_bytes=_read_number(engine.kv_token_bytes),
         link_mbps=_read_number(engine.link_mbps),
-        handle_s=_read_number(engine.handle_s),
     )
 
 
--- a/tests/functional/test_continued_streams.py
+++ b/tests/functional/test_continued_streams.py
@@ -1,10 +1,12 @@
 """Streams that may run only once, and whose engine fails in the middle."""
 
+import json
 import random
 import time
 from collections import Counter
 
 import gevent
+import msgspec
 import pytest
 
 from standins import backend_server
@@ -125,7 +127,35 @@
     assert not {b"x-rosemarystream-kv-backup", b"kv-from"} & set(run.headers)
 
 
-@pytest.mark.parametrize("engine", [{"kv-capacity": 9}, {"backups": 1}])
+def test_backups_are_switched_by_a_reload(make_fleet, tmp_path):
+    fleet = make_fleet(Fault.CRASH, backups=False, engines=3)
+    gateway = fleet.host.gateway
+    gateway._path = tmp_path / "gateway.toml"
+    sections = msgspec.to_builtins(gateway._settings)
+    sections["streams"]["backups"] = True
+    # Values of these kinds look alike in JSON and TOML.
+    text = "".join(
+        f"[{name}]\n"
+        + "".join(
+            f"{key} = {json.dumps(value)}\n"
+            for key, value in section.items()
+            if value is not None
+        )
+        for name, section in sections.items()
+    )
+    gateway._path.write_text(text)
+    gateway._reload()
+    check_whole(fleet, fleet.call())
+
+
+@pytest.mark.parametrize(
+    "engine",
+    [
+        {"kv-capacity": 9},
+        {"backups": 1},
+        {"backups": "yes", "moves": [], "kv-token-bytes": -1, "link-mbps": "fast"},
+    ],
+)
 def test_a_service_without_backups_is_served_as_before(make_fleet, engine):
     fleet = make_fleet(Fault.CRASH, engine=engine)
     check_broken(fleet.call())
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -40,6 +40,18 @@
     assert settings.log.level == "info"
 
 
+def test_backups_of_streams_are_off_unless_they_are_switched_on(tmp_path):
+    old = load(tmp_path, GOOD)
+    new = load(tmp_path, GOOD + "[streams]\nbackups = true\n")
+    assert not old.streams.backups
+    assert new.streams.backups
+    assert [str(c) for c in list_changes(old, new)] == [
+        "streams.backups: False to True"
+    ]
+    with pytest.raises(SettingsError, match="streams.backups"):
+        load(tmp_path, GOOD + "[streams]\nbackups = 1\n")
+
+
 def test_all_mistakes_are_reported_at_once(tmp_path):
     text = GOOD.replace("peer_port = 7002", 'peer_port = "x"')
     text = text.replace('ip = "127.0.0.1"', "colour = 3") + "[extra]\na = 1\n"
--- a/tests/unit/test_tracing.py
+++ b/tests/unit/test_tracing.py
@@ -15,6 +15,8 @@
     AttemptBroken,
     AttemptNotRun,
     RequestEnded,
+    StreamContinued,
+    StreamNotContinued,
 )
 from rosemarystream._internal.models.log_entries.servers import (
     ServerRemoved,
@@ -117,6 +119,24 @@
     assert "the answer of p1 broke off (closed without an answer)" in found.summary
 
 
+def test_summary_names_the_servers_of_a_continued_stream(trace):
+    names = {"request": "r1", "first": "e1", "first_state": "gone"}
+    continued = StreamContinued(**names, server="e2", after="7", pause_ms=12.5)
+    ended = StreamNotContinued(**names, backup="e2", reason="closed")
+    found = trace(
+        [
+            format_entry(1, continued),
+            format_entry(2, ended),
+            format_entry(3, make_end_entry(outcome="stream_broken")),
+        ]
+    )
+    for part in (
+        "e2 went on after event 7, as the run at e1 was gone",
+        "e2 did not go on to the end; the run at e1: gone (closed)",
+    ):
+        assert part in found.summary
+
+
 def make_unanswered_entry(**changes):
     fields = {
         "request": "r1",
