Backups of streams: a test of an engine that crashes under several streams

With more streams than the slots allow copies for, those without a backup server end broken, which the test first ran into; it now leaves room for all.

--- a/tests/functional/test_continued_streams.py
+++ b/tests/functional/test_continued_streams.py
@@ -120,6 +120,29 @@
     assert fleet.count_metric("retries") == 1
 
 
+def test_all_streams_of_a_crashed_engine_go_on_at_several_others(make_fleet):
+    """A single backup server of all streams of an engine would be overloaded."""
+    fleet = make_fleet(Fault.NONE, engines=4)
+    fleet.host.gateway._router.reserve_retry = lambda service, now: True
+    for engine in fleet.engines:
+        engine.work_s = 0.05
+    # With their copies they take 24 of the 32 slots.
+    calls = [gevent.spawn(fleet.call) for _ in range(12)]
+    wait_until(lambda: sum(len(e.runs) for e in fleet.engines) == 12)
+    assert fleet.count_metric("streams_backed_up") == 12
+    gevent.sleep(0.2)
+    crashed = max(fleet.engines, key=lambda e: len(e.runs))
+    crashed.crash()
+    for call in calls:
+        check_whole(fleet, call.get())
+    continued = [
+        e.name for e in fleet.engines for run in e.runs if b"kv-from" in run.headers
+    ]
+    assert len(continued) == len(crashed.runs) > 2
+    assert crashed.name not in continued
+    assert len(set(continued)) > 1
+
+
 def test_a_stream_that_may_run_once_is_not_continued_with_the_setting_off(make_fleet):
     fleet = make_fleet(Fault.CRASH, backups=False)
     check_broken(fleet.call())
