Tests: all that a request holds is released, not bodies alone

The count of bodies leaves out small ones since callers' memory has one budget, so the check of noise on the callers' port saw fewer leaks than before.

--- a/tests/properties/test_parsers.py
+++ b/tests/properties/test_parsers.py
@@ -35,6 +35,7 @@
     ClientConnection,
     ConnectionBrokenError,
 )
+from tests.lib.entry_world import wait_until
 from tests.lib.gossip_world import GossipWorld
 
 DEADLINE_S = 2.0
@@ -165,7 +166,11 @@
     with socket.create_connection(address, timeout=DEADLINE_S) as caller:
         caller.sendall(whole)
         assert caller.recv(100).startswith(b"HTTP/1.1 200")
-    assert listener.resources.budget.held[HeldKind.BODIES] == 0
+    # All that a request holds is released, also a body too small to be counted alone.
+    budget = listener.resources.budget
+    wait_until(lambda: not budget.requests)
+    held = {kind: size for kind, size in budget.held.items() if size}
+    assert held.keys() <= {HeldKind.CONNECTIONS}
 
 
 def send_and_read_to_end(far, pieces):
