Callers' budget: what a request has used of the buffer counts no longer

A request whose first read brought over 4 KB stayed counted as read ahead until its connection closed, so that many proper callers on kept connections would seem to hold hundreds of MB. Found by review.

--- a/src/rosemarystream/_internal/gateway/request_reader.py
+++ b/src/rosemarystream/_internal/gateway/request_reader.py
@@ -156,6 +156,8 @@
         if not isinstance(event, h11.Request):
             raise RefusedRequestError(ErrorKind.BAD_REQUEST, "not a request")
         body = self._read_body(protocol, limits, find_length(event))
+        # What is left belongs to later requests.
+        self._holdings.hold_read_ahead(len(self.buffer))
         return Request(
             event.method, event.target, list(event.headers), body, self._received_at
         )
