Connection pool: a full one closes the connection that was idle for longest

It closed the new one, so connections to servers that are no longer used would keep the places of all. Found by review; the test failed before.

--- a/src/rosemarystream/_internal/gateway/connection_pool.py
+++ b/src/rosemarystream/_internal/gateway/connection_pool.py
@@ -1,11 +1,15 @@
 """Idle connections to backend servers, kept for reuse."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Collection
 
 from rosemarystream._internal.gateway.caller_resources import CallerResources
 from rosemarystream._internal.models.endpoint import Endpoint
 from rosemarystream._internal.utils.http_connection import ClientConnection
 
+# Name, address and incarnation of a server.
+_Key = tuple[str, str, int]
+
 CONNECT_TIMEOUT_S = 0.25
 # Idle connections kept per server.
 MAX_IDLE = 16
@@ -30,8 +34,9 @@
         self._clock = clock
         self._resources = resources
         self._max_all_idle = resources.budget.limits.idle_servers
-        self._all_idle = 0
-        self._idle: dict[tuple[str, str, int], list[ClientConnection]] = {}
+        self._idle: dict[_Key, list[ClientConnection]] = {}
+        # All of them by the server, the one that has been idle for longest first.
+        self._by_age: OrderedDict[ClientConnection, _Key] = OrderedDict()
         self._max_idle_s: dict[str, float] = {}
 
     def take(
@@ -57,7 +62,7 @@
             if connection in excluded or connection.had_request(request_id):
                 continue
             idle.remove(connection)
-            self._all_idle -= 1
+            del self._by_age[connection]
             fresh = self._clock() - connection.idle_since < max_idle_s
             if fresh and connection.is_reusable():
                 return connection
@@ -109,23 +114,32 @@
         """
         if keep_alive_s is not None:
             self._max_idle_s[endpoint.name] = keep_alive_s * KEEP_ALIVE_SHARE
-        idle = self._idle.setdefault(_key(endpoint), [])
-        is_full = len(idle) >= MAX_IDLE or self._all_idle >= self._max_all_idle
+        key = _key(endpoint)
+        idle = self._idle.setdefault(key, [])
+        is_full = len(idle) >= MAX_IDLE or not self._max_all_idle
         if is_full or not connection.finish():
             connection.close()
             return
+        # Servers that are no longer used keep their connections only until then.
+        while len(self._by_age) >= self._max_all_idle:
+            self._close_oldest()
         idle.append(connection)
-        self._all_idle += 1
+        self._by_age[connection] = key
+
+    def _close_oldest(self) -> None:
+        connection, key = self._by_age.popitem(last=False)
+        self._idle[key].remove(connection)
+        connection.close()
 
     def close_others(self, endpoints: list[Endpoint]) -> None:
         """Close the connections to all servers but those given."""
         kept = {_key(endpoint) for endpoint in endpoints}
         for key in [key for key in self._idle if key not in kept]:
             for connection in self._idle.pop(key):
+                del self._by_age[connection]
                 connection.close()
-                self._all_idle -= 1
             self._max_idle_s.pop(key[0], None)
 
 
-def _key(endpoint: Endpoint) -> tuple[str, str, int]:
+def _key(endpoint: Endpoint) -> _Key:
     return (endpoint.name, endpoint.address, endpoint.incarnation)
--- a/tests/functional/test_late_refusals.py
+++ b/tests/functional/test_late_refusals.py
@@ -154,3 +154,22 @@
     assert pool.take(endpoint, request_id="r1") is connections[0]
     assert pool.take(endpoint, request_id="r1") is None
     assert pool.take(endpoint, request_id="r2") is connections[1]
+
+
+def test_a_full_pool_closes_the_connection_that_was_idle_for_longest():
+    """Else connections to servers that are no longer used keep new ones out."""
+    limits = OPERATOR_LIMITS._replace(idle_servers=1)
+    resources = CallerResources(limits=limits, clock=lambda: 10.0)
+    pool = ConnectionPool(clock=lambda: 10.0, resources=resources)
+    old, new = (
+        Endpoint(name, "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
+        for name in ("s1", "s2")
+    )
+    connections = [_Connection() for _ in range(2)]
+    closed = []
+    connections[0].close = lambda: closed.append("s1")
+    pool.put(old, connections[0], keep_alive_s=None)
+    pool.put(new, connections[1], keep_alive_s=None)
+    assert closed == ["s1"]
+    assert pool.take(old) is None
+    assert pool.take(new) is connections[1]
