Callers' connections: turns are taken by whole requests, refusals always end

A request that was sent together with an earlier one took its turn before it was read: 32 connections with one byte each kept all others waiting. A refused connection that was chosen to make room was never counted as ended; after 32 no refusal was answered. Socket options are set where an error is handled. Found by review, without tests of their own.

--- a/src/rosemarystream/_internal/gateway/caller_connection.py
+++ b/src/rosemarystream/_internal/gateway/caller_connection.py
@@ -127,6 +127,7 @@
         self._ledger = ledger
         self._is_leaving = is_leaving
         self._resources = resources
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._holdings = resources.open(self, address)
         self._reader = RequestReader(
             opened=opened, holdings=self._holdings, clock=clock
@@ -144,13 +145,12 @@
         self._loop_share = LoopShare()
         self._connected_at = clock()
         self._requests = 0
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._holdings.limit_buffers(opened)
 
     def run(self) -> None:
         """Serve requests until either side closes."""
         cause = EndingCause.CONNECTION_CLOSED
         try:
+            self._holdings.limit_buffers(self._socket)
             while not self._closed and self._serve_next():
                 self._reader.has_begun = False
             if self._refusal is not None:
@@ -165,12 +165,17 @@
             if not self._closed:
                 write_log_entry(log, CallerConnectionBroken(error=str(error)))
         finally:
-            self._socket.close()
-            self._holdings.close()
-            if self._has_no_room:
-                self._resources.end_refusal()
+            self._release()
         self._count_unserved(cause)
 
+    def _release(self) -> None:
+        """Close the connection, and stop counting it and its refusal."""
+        self._socket.close()
+        self._holdings.close()
+        if self._has_no_room:
+            self._has_no_room = False
+            self._resources.end_refusal()
+
     def _count_unserved(self, cause: EndingCause) -> None:
         """Count the whole requests that were read behind the last one.
 
@@ -225,12 +230,12 @@
                 NO_ROOM_RETRY_S,
                 Execution.NOT_RUN,
             )
+            self._holdings.limit_buffers(self._socket)
             self._refuse(refusal)
-        except CallerDisconnectedError:
+        except (CallerDisconnectedError, OSError):
             return
         finally:
-            self._socket.close()
-            self._holdings.close()
+            self._release()
 
     def end_request(self) -> None:
         """End the request that is being read or served."""
@@ -264,8 +269,7 @@
     def _read_next(self) -> tuple[h11.Connection, Request] | None:
         """Read the next request; None if the caller sends no more."""
         idle_timeout_s = self._get_limits().idle_timeout_s
-        if self._requests and self._reader.buffer:
-            self._await_turn(idle_timeout_s)
+        is_pipelined = bool(self._requests and self._reader.buffer)
         if not self._reader.await_first_byte(idle_timeout_s):
             return None
         self._check_room()
@@ -277,6 +281,8 @@
         request = self._reader.read(protocol, limits)
         if request is None:
             return None
+        if is_pipelined:
+            self._await_turn(idle_timeout_s)
         self._holdings.begin_request()
         return protocol, request
 
