Cold servers: a permission lapses soon also where only its giver knows of the cold

A host that asked because it had just started, or because of a stated limit, had a second to send; the giver counts the permission for 0.08 s. A lapsed permission is logged as withheld, not as an unreachable server. Found by review; the test, which also tells a host that runs from one that has just started now, failed before for both cases.

--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -184,7 +184,9 @@
             If its permission has lapsed.
         """
         if self._clock() > self._send_by:
-            raise NotRunError("its permission has lapsed", sent=False, is_late=True)
+            raise NotRunError(
+                "its permission has lapsed", sent=False, withheld=True, is_late=True
+            )
 
     @property
     def received_at(self) -> float | None:
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -124,12 +124,15 @@
         asked_at : float
             Time before it was admitted.
         """
-        cold = self._limits.cold
-        if cold.is_cold(endpoint.number, asked_at):
+        cold, server = self._limits.cold, endpoint.number
+        if not cold.can_be_cold(server):
+            return inf
+        # The host that gave the permission may know that the server is cold.
+        was_asked = self._was_paused(asked_at) or self._limits.is_limited(server)
+        if was_asked or cold.is_cold(server, asked_at):
             return asked_at + MAX_DELAY_S
         # A host that was paused meanwhile doesn't know whether it has become cold.
-        is_sure = not cold.can_be_cold(endpoint.number)
-        return inf if is_sure else asked_at + MAX_ROUND_GAP_S
+        return asked_at + MAX_ROUND_GAP_S
 
     def observe_role(self) -> None:
         """Observe whether this host is the first collector; called in each round."""
--- a/tests/unit/test_cold_rate.py
+++ b/tests/unit/test_cold_rate.py
@@ -225,12 +225,25 @@
 
 def test_a_request_waits_no_longer_than_its_server_is_known_to_be_warm():
     """A host may be paused after it has chosen a server that needs no permission."""
-    host = GossipWorld(hosts=1, data_centres=1).hosts["h0"]
-    assert host.gate.find_send_deadline(SERVER, 10.0) == inf
+    world = GossipWorld(hosts=1, data_centres=1)
+    host = world.hosts["h0"]
+    assert host.gate.find_send_deadline(SERVER, host.clock()) == inf
     host.limits.cold.update([SERVER], CONFIGURATION, host.clock())
-    assert host.gate.find_send_deadline(SERVER, 10.0) == 10.0 + MAX_ROUND_GAP_S
+    # Right after a start another host gives the permission, as the server may be cold.
+    assert measure_send_time(host) == pytest.approx(MAX_DELAY_S)
+    world.run(1.0)
+    assert measure_send_time(host) == pytest.approx(MAX_ROUND_GAP_S)
+    # One that states a limit needs a permission of a host that may know it to be cold.
+    host.limits.record(SERVER.number, 5.0, host.clock())
+    assert measure_send_time(host) == pytest.approx(MAX_DELAY_S)
+    host.limits.record(SERVER.number, None, host.clock())
     make_cold(host)
-    assert host.gate.find_send_deadline(SERVER, 10.0) == 10.0 + MAX_DELAY_S
+    assert measure_send_time(host) == pytest.approx(MAX_DELAY_S)
+
+
+def measure_send_time(host):
+    """Return the time in seconds in which a request to the server has to be sent."""
+    return host.gate.find_send_deadline(SERVER, host.clock()) - host.clock()
 
 
 def test_hosts_are_not_asked_again_for_each_request_that_finds_no_permission():
