Cold servers: looks go through the servers that may be cold, not all entries

Ten times a second each server with an entry was looked at, up to 16,384. Failures to reach servers that have left are dropped.

--- a/src/rosemarystream/_internal/decisions/cold_servers.py
+++ b/src/rosemarystream/_internal/decisions/cold_servers.py
@@ -113,6 +113,8 @@
         self._entries = BoundedDict[int, _Entry](most=MAX_SERVERS)
         self._presumptions = BoundedDict[int, _Presumption](most=MAX_SERVERS)
         self._own_presumptions: dict[int, float] = {}
+        # Servers that may be cold; few, unlike those that have entries.
+        self._warming: set[int] = set()
         self._failures: dict[int, _Failure] = {}
         self._logged: set[int] = set()
         self.bound = ColdBound()
@@ -137,11 +139,14 @@
         self._services = {s.name: s for s in services if s.warmup_s and s.cold_per_s}
         if self.is_empty:
             self._service_of, self._data_centre_of = {}, {}
+            self._failures.clear()
             return
         self.data_centres = frozenset(e.data_centre for e in endpoints)
         limited = {e.number: e for e in endpoints if e.service in self._services}
         self._service_of = {n: self._services[e.service] for n, e in limited.items()}
         self._data_centre_of = {n: e.data_centre for n, e in limited.items()}
+        for departed in self._failures.keys() - limited.keys():
+            del self._failures[departed]
         for server, endpoint in limited.items():
             known = self._incarnations.get(server)
             if known == endpoint.incarnation:
@@ -167,6 +172,8 @@
             if revision == known.revision:
                 until = min(until, known.until)
         self._entries.put(server, _Entry(revision, until))
+        if until > now:
+            self._warming.add(server)
 
     def record_failure(self, server: int, now: float, *, is_refused: bool) -> None:
         """Record that this host could not reach a server.
@@ -203,6 +210,7 @@
                 self._presume_start(server, ColdSource.REFUSED, now)
         elif failure.last_at - failure.first_at >= AWAY_S:
             self._own_presumptions[server] = now + service.warmup_s
+            self._warming.add(server)
 
     def _presume_start(self, server: int, source: ColdSource, now: float) -> None:
         until = now + self._service_of[server].warmup_s + SAME_END_S
@@ -215,6 +223,7 @@
                 return
             new = new._replace(until=max(new.until, known.until))
         self._presumptions.put(server, new)
+        self._warming.add(server)
 
     # Spread
 
@@ -248,7 +257,7 @@
     def list_rows(self, now: float) -> list[ColdRow]:
         """Return all cold servers, for a host that asks for the registered ones."""
         rows = []
-        for server in {**self._entries, **self._presumptions}:
+        for server in self._warming:
             entry = self._entries.get(server, _Entry(0, -inf))
             presumption = self._presumptions.get(server)
             presumed_until = presumption.until if presumption else -inf
@@ -271,8 +280,10 @@
 
     def find_until(self, server: int) -> float:
         """Return the time until which a server is cold; in the past if it is warm."""
-        if server not in self._service_of:
-            return -inf
+        return self._find_end(server) if server in self._service_of else -inf
+
+    def _find_end(self, server: int) -> float:
+        """Return until when a server is cold, if its service has a warm-up."""
         entry = self._entries.get(server)
         presumption = self._presumptions.get(server)
         return max(
@@ -310,7 +321,7 @@
 
     def take_changes(self, now: float) -> list[ColdChange]:
         """Return the servers that became cold or warm; drop what is over."""
-        if not (self._entries or self._presumptions or self._own_presumptions):
+        if not (self._warming or self._logged):
             return []
         over = [s for s, p in self._presumptions.items() if p.until <= now]
         for server in over:
@@ -318,8 +329,8 @@
         over = [s for s, until in self._own_presumptions.items() if until <= now]
         for server in over:
             del self._own_presumptions[server]
-        known = {*self._entries, *self._presumptions, *self._own_presumptions}
-        cold = {server for server in known if self.is_cold(server, now)}
+        self._warming = {s for s in self._warming if self._find_end(s) > now}
+        cold = {server for server in self._warming if self.is_cold(server, now)}
         begun, ended = cold - self._logged, self._logged - cold
         self._logged = cold
         return [
