Answers: pieces and long events are counted as long as they are held

The first part of a long answer was kept until its end, though it no longer counted; a long event counted until the end of its stream.

--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -120,9 +120,7 @@
             if size > SMALL_BYTES:
                 self._answer.hold(size)
                 if size > self._answer.buffer_bytes:
-                    received = b"".join(pieces)
-                    pieces.clear()
-                    self.relay_long(attempt, head, received)
+                    self.relay_long(attempt, head, pieces)
                     return
         if not pieces and self._lacks_end(head):
             # A server that crashes after the head ends its answer in the same way.
@@ -139,11 +137,18 @@
         has_body = self._call.method != b"HEAD" and head.status not in NO_BODY_STATUSES
         return has_body and not head.is_delimited
 
-    def relay_long(self, attempt: Attempt, head: AnswerHead, received: bytes) -> None:
-        """Relay an answer without a stream, of which a part has been received."""
+    def relay_long(
+        self, attempt: Attempt, head: AnswerHead, pieces: list[bytes]
+    ) -> None:
+        """Relay an answer without a stream, of which some pieces have been received.
+
+        The list is emptied, so that they are not kept until the answer ends.
+        """
         self._on_progress()
         self._answer.send_head(head.status, head.headers)
-        self._answer.send_piece(received)
+        for piece in pieces:
+            self._answer.send_piece(piece)
+        pieces.clear()
         self._answer.hold(0)
         while (piece := attempt.read_piece(self._deadline)) is not None:
             self._answer.send_piece(piece)
@@ -167,14 +172,14 @@
         while (piece := self._read_piece(attempt)) is not None:
             events = self._split(piece)
             self._on_event()
-            if self._stream.pending_bytes > SMALL_BYTES:
-                self._answer.hold(self._stream.pending_bytes)
             # Only events that the caller gets are progress, not any bytes.
             if self._relay_all(events, head):
                 self._expect_progress()
                 if self._clock() >= sound_at:
                     self._crashes.record_answer(self._call, self._shared_parts)
                     sound_at = inf
+            # Counts what is left of an event, and nothing once it is whole.
+            self._answer.hold(self._stream.pending_bytes)
         self._stream.check_end(is_delimited=head.is_delimited)
         if not self._answer.has_begun:
             self._answer.send_head(head.status, head.headers)
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -318,7 +318,9 @@
             self._deadline, max_bytes=self._answer.buffer_bytes
         )
         if not is_whole and not self._answer.has_begun:
-            self._relay.relay_long(attempt, head, body)
+            pieces = [body]
+            del body
+            self._relay.relay_long(attempt, head, pieces)
             return
         if is_whole:
             self._failed_answer = (head, body)
