--- a/src/rosemarystream/_internal/decisions/caller_budget.py
+++ b/src/rosemarystream/_internal/decisions/caller_budget.py
@@ -1,4 +1,4 @@
-"""What a host holds for its callers: callers that send much and read nothing.
+"""Limits on the memory, connections and requests of callers.
 
 Callers may pipeline requests without end, leave answers unread, or open connections
 and send nothing. One budget counts what is held for all of them at its cost in memory.
@@ -49,7 +49,7 @@
 CONNECTION_COST = 16_000
 REQUEST_COST = 80_000
 COPIES = 3
-# Bytes that are part of these costs.
+# Sizes up to this are covered by the costs above and are not counted.
 SMALL_BYTES = 4_096
 # What a caller that doesn't read takes of the kernel beside the bytes not yet sent: its
 # send buffer, and the receive buffer of the server's connection.
@@ -167,6 +167,8 @@
         Memory of the machine, in megabytes.
     max_descriptors : int
         Descriptors of the process, with those that are reserved for files.
+    per_address : int
+        Connections allowed from one address; 0 for no limit.
     """
     memory = memory_mb * 1_000_000
     total = max(MIN_BYTES, int((memory - RESERVED_BYTES) * PROCESS_SHARE))
@@ -193,6 +195,8 @@
         Cost in memory of all that is held.
     requests : int
         Requests that have begun on it.
+    receive_bytes : int
+        Receive buffer granted to the connection, in bytes as the kernel counts them.
     phase : Phase
         What it is doing.
     phase_at, moved_at : float
--- a/src/rosemarystream/_internal/decisions/evacuations.py
+++ b/src/rosemarystream/_internal/decisions/evacuations.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-# Records that are kept and sent, at least: three times the planned data centres. Beyond
-# that the oldest ones that are not in force are dropped.
+# Most records in a message: three times the planned data centres. Beyond that the
+# oldest that have ended are dropped; those in force are all kept, the newest are sent.
 MAX_RECORDS = 64
 # Time for which a record that has ended is part of each message: 30 rounds, of which
 # some may be lost. Later only whole lists have it, for hosts that were cut off.
--- a/src/rosemarystream/_internal/decisions/limit_quotas.py
+++ b/src/rosemarystream/_internal/decisions/limit_quotas.py
@@ -31,16 +31,16 @@
 # Permissions of a cold server that add up while nobody takes them: a little over one,
 # so that a question that comes late by a few hundredths of a second loses nothing.
 COLD_BURST = 1.15
-# Data centres in which two hosts permit requests to a cold server at the same time, and
-# the part of the rate that the later one of the two gives.
-DISPUTED = 2
-LATER_PART = 0.5
+# Data centres in which two hosts may give permissions for a cold server at once, and
+# the share of the rate that the second one gives.
+MAX_DOUBLE_GRANTORS = 2
+SUCCESSOR_SHARE = 0.5
 # Time from a permission until its request has arrived: those of a little over a second
 # may arrive within one.
 MAX_DELAY_S = 0.08
-# Part of a cold server's rate that is given out at most, and the part that should be.
-MOST_USED = 0.95
-LEAST_USED = 0.8
+# Share of a cold server's rate that is given out at most, and at least if possible.
+MAX_RATE_SHARE = 0.95
+MIN_RATE_SHARE = 0.8
 # Hosts that are told the same moment for their next question, as some of them have no
 # request by then.
 ASKERS_PER_PERMISSION = 6
@@ -168,8 +168,8 @@
     """Return the rate at which a data centre may send to a cold server, per second.
 
     The rates of all data centres together keep within the bound in each second, also
-    while `DISPUTED` of them have two hosts that give permissions, the later one
-    `LATER_PART` of the rate.
+    while `MAX_DOUBLE_GRANTORS` of them have two hosts that give permissions, the later
+    one `SUCCESSOR_SHARE` of the rate.
 
     Parameters
     ----------
@@ -197,10 +197,10 @@
     rates = {
         parts: _compute_part(per_s, allowed, parts) for parts in range(1, most + 1)
     }
-    enough = [n for n, rate in rates.items() if n * rate >= LEAST_USED * per_s]
+    enough = [n for n, rate in rates.items() if n * rate >= MIN_RATE_SHARE * per_s]
     parts = max(enough) if enough else max(rates, key=lambda n: n * rates[n])
     # A bound below that of two hosts at once can only hold while there is one.
-    return parts, rates[parts] or min(MOST_USED * per_s, 1.0 / (1.0 + MAX_DELAY_S))
+    return parts, rates[parts] or min(MAX_RATE_SHARE * per_s, 1.0 / (1.0 + MAX_DELAY_S))
 
 
 def _compute_part(per_s: float, allowed: float, parts: int) -> float:
@@ -210,12 +210,12 @@
     buckets, with the later ones of data centres in dispute, have to keep within the
     bound.
     """
-    disputed = min(DISPUTED, max(1, parts - 1))
+    disputed = min(MAX_DOUBLE_GRANTORS, max(1, parts - 1))
     time_s = 1.0 + MAX_DELAY_S
     for permitted in range(floor(allowed / parts), 0, -1):
         # A little less, so that the last permission falls outside of the time.
         rate = (permitted + 0.99 - COLD_BURST) / time_s
-        later = floor(COLD_BURST + LATER_PART * rate * time_s)
+        later = floor(COLD_BURST + SUCCESSOR_SHARE * rate * time_s)
         if parts * permitted + disputed * later <= allowed:
-            return min(rate, MOST_USED * per_s / parts)
+            return min(rate, MAX_RATE_SHARE * per_s / parts)
     return 0.0
--- a/src/rosemarystream/_internal/decisions/process_pauses.py
+++ b/src/rosemarystream/_internal/decisions/process_pauses.py
@@ -25,6 +25,6 @@
         self._ticked_at = now
 
     def measure_hold(self, now: float) -> float:
-        """Return the time in seconds for which nothing is to be sent."""
+        """Record that the process runs; return for how many seconds nothing is sent."""
         self.record_tick(now)
         return max(0.0, self._held_until - now)
--- a/src/rosemarystream/_internal/decisions/server_limits.py
+++ b/src/rosemarystream/_internal/decisions/server_limits.py
@@ -77,7 +77,7 @@
         return self.find(server) < UNLIMITED
 
     def needs_permission(self, server: int, now: float) -> bool:
-        """Return whether a request needs a permission: of a limit, or as it is cold."""
+        """Return whether requests need a permission, as it is limited or cold."""
         return self.is_limited(server) or self.cold.is_cold(server, now)
 
     def make_reports(self, server: int, now: float) -> dict[int, ServerReport]:
@@ -96,8 +96,10 @@
     def find_opening(self, server: int, now: float) -> float:
         """Return the time from which a server may have room for a request."""
         closed_until = self._closed_until.get(server)
-        if closed_until is None or self.is_limited(server):
-            return now if closed_until is None else closed_until
+        if closed_until is None:
+            return now
+        if self.is_limited(server):
+            return closed_until
         return min(closed_until, max(now, self.cold.find_until(server)))
 
     def measure_wait(self, servers: Iterable[int], now: float) -> float | None:
--- a/src/rosemarystream/_internal/gateway/attempt.py
+++ b/src/rosemarystream/_internal/gateway/attempt.py
@@ -84,7 +84,7 @@
         clock: Callable[[], float],
         on_head: Callable[[AnswerHead], None],
         used_connections: list[ClientConnection],
-        find_objection: Callable[[], str] = str,
+        find_objection: Callable[[], str] = lambda: "",
         send_by: float = inf,
     ) -> None:
         self.endpoint = endpoint
--- a/src/rosemarystream/_internal/gateway/caller_connection.py
+++ b/src/rosemarystream/_internal/gateway/caller_connection.py
@@ -136,7 +136,7 @@
         self._closed = False
         # Whether the next request is refused, as the room of the connection was needed.
         self._has_no_room = False
-        self._has_turn = False
+        self._has_slot = False
         # Whether the last answer has announced that this host closes the connection.
         self._is_closing = False
         self._greenlet = gevent.getcurrent()
@@ -185,12 +185,12 @@
         if not self._reader.buffer or self._refusal is not None:
             return
         now = self._clock()
-        requests = islice(
-            split_requests(self._reader.buffer, now), MAX_COUNTED_UNSERVED
-        )
+        requests = [
+            *islice(split_requests(self._reader.buffer, now), MAX_COUNTED_UNSERVED)
+        ]
         # Many connections may be closed at once, and each waits for its share.
-        for request in [*requests]:
-            self._reader.buffer = bytearray()
+        self._reader.buffer = bytearray()
+        for request in requests:
             try:
                 self._end(self._begin(request), cause)
                 self._loop_share.take_step()
@@ -250,7 +250,7 @@
                 retry_after_s=NO_ROOM_RETRY_S,
             )
 
-    def _await_turn(self, timeout_s: float) -> None:
+    def _acquire_slot(self, timeout_s: float) -> None:
         """Wait for the turn of a request that was sent before an earlier answer.
 
         Raises
@@ -260,11 +260,11 @@
         """
         self._holdings.begin_wait()
         self._holdings.hold_read_ahead(len(self._reader.buffer))
-        if not self._holdings.turns.acquire(timeout=timeout_s):
+        if not self._holdings.pipelined_slots.acquire(timeout=timeout_s):
             raise self._holdings.make_refusal(
                 RefusalCause.TURN, "too many requests were sent together"
             )
-        self._has_turn = True
+        self._has_slot = True
 
     def _read_next(self) -> tuple[h11.Connection, Request] | None:
         """Read the next request; None if the caller sends no more."""
@@ -282,7 +282,7 @@
         if request is None:
             return None
         if is_pipelined:
-            self._await_turn(idle_timeout_s)
+            self._acquire_slot(idle_timeout_s)
         self._holdings.begin_request()
         return protocol, request
 
@@ -309,9 +309,9 @@
         finally:
             self.busy = False
             self._holdings.end_request()
-            if self._has_turn:
-                self._has_turn = False
-                self._holdings.turns.release()
+            if self._has_slot:
+                self._has_slot = False
+                self._holdings.pipelined_slots.release()
 
     def _serve(self, protocol: h11.Connection, request: Request) -> bool:
         """Serve a request that was read whole; return whether another may follow."""
--- a/src/rosemarystream/_internal/gateway/caller_resources.py
+++ b/src/rosemarystream/_internal/gateway/caller_resources.py
@@ -83,7 +83,7 @@
     ----------
     budget : CallerBudget
         Decides who makes room.
-    turns : BoundedSemaphore
+    pipelined_slots : BoundedSemaphore
         Is held while a request is served that was sent before the answer to an earlier
         one on its connection.
     """
@@ -96,7 +96,7 @@
         metrics: GatewayMetrics | None = None,
     ) -> None:
         self.budget = CallerBudget(limits)
-        self.turns = BoundedSemaphore(PIPELINED_REQUESTS)
+        self.pipelined_slots = BoundedSemaphore(PIPELINED_REQUESTS)
         self._clock = clock
         self._metrics = metrics
         self._connections: dict[CallerAccount, Closable] = {}
@@ -222,11 +222,6 @@
             # The kernel doubles what it is given.
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, granted // 2)
 
-    @property
-    def is_scarce(self) -> bool:
-        """Whether less is to be read ahead and to be held."""
-        return self._budget.is_scarce
-
     @property
     def read_bytes(self) -> int:
         """Most bytes to read at once."""
@@ -338,9 +333,9 @@
         )
 
     @property
-    def turns(self) -> BoundedSemaphore:
+    def pipelined_slots(self) -> BoundedSemaphore:
         """Turns of requests that were sent before the answer to an earlier one."""
-        return self._resources.turns
+        return self._resources.pipelined_slots
 
     def close(self) -> None:
         """Stop counting the connection."""
--- a/src/rosemarystream/_internal/gateway/limit_gate.py
+++ b/src/rosemarystream/_internal/gateway/limit_gate.py
@@ -14,8 +14,8 @@
 from gevent.event import AsyncResult
 
 from rosemarystream._internal.decisions.limit_quotas import (
-    LATER_PART,
     MAX_DELAY_S,
+    SUCCESSOR_SHARE,
     Decision,
     LimitQuotas,
     compute_cold_rate,
@@ -43,7 +43,7 @@
 SETTLING_S = 1.5
 # Time for which it gives only a part of the rate: hosts may disagree for seconds about
 # which of them is the first, and the one before gives all of it.
-LATER_S = 10.0
+SUCCESSOR_S = 10.0
 # Time without a round after which a host may have been replaced as first collector.
 MAX_ROUND_GAP_S = 1.0
 # Time after a pause of this host in which what it knows of cold servers is out of
@@ -170,7 +170,7 @@
         first_s = now - self._first_since
         if first_s < SETTLING_S:
             return 0.0
-        return self._presence * (LATER_PART if first_s < LATER_S else 1.0)
+        return self._presence * (SUCCESSOR_SHARE if first_s < SUCCESSOR_S else 1.0)
 
     def _ask(self, server: int, *, is_nearby: bool, is_cold: bool) -> Decision:
         now = self._clock()
--- a/src/rosemarystream/_internal/gateway/listener.py
+++ b/src/rosemarystream/_internal/gateway/listener.py
@@ -17,8 +17,8 @@
 from rosemarystream._internal.utils.address import split_address
 
 BACKLOG = 1024
-# Connections accepted in one turn of the event loop. Those that are closed for them are
-# closed in later turns, which handle some dozens each.
+# Connections accepted in one iteration of the event loop. Those closed to make room end
+# only in later iterations, so more at once would exceed the limit.
 MAX_ACCEPTED = 16
 
 
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -118,7 +118,7 @@
     version: str
     # Absent if the server has never restarted under this name.
     born: EpochMs = 0
-    # Not read by hosts before; whatever is no time counts as none.
+    # Hosts of earlier builds ignore it; an invalid value counts as 0.
     warmup_left_ms: Any = 0
 
 
--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -40,8 +40,9 @@
 LATE_READ_S = 0.1
 # Largest body that is read to its end only to keep a connection usable.
 MAX_DISCARDED_BYTES = 65_536
-# Requests by which a connection is told from others. A second copy of an answer comes
-# in place of the next answer; the others are a margin.
+# Ids of recent requests that are kept for each connection. A server may send a second
+# copy of an answer in place of the next one, so a request with the same id must not
+# follow on the same connection.
 RECENT_REQUESTS = 8
 
 
--- a/tests/functional/test_cold_servers.py
+++ b/tests/functional/test_cold_servers.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from rosemarystream._internal.gateway.limit_gate import LATER_S
+from rosemarystream._internal.gateway.limit_gate import SUCCESSOR_S
 from tests.lib.entry_world import World, make_configuration, wait_until
 
 WARMUP_S = 4.0
@@ -19,7 +19,7 @@
 # Time until hosts have learnt of a change of a server's entry.
 SPREAD_S = 0.5
 # Time until a new host gives all of its data centre's permissions.
-SETTLING_S = LATER_S + 1.5
+SETTLING_S = SUCCESSOR_S + 1.5
 # Interval of the requests at each of the hosts, and the time that each takes: two
 # servers have several at a time, so that a cold one is worth its while.
 PAUSE_S = 0.02
--- a/tests/unit/test_cold_rate.py
+++ b/tests/unit/test_cold_rate.py
@@ -12,7 +12,7 @@
 import pytest
 
 from rosemarystream._internal.decisions.limit_quotas import MAX_DELAY_S
-from rosemarystream._internal.gateway.limit_gate import LATER_S, MAX_ROUND_GAP_S
+from rosemarystream._internal.gateway.limit_gate import MAX_ROUND_GAP_S, SUCCESSOR_S
 from rosemarystream._internal.gateway.peering import GOSSIP_INTERVAL_S
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
 from rosemarystream._internal.models.route import (
@@ -97,7 +97,7 @@
 @pytest.mark.parametrize("data_centres", [1, 3, 5])
 def test_a_cold_server_gets_most_of_its_rate_and_no_more_than_its_bound(data_centres):
     """Equal parts for the hosts would leave most idle; buckets of 0.5 s break it."""
-    fleet = ColdFleet(data_centres=data_centres, settling_s=LATER_S + 2.0)
+    fleet = ColdFleet(data_centres=data_centres, settling_s=SUCCESSOR_S + 2.0)
     fleet.run(1.0)
     before = len(fleet.arrivals)
     seconds = fleet.run(8.0)
@@ -124,7 +124,7 @@
 
 def test_the_bound_holds_while_two_data_centres_have_two_grantors_each():
     """Each of two hosts that don't hear each other gives the whole part."""
-    fleet = ColdFleet(settling_s=LATER_S + 2.0)
+    fleet = ColdFleet(settling_s=SUCCESSOR_S + 2.0)
     fleet.run(1.0)
     for data_centre in ("dc0", "dc1"):
         dispute(fleet, data_centre)
