--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -1,5 +1,6 @@
 """Validation of an entry host's settings reports every mistake."""
 
+import re
 import subprocess
 import sys
 import tomllib
@@ -89,29 +90,44 @@
 
 
 def test_the_template_takes_times_as_the_platform_writes_them(tmp_path):
-    template = (Path(__file__).parents[2] / "deploy/settings.toml").read_text()
     for written, expected in (("8", 8.0), ("7.5", 7.5)):
-        text = template.replace("{{bounds.grace-s}}", written)
-        text = text.replace("{{bounds.budget-window-s}}", written)
-        section = text[text.index("[bounds]") :]
-        section = section.replace("{{", "'").replace("}}", "'")
-        bounds = tomllib.loads(section)["bounds"]
+        values = {"bounds.grace-s": written, "bounds.budget-window-s": written}
+        bounds = fill_in_template(values)["bounds"]
         assert bounds["shutdown_s"] == expected
         assert bounds["retry_window_s"] == expected
 
 
-@pytest.mark.parametrize("is_stated", [True, False])
-def test_the_template_takes_the_bound_of_cold_servers_if_the_platform_has_it(is_stated):
+def fill_in_template(values):
+    """Return the settings from the bounds on, as a platform with some values has them.
+
+    A section is on one line, so that fillers that look at lines only find it.
+    """
     text = (Path(__file__).parents[2] / "deploy/settings.toml").read_text()
-    for key, value in (("bounds.cold-overshoot", "1.2"), ("bounds.cold-slack", "3")):
-        start, end = f"{{{{#{key}}}}}", f"{{{{/{key}}}}}"
-        before, rest = text.split(start)
-        inside, after = rest.split(end)
-        text = before + (inside.replace(f"{{{{{key}}}}}", value) * is_stated) + after
-    section = text[text.index("[bounds]") :].replace("{{", "'").replace("}}", "'")
-    bounds = tomllib.loads(section)["bounds"]
+
+    def fill_section(match):
+        return match[2] if match[1] in values else ""
+
+    text = re.sub(r"\{\{#([\w.-]+)\}\}(.*)\{\{/\1\}\}", fill_section, text)
+    for key, value in values.items():
+        text = text.replace(f"{{{{{key}}}}}", value)
+    section = text[text.index("[bounds]") :]
+    return tomllib.loads(section.replace("{{", "'").replace("}}", "'"))
+
+
+@pytest.mark.parametrize("is_stated", [True, False])
+def test_the_template_takes_what_a_platform_need_not_have(is_stated):
+    values = {
+        "bounds.cold-overshoot": "1.2",
+        "bounds.cold-slack": "3",
+        "limits.memory-mb": "200",
+        "limits.max-fds": "4100",
+    }
+    document = fill_in_template(values if is_stated else {})
+    bounds, resources = document["bounds"], document["resources"]
     found = (bounds.get("cold_overshoot"), bounds.get("cold_slack"))
     assert found == ((1.2, 3) if is_stated else (None, None))
+    wanted = {"memory_mb": 200, "max_descriptors": 4100}
+    assert resources == (wanted if is_stated else {})
 
 
 def test_a_time_that_cannot_be_used_is_named(tmp_path):
