--- a/src/rosemarystream/_internal/gateway/pipelined_requests.py
+++ b/src/rosemarystream/_internal/gateway/pipelined_requests.py
@@ -8,10 +8,9 @@
 from rosemarystream._internal.utils.http_heads import (
     HttpHeadError,
     check_http_head,
+    find_head_end,
 )
 
-_HEAD_END = b"\r\n\r\n"
-
 
 def split_requests(data: bytearray, received_at: float) -> Iterator[Request]:
     """Yield the whole requests at the start of what was read from a connection.
@@ -30,8 +29,8 @@
     """Return the request that begins at a position, and the position of its end."""
     while data[start : start + 1] in (b"\r", b"\n"):
         start += 1
-    end = data.find(_HEAD_END, start) + len(_HEAD_END)
-    if end < len(_HEAD_END):
+    end = find_head_end(data, start)
+    if not end:
         return None
     head = bytes(data[start:end])
     protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=len(data))
--- a/src/rosemarystream/_internal/utils/http_heads.py
+++ b/src/rosemarystream/_internal/utils/http_heads.py
@@ -18,9 +18,9 @@
     """A request head is ambiguously framed or malformed."""
 
 
-def find_head_end(data: bytes) -> int:
-    """Return the length of the head with its empty line, or 0 if incomplete."""
-    end = data.find(_END)
+def find_head_end(data: bytes | bytearray, start: int = 0) -> int:
+    """Return the position behind the head that begins at `start`, 0 if incomplete."""
+    end = data.find(_END, start)
     return end + len(_END) if end >= 0 else 0
 
 
