--- a/review/rig_two.py
+++ b/review/rig_two.py
@@ -438,9 +438,17 @@
     """An entry host: the `run` line of the deploy file in a process of its own."""
 
     def __init__(
-        self, rig: "Rig", *, name: str, ip: str, zone: str, seeds: list[str]
+        self,
+        rig: "Rig",
+        *,
+        name: str,
+        ip: str,
+        zone: str,
+        seeds: list[str],
+        peer_port: int,
     ) -> None:
         self.name, self.ip, self.zone = name, ip, zone
+        self.peer_port = peer_port
         self.front = (ip, FRONT)
         self.process: asyncio.subprocess.Process | None = None
         self._rig = rig
@@ -451,7 +459,7 @@
             "listen.front": f"{ip}:{FRONT}",
             "listen.ready": f"{ip}:{READY}",
             "listen.control": f"{ip}:{CONTROL}",
-            "internal-port-range": [PEER, PEER + 15],
+            "internal-port-range": [peer_port, peer_port + 15],
             "seeds": [f"{seed}:{CONTROL}" for seed in seeds],
             "bootstrap": True,
             "platform.address": f"{rig.store.address[0]}:{rig.store.address[1]}",
@@ -504,6 +512,80 @@
         return (self._rig.folder / f"{self.name}.log").read_text()
 
 
+class Cut:
+    """The way between two groups of hosts, which can be cut.
+
+    The hosts of a group have the same port for each other. What one sends to a host of
+    the other group goes to its own port at that host's address, where a proxy of this
+    class passes it on to the port of that host, or drops it.
+    """
+
+    def __init__(self) -> None:
+        self.is_cut = False
+        self.dropped = 0
+
+    async def start(self, hosts: list["Host"], ports: list[int]) -> None:
+        """Listen for all hosts, at the ports of the other groups."""
+        for host in hosts:
+            for port in ports:
+                if port != host.peer_port:
+                    await self._listen((host.ip, port), (host.ip, host.peer_port))
+
+    async def _listen(self, at: tuple[str, int], to: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: _DatagramProxy(self, to), local_addr=at
+        )
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._pass_on(reader, writer, to)
+
+        await asyncio.start_server(serve, *at)
+
+    async def _pass_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to: tuple[str, int],
+    ) -> None:
+        other: asyncio.StreamWriter | None = None
+        try:
+            while self.is_cut:
+                await asyncio.sleep(0.1)
+            answers, other = await asyncio.open_connection(*to)
+            await asyncio.gather(self._copy(reader, other), self._copy(answers, writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for opened in (writer, other):
+                if opened is not None:
+                    opened.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            while self.is_cut:
+                await asyncio.sleep(0.1)
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+
+
+class _DatagramProxy(asyncio.DatagramProtocol):
+    def __init__(self, cut: Cut, to: tuple[str, int]) -> None:
+        self._cut, self._to = cut, to
+        self._out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self._cut.is_cut:
+            self._cut.dropped += 1
+        else:
+            self._out.sendto(data, self._to)
+
+
 class CannotRunError(Exception):
     """The case can't be run here."""
 
@@ -535,10 +617,17 @@
         self._last += 1
         return f"{self._net}.{self._last}"
 
-    def add_host(self, name: str, zone: str) -> Host:
+    def add_host(self, name: str, zone: str, *, peer_port: int = PEER) -> Host:
         """Add a host, not started yet."""
         seeds = [host.ip for host in self.hosts[:3]]
-        host = Host(self, name=name, ip=self.take_ip(), zone=zone, seeds=seeds)
+        host = Host(
+            self,
+            name=name,
+            ip=self.take_ip(),
+            zone=zone,
+            seeds=seeds,
+            peer_port=peer_port,
+        )
         self.hosts.append(host)
         return host
 
