--- a/review/7/play.py
+++ b/review/7/play.py
@@ -52,7 +52,7 @@
     middle = time.monotonic() + LOSS_S / 2
     answers = {True: 0, False: 0}
 
-    def loses(method: str, target: str, peer: tuple[str, int]) -> bool:
+    def loses(method: str, target: str, called: str) -> bool:
         is_lost = time.monotonic() > middle and target.startswith(WATCH_OF_SERVERS)
         answers[is_lost] += 1
         return is_lost
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -39,12 +39,14 @@
     def __init__(self, *positional, **named) -> None:
         super().__init__(*positional, **named)
         self.counted: list[float] = []
-        # When a machine first had an answer with the limit, by its address.
+        # To which host the callers sent each request, and when that host first passed
+        # on an answer with the limit.
+        self.sent_to: dict[str, str] = {}
         self.named_to: dict[str, float] = {}
 
     async def work(self, request_id, headers, said, reader, writer) -> None:
         now = time.monotonic()
-        machine = writer.get_extra_info("peername")[0]
+        machine = self.sent_to[request_id]
         told_at = self.named_to.get(machine)
         if told_at is not None and now >= told_at + SETTLED_S:
             self.counted.append(now)
@@ -66,9 +68,12 @@
 
 
 async def send(rig: Rig, host: int, statuses: dict[int, int]) -> None:
+    request_id = rig.make_id()
+    for server in rig.servers:
+        server.sent_to[request_id] = rig.hosts[host].name
     headers = {
         "Host": "ficu95.example",
-        "X-Rosemarystream-Attempt-Id": rig.make_id(),
+        "X-Rosemarystream-Attempt-Id": request_id,
         "X-Rosemarystream-Deadline-Ms": "1500",
         "Api-Key": KEY,
     }
--- a/review/rig_two.py
+++ b/review/rig_two.py
@@ -146,22 +146,28 @@
     Attributes
     ----------
     loses : callable
-        Returns whether the answer to a call is lost: nothing more comes on its
-        connection, which stays open.
+        Returns whether the answer to a call is lost, by its method, its target and the
+        address that was called: nothing more comes on its connection, which stays open.
+    refuses : callable
+        Returns whether a call gets 503, by the address that is called and the kind of
+        the objects. Each host has an address of its own, as all callers on loopback
+        have the same one.
     """
 
     def __init__(self, record: Record, ip: str) -> None:
         self.address = (ip, STORE)
         self.revision = 1
-        self.loses: Callable[[str, str, Any], bool] = lambda *call: False
+        self.loses: Callable[[str, str, str], bool] = lambda *call: False
+        self.refuses: Callable[[str, str], bool] = lambda *call: False
         self._record = record
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._changed = asyncio.Event()
 
-    async def start(self) -> None:
-        """Listen."""
-        await asyncio.start_server(self._serve, *self.address)
+    async def start(self, ips: list[str]) -> None:
+        """Listen at its own address and at others."""
+        for ip in [self.address[0], *ips]:
+            await asyncio.start_server(self._serve, ip, STORE)
 
     def write(self, kind: str, name: str, spec: Any) -> int:
         """Write an object as its owner does; return the revision."""
@@ -195,14 +201,17 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        called = writer.get_extra_info("sockname")[0]
         try:
             while (message := await read_message(reader)) is not None:
                 first, _, body = message
                 method, target, _ = first.split()
-                status, answer = await self._answer(method, target, body)
-                peer = writer.get_extra_info("peername")
-                if self.loses(method, target, peer):
-                    call_text = f"{method} {target} from port {peer[1]}"
+                status, answer = 503, {}
+                kind = re.split("[/?]", target.removeprefix("/v1/objects/"))[0]
+                if not self.refuses(called, kind):
+                    status, answer = await self._answer(method, target, body, called)
+                if self.loses(method, target, called):
+                    call_text = f"{method} {target} at {called}"
                     self._record.write(f"store: the answer to {call_text} is lost")
                     # The connection returns nothing further, and isn't closed.
                     while await reader.read(65_536):
@@ -216,7 +225,9 @@
         finally:
             writer.close()
 
-    async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, Any]:
+    async def _answer(
+        self, method: str, target: str, body: bytes, called: str
+    ) -> tuple[int, Any]:
         path, _, query_text = target.partition("?")
         kind, _, name = path.removeprefix("/v1/objects/").partition("/")
         query = dict(pair.split("=") for pair in query_text.split("&") if pair)
@@ -224,7 +235,7 @@
         if method == "GET" and name:
             return (200, objects[name]) if name in objects else (404, {})
         if method == "GET" and "watch" in query:
-            return await self._watch(kind, query)
+            return await self._watch(kind, query, called)
         if method == "GET":
             names = sorted(n for n in objects if n > query.get("after", ""))
             items = [objects[n] for n in names]
@@ -243,7 +254,9 @@
         self.write(kind, name, document.get("spec"))
         return 200, objects[name]
 
-    async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
+    async def _watch(
+        self, kind: str, query: dict[str, str], called: str
+    ) -> tuple[int, Any]:
         ends_at = time.monotonic() + min(30.0, int(query.get("wait-ms", "0")) / 1000)
         while True:
             changed = self._changed
@@ -253,10 +266,12 @@
                 if of == kind and at > int(query["watch"])
             ]
             left_s = ends_at - time.monotonic()
+            if self.refuses(called, kind):
+                return 503, {}
             if events or left_s <= 0:
                 return 200, {"events": events, "current-rev": self.revision}
             try:
-                await asyncio.wait_for(changed.wait(), left_s)
+                await asyncio.wait_for(changed.wait(), min(left_s, 0.25))
             except TimeoutError:
                 continue
 
@@ -450,6 +465,8 @@
         self.name, self.ip, self.zone = name, ip, zone
         self.peer_port = peer_port
         self.front = (ip, FRONT)
+        # Where it calls the store.
+        self.store_ip = rig.take_ip()
         self.process: asyncio.subprocess.Process | None = None
         self._rig = rig
         self._fields = {
@@ -462,7 +479,7 @@
             "internal-port-range": [peer_port, peer_port + 15],
             "seeds": [f"{seed}:{CONTROL}" for seed in seeds],
             "bootstrap": True,
-            "platform.address": f"{rig.store.address[0]}:{rig.store.address[1]}",
+            "platform.address": f"{self.store_ip}:{STORE}",
             "limits.memory-mb": 300,
             "limits.max-fds": 4100,
             **{f"bounds.{name}": value for name, value in rig.bounds.items()},
@@ -652,7 +669,7 @@
 
     async def start(self) -> None:
         """Start the store, the servers and the hosts, and wait until all are ready."""
-        await self.store.start()
+        await self.store.start([host.store_ip for host in self.hosts])
         for server in self.servers:
             await server.start()
         for host in self.hosts:
