--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -205,9 +205,10 @@
                 on_change=self._announce,
                 supervisor=self._supervisor,
                 ignored=self._left_out,
+                keeps_waits_short=self._keeps_waits_short,
             )
             for watch in (
-                self._make_configuration_watch,
+                ConfigurationWatch,
                 self._make_server_watch,
                 self._make_block_watch,
                 self._make_evacuation_watch,
@@ -291,12 +292,6 @@
             check_requests=self._check_requests,
         )
 
-    def _make_configuration_watch(self, **arguments: Any) -> ConfigurationWatch:
-        return ConfigurationWatch(
-            keeps_waits_short=lambda: self._peer_table.keeps_waits_short(self._clock()),
-            **arguments,
-        )
-
     def _make_server_watch(self, **arguments: Any) -> ServerWatch:
         return ServerWatch(on_entry=self._router.record_entry, **arguments)
 
@@ -373,6 +368,9 @@
         lost = self._peering.list_lost_stores(now)
         return self._peer_table.is_watcher(now, lost=lost)
 
+    def _keeps_waits_short(self) -> bool:
+        return self._peer_table.keeps_waits_short(self._clock())
+
     def _get_limits(self) -> CallerLimits:
         configuration = self._replica.configuration
         return configuration.limits if configuration else CallerLimits()
--- a/src/rosemarystream/_internal/gateway/store_watches.py
+++ b/src/rosemarystream/_internal/gateway/store_watches.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from typing import Any
 
 import gevent
 from logbook import Logger
@@ -42,8 +41,8 @@
 
 # How long a watch waits at the store for the first change.
 WATCH_TIMEOUT_S = 8.0
-# The same where an unresponsive store has to be detected soon, since changes have to be
-# in force within two seconds.
+# The same where a lost answer has to be detected soon: changes have to be in force
+# within two seconds.
 SHORT_WATCH_TIMEOUT_S = 0.8
 # Time after the end of a wait at which an answer of the store is overdue.
 OVERDUE_AFTER_S = 0.4
@@ -55,6 +54,10 @@
 BATCH_S = 0.1
 
 
+class _OverdueAnswerError(StoreError):
+    """The store hasn't answered a waiting call in time; the answer may be lost."""
+
+
 def accept_document(
     replica: Replica, ignored: IgnoredObjects, revision: int, document: bytes
 ) -> bool:
@@ -98,6 +101,8 @@
         Called after the replica has changed.
     ignored : IgnoredObjects
         Records the invalid objects.
+    keeps_waits_short : callable
+        Returns whether a lost answer has to be detected soon.
 
     Attributes
     ----------
@@ -118,8 +123,10 @@
         on_change: Callable[[], None],
         supervisor: Supervisor,
         ignored: IgnoredObjects | None = None,
+        keeps_waits_short: Callable[[], bool] = lambda: True,
     ) -> None:
         self._ignored = ignored or IgnoredObjects()
+        self._keeps_waits_short = keeps_waits_short
         self._store = store
         self._clock = clock
         self._replica = replica
@@ -183,14 +190,7 @@
             self._ignored.keep_listed(self.kind, listed)
             self._revision = listing.revision
             return
-        wait_s = self._choose_wait()
-        overdue = self._supervisor.start_task(
-            "overdue_answer", self._mark_overdue, delay_s=wait_s + OVERDUE_AFTER_S
-        )
-        try:
-            changes = self._store.watch(self.kind, self._revision, wait_s)
-        finally:
-            overdue.kill(block=False)
+        changes = self._await_changes(self._revision)
         changed = [
             self._accept_safely(change.object, change.deleted, revision)
             for change, revision in _list_in_order(changes)
@@ -204,6 +204,27 @@
         # Changes that follow closely then arrive in one call.
         gevent.sleep(BATCH_S)
 
+    def _await_changes(self, revision: int) -> Changes:
+        """Return the changes after a revision, waiting for the first one.
+
+        A connection on which an answer was lost returns nothing further. So the call is
+        repeated on a new one, without a wait, and meanwhile another host watches.
+
+        Raises
+        ------
+        StoreError
+            If there is no usable answer.
+        """
+        wait_s = self._choose_wait()
+        overdue = _OverdueAnswerError("the answer to a waiting call is overdue")
+        try:
+            with gevent.Timeout(wait_s + OVERDUE_AFTER_S, overdue):
+                return self._store.watch(self.kind, revision, wait_s)
+        except _OverdueAnswerError as error:
+            self._report_lost(str(error))
+            self._store.close()
+            return self._store.watch(self.kind, revision, 0.0)
+
     def _accept_end(self, revision: int) -> None:
         """Record that all changes up to a revision have been applied."""
 
@@ -216,11 +237,7 @@
 
     def _choose_wait(self) -> float:
         """Return how long a call waits at the store for the first change."""
-        return WATCH_TIMEOUT_S
-
-    def _mark_overdue(self) -> None:
-        """Report the store as lost so that another host watches; go on waiting."""
-        self._report_lost("the answer to a waiting call is overdue")
+        return SHORT_WATCH_TIMEOUT_S if self._keeps_waits_short() else WATCH_TIMEOUT_S
 
     def _mark_lost(self, error: StoreError) -> None:
         self._report_lost(str(error))
@@ -246,31 +263,11 @@
 
 
 class ConfigurationWatch(StoreWatch):
-    """Watches the configuration, and whether the store still answers.
-
-    If it doesn't, the next host watches all kinds of objects.
-
-    Parameters
-    ----------
-    keeps_waits_short : callable
-        Returns whether an unresponsive store has to be detected soon.
-    """
+    """Watches the configuration."""
 
     kind = CONFIGURATION
     loop = "configuration_watch"
 
-    def __init__(
-        self,
-        *,
-        keeps_waits_short: Callable[[], bool] = lambda: True,
-        **arguments: Any,
-    ) -> None:
-        super().__init__(**arguments)
-        self._keeps_waits_short = keeps_waits_short
-
-    def _choose_wait(self) -> float:
-        return SHORT_WATCH_TIMEOUT_S if self._keeps_waits_short() else WATCH_TIMEOUT_S
-
     def _accept_listing(self, objects: list[StoredObject], revision: int) -> None:
         changed = [self._accept_safely(item, False, revision) for item in objects]
         if any(changed):
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -266,9 +266,16 @@
 
 
 def wait_for_overdue_answers():
-    from rosemarystream._internal.gateway.store_watches import StoreWatch
+    from rosemarystream._internal.gateway import store_watches
 
-    StoreWatch._mark_overdue = lambda self: None
+    store_watches.OVERDUE_AFTER_S = 60.0
+
+
+def wait_long_for_servers():
+    from rosemarystream._internal.gateway.server_watch import ServerWatch
+    from rosemarystream._internal.gateway.store_watches import WATCH_TIMEOUT_S
+
+    ServerWatch._choose_wait = lambda self: WATCH_TIMEOUT_S
 
 
 def keep_pending_removals():
@@ -381,6 +388,7 @@
         log_without_limit,
         send_every_prompt,
         wait_for_overdue_answers,
+        wait_long_for_servers,
         send_without_permission,
         take_cold_servers_for_warm,
         permit_when_alone,
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -132,6 +132,11 @@
         "wait_for_overdue_answers",
         f"{ENTRY}fleet.py -k leaves_its_watchers",
     ),
+    Row(
+        "entry-lost-watch-answers",
+        "wait_long_for_servers",
+        "python -m pytest -x -q tests/functional/test_store_watchers.py -k drain",
+    ),
     Row(
         "entry-pending-removals",
         "keep_pending_removals",
--- a/tests/unit/test_store_watches.py
+++ b/tests/unit/test_store_watches.py
@@ -100,6 +100,28 @@
     assert replica.revision == 6
 
 
+class LosingStore(ChangingStore):
+    """Never answers the first call that waits for changes."""
+
+    def __init__(self, *answers):
+        super().__init__(*answers)
+        self.has_lost = False
+
+    def watch(self, kind, revision, wait_s):
+        if not self.has_lost:
+            self.has_lost = True
+            gevent.sleep(60.0)
+        return super().watch(kind, revision, wait_s)
+
+
+# review/7: a host without another one beside it waited 8 s for an answer that was lost.
+def test_what_a_lost_answer_told_is_asked_for_again_in_time():
+    began_at = time.monotonic()
+    replica = follow(LosingStore(Changes([make_change("s1", 5)], 5)))
+    assert [entry.name for entry in replica.list_endpoints()] == ["s1"]
+    assert time.monotonic() - began_at < IN_FORCE_S - HANDOVER_S
+
+
 def make_change(name, revision, *, deleted=False):
     entry = {
         "service": "pool",
