--- a/src/rosemarystream/_internal/gateway/route_lookup.py
+++ b/src/rosemarystream/_internal/gateway/route_lookup.py
@@ -60,9 +60,9 @@
         route = configuration.find_route(call.host, call.path)
         if route is None:
             raise RequestEndedError(ErrorKind.NOT_FOUND, "no route for host and path")
-        if route.is_anonymous or not configuration.workspaces:
+        if route.is_anonymous or not configuration.requires_key:
             return route, None
-        workspace = configuration.workspaces.get(call.key or "")
+        workspace = configuration.workspaces.get(call.key) if call.key else None
         if workspace is None:
             raise RequestEndedError(ErrorKind.UNAUTHORIZED, "no workspace has this key")
         return route, workspace
--- a/src/rosemarystream/_internal/models/route.py
+++ b/src/rosemarystream/_internal/models/route.py
@@ -121,6 +121,9 @@
         Routes by host name, longest path prefix first.
     workspaces : dict of str to Workspace
         Workspaces by API key.
+    requires_key : bool
+        Whether a request needs the key of a workspace, unless its route is anonymous;
+        also while no workspace has a key.
     """
 
     version: int
@@ -128,6 +131,7 @@
     services: dict[str, Service]
     limits: CallerLimits
     workspaces: dict[str, Workspace]
+    requires_key: bool = True
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
--- a/src/rosemarystream/_internal/platform/documents.py
+++ b/src/rosemarystream/_internal/platform/documents.py
@@ -105,7 +105,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # Absent where callers need no key.
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(msgspec.Struct, rename="kebab"):
@@ -159,9 +160,10 @@
         ),
         workspaces={
             key: _convert_tenant(tenant)
-            for tenant in body.tenants
+            for tenant in body.tenants or ()
             for key in tenant.api_keys
         },
+        requires_key=body.tenants is not None,
     )
 
 
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -171,6 +171,12 @@
     PeerTable.is_collector = lambda self, now: False
 
 
+def take_no_keys_for_no_rule():
+    from rosemarystream._internal.models.route import FleetConfiguration
+
+    FleetConfiguration.requires_key = property(lambda self: bool(self.workspaces))
+
+
 def retry_non_idempotent():
     from rosemarystream._internal.models.route import Route
 
@@ -383,6 +389,7 @@
         repeat_without_budget,
         count_heard_hosts_only,
         wait_to_be_contacted,
+        take_no_keys_for_no_rule,
         contact_whole_data_centres_only,
         retry_non_idempotent,
         refuse_unknown_outcomes,
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -137,6 +137,11 @@
         "contact_whole_data_centres_only",
         f"{PYTEST}test_gossip_cuts.py",
     ),
+    Row(
+        "entry-withdrawn-keys",
+        "take_no_keys_for_no_rule",
+        f"{PYTEST}test_keys.py",
+    ),
     Row(
         "entry-lost-watch-answers",
         "wait_long_for_servers",
