--- a/tests/unit/test_answer_relay.py
+++ b/tests/unit/test_answer_relay.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 import gevent
+import pytest
 
 from rosemarystream._internal.gateway.answer_relay import AnswerRelay
 from rosemarystream._internal.utils.loop_share import MAX_USE_S
@@ -66,6 +67,7 @@
     return [max(busy[start : start + SPAN_TURNS]) for start in spans]
 
 
+@pytest.mark.alone
 def test_a_piece_with_thousands_of_events_leaves_the_loop_to_others():
     # A virtual machine that is held up for 15 ms counts that as processor time, several
     # times a second. That doesn't happen in the same span of all runs.
