--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -276,7 +276,7 @@
         """
         self.read_body(deadline, max_bytes=MAX_DISCARDED_BYTES)
         waiting = self._protocol.trailing_data[0]
-        if self._remainder is not None and not self._remainder.is_done():
+        if not self._has_sent_request():
             raise ConnectionBrokenError(
                 f"{self.address} answered before it had the request"
             )
@@ -303,7 +303,9 @@
                 data = self._socket.recv(self._get_read_bytes())
                 is_closed = not data
                 self.received_at = self._clock()
-                if self._remainder is not None:
+                if is_closed:
+                    self._check_request_sent(wait_s)
+                else:
                     self._raise_send_error()
                 self._protocol.receive_data(data)
             except OSError as error:
@@ -316,6 +318,27 @@
                     ) from error
                 raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
+    def _check_request_sent(self, wait_s: float) -> None:
+        """Check that the server, which sends nothing more, has read the request.
+
+        Else it has closed or reset the connection: a write that failed has taken the
+        error that a read would have got.
+
+        Raises
+        ------
+        ServerClosedError
+            If it hasn't.
+        """
+        if self._remainder is not None:
+            self._remainder.wait(wait_s)
+        self._raise_send_error()
+        if not self._has_sent_request():
+            raise ServerClosedError(f"{self.address} closed before it had the request")
+
+    def _has_sent_request(self) -> bool:
+        """Return whether the socket has accepted the whole request."""
+        return self._remainder is None or self._remainder.has_sent_all
+
     def _raise_send_error(self) -> None:
         """Raise the unexpected error that ended the sending of the request, if any."""
         if self._remainder is not None and self._remainder.error is not None:
@@ -351,7 +374,7 @@
 
     def finish(self) -> bool:
         """Prepare the connection for another request; False if impossible."""
-        if self._remainder is not None and not self._remainder.is_done():
+        if not self._has_sent_request():
             return False
         self._remainder = None
         # An idle connection must not keep the request body in memory.
--- a/src/rosemarystream/_internal/utils/remainder_sender.py
+++ b/src/rosemarystream/_internal/utils/remainder_sender.py
@@ -23,16 +23,19 @@
     ----------
     error : Exception or None
         Unexpected error that ended the sending; the connection is shut down then.
+    has_sent_all : bool
+        Whether the socket has accepted all bytes.
     """
 
     def __init__(self, *, opened: socket.socket, pieces: Sequence[Piece]) -> None:
         self.error: Exception | None = None
+        self.has_sent_all = False
         self._socket = opened
         self._greenlet = gevent.spawn(self._send, pieces)
 
-    def is_done(self) -> bool:
-        """Return whether the sending has ended."""
-        return self._greenlet.ready()
+    def wait(self, seconds: float) -> None:
+        """Wait until the sending has ended, at most for a time."""
+        self._greenlet.join(timeout=seconds)
 
     def cancel(self) -> None:
         """End the sending."""
@@ -46,8 +49,9 @@
                     # By itself: the time limit of the socket is that of its reads.
                     wait_write(self._socket.fileno())
                     rest = rest[send_some(self._socket, rest) :]
+            self.has_sent_all = True
         except OSError:
-            # Reading the answer fails with the same error.
+            # The system tells of an error once, so reads may only see the end.
             return
         except Exception as error:
             self.error = error
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -183,6 +183,12 @@
     WatchReserve.is_due = lambda self, kind, now: False
 
 
+def drop_errors_of_writes():
+    from rosemarystream._internal.utils.http_connection import ClientConnection
+
+    ClientConnection._check_request_sent = lambda self, wait_s: None
+
+
 def retry_non_idempotent():
     from rosemarystream._internal.models.route import Route
 
@@ -395,6 +401,7 @@
         repeat_without_budget,
         count_heard_hosts_only,
         wait_to_be_contacted,
+        drop_errors_of_writes,
         watch_without_reserve,
         take_no_keys_for_no_rule,
         contact_whole_data_centres_only,
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -147,6 +147,11 @@
         "watch_without_reserve",
         f"{PYTEST}test_watch_reserve.py",
     ),
+    Row(
+        "entry-early-answers",
+        "drop_errors_of_writes",
+        "python -m pytest -x -q tests/functional/test_answers_before_requests.py",
+    ),
     Row(
         "entry-lost-watch-answers",
         "wait_long_for_servers",
