An answer with a status above 599 is a failure of its server (MIXED)

What callers saw: statuses such as 600 and 999 as a server had given them.

Change: such an answer breaks its connection, as one that can't be read does; callers get 502.

--- a/src/rosemarystream/_internal/utils/http_connection.py
+++ b/src/rosemarystream/_internal/utils/http_connection.py
@@ -32,6 +32,8 @@
 Clock = Callable[[], float]
 
 READ_BYTES = 65_536
+# Largest status of an answer (RFC 9110, section 15).
+MAX_STATUS = 599
 MIN_WAIT_S = 0.001
 # Heads with a 1xx status that are read before the final one of an answer.
 MAX_INFORMATIONAL_HEADS = 8
@@ -229,6 +231,10 @@
         for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = self._read_event(deadline)
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ConnectionBrokenError(
+                        f"{self.address} answered with status {event.status_code}"
+                    )
                 return ResponseHead(event.status_code, list(event.headers))
             if isinstance(event, h11.ConnectionClosed):
                 raise ServerClosedError(f"{self.address} closed without an answer")
--- a/src/rosemarystream/_internal/utils/http_exchange.py
+++ b/src/rosemarystream/_internal/utils/http_exchange.py
@@ -13,6 +13,7 @@
 
 from rosemarystream._internal.exceptions import BackendError, ConnectError
 from rosemarystream._internal.utils.address import split_address
+from rosemarystream._internal.utils.http_connection import MAX_STATUS
 from rosemarystream._internal.utils.loop_share import LoopShare
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -145,6 +146,8 @@
             self._response = HTTPSocketResponse(
                 self._source, block_size=BLOCK_BYTES, method=method
             )
+            if self._response.status_code > MAX_STATUS:
+                raise HTTPParseError(f"status {self._response.status_code}")
         except (OSError, HTTPParseError) as error:
             raise self._close_and_convert(error) from error
         return self._response.status_code
