--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -60,7 +60,11 @@
     list_changes,
     load_gateway_settings,
 )
-from rosemarystream._internal.gateway.shutdown import Shutdown, make_shutdown_plan
+from rosemarystream._internal.gateway.shutdown import (
+    Shutdown,
+    ShutdownPlan,
+    make_shutdown_plan,
+)
 from rosemarystream._internal.gateway.state import StateReport
 from rosemarystream._internal.gateway.state_pulls import StatePuller
 from rosemarystream._internal.gateway.store_watches import (
@@ -128,6 +132,7 @@
         host = settings.host
         self._this_host = HostAddress(host.name, host.data_centre, host.ip)
         self._leaving = Event()
+        self._shutdown_plan: ShutdownPlan | None = None
         self._tasks: list[gevent.Greenlet] = []
         self._statsd: StatsdSender | None = None
         self._replica = Replica()
@@ -336,8 +341,8 @@
 
     def run(self) -> int:
         """Serve until SIGTERM; returns the exit code."""
-        gevent.signal_handler(signal.SIGTERM, self._leaving.set)
-        gevent.signal_handler(signal.SIGINT, self._leaving.set)
+        gevent.signal_handler(signal.SIGTERM, self._begin_leave)
+        gevent.signal_handler(signal.SIGINT, self._begin_leave)
         gevent.signal_handler(
             signal.SIGHUP, self._supervisor.run_task, "reload", self._reload
         )
@@ -466,6 +471,9 @@
         )
 
     def _reload(self) -> None:
+        # Signals that wait together are told by their numbers. A stop among them goes
+        # by the settings in force so far.
+        gevent.sleep(0)
         self._times.record_reload()
         try:
             settings = load_gateway_settings(self._path)
@@ -485,13 +493,22 @@
             self._router.set_bounds(settings.bounds)
         self._settings = settings
 
+    def _begin_leave(self) -> ShutdownPlan:
+        """Fix the deadlines of the stop, by the settings in force at its signal."""
+        if self._shutdown_plan is None:
+            self._times.record_stop()
+            shutdown_s = self._settings.bounds.get_shutdown_s()
+            self._shutdown_plan = make_shutdown_plan(
+                began_at=self._clock(), shutdown_s=shutdown_s
+            )
+            self._leaving.set()
+        return self._shutdown_plan
+
     def leave(self) -> None:
         """Finish the requests in progress, at most for the shutdown time, then stop."""
-        self._times.record_stop()
-        self._leaving.set()
-        shutdown_s = self._settings.bounds.get_shutdown_s()
+        plan = self._begin_leave()
         Shutdown(
-            plan=make_shutdown_plan(began_at=self._clock(), shutdown_s=shutdown_s),
+            plan=plan,
             listener=self._caller_listener,
             refuse_due_after=self._relay.end_at,
             clock=self._clock,
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -379,6 +379,21 @@
     assert statuses.count(200) > CLIENTS
 
 
+# A reload that a busy host was told of together with its stop shortened the grace.
+def test_a_stop_goes_by_the_settings_before_a_reload_that_arrives_with_it(stop):
+    stop.set_work(2.0)
+    reply = gevent.spawn(stop.send("/look/1").read)
+    gevent.sleep(0.3)
+    stop.host.send(signal.SIGSTOP)
+    stop.tell()
+    stop.set_shutdown(1.0)
+    stop.host.send(signal.SIGHUP)
+    stop.host.send(signal.SIGCONT)
+    reply.join(timeout=READ_S)
+    assert (reply.value.status, reply.value.complete) == (200, True)
+    stop.wait_gone()
+
+
 @pytest.mark.parametrize("after_s", [0.2, 0.5, 0.8, 1.1])
 def test_a_host_that_is_told_to_stop_while_it_starts_loses_no_answer(stop, after_s):
     stop.host.stop()
