--- a/src/rosemarystream/_internal/gateway/answer_relay.py
+++ b/src/rosemarystream/_internal/gateway/answer_relay.py
@@ -47,6 +47,8 @@
         Called before a part of an answer is passed on.
     leave_unresponsive : callable
         Called while a server is unresponsive; returns whether it is left.
+    has_other : callable
+        Returns whether another server has the request beside this one.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         on_event: Callable[[], None],
         on_progress: Callable[[], None],
         leave_unresponsive: Callable[[], bool],
+        has_other: Callable[[], bool],
     ) -> None:
         self._call = call
         self._route = route
@@ -75,6 +78,7 @@
         self._on_event = on_event
         self._on_progress = on_progress
         self._leave_unresponsive = leave_unresponsive
+        self._has_other = has_other
         self._stream = EventStream(last_event=call.last_event_id)
         self._loop_share = LoopShare()
         self._stall_timeout_s = compute_stall_timeout(route)
@@ -194,8 +198,10 @@
         if not self._is_resumable():
             return attempt.read_piece(self._deadline)
         while True:
+            # Beside another server only what has arrived is read: that one may begin.
+            look_at = self._clock() if self._has_other() else self._stalled_at
             try:
-                return attempt.read_piece(min(self._deadline, self._stalled_at))
+                return attempt.read_piece(min(self._deadline, look_at))
             except OutcomeUnknownError as error:
                 if not error.silent or self._leave_unresponsive():
                     raise
--- a/src/rosemarystream/_internal/gateway/exchange.py
+++ b/src/rosemarystream/_internal/gateway/exchange.py
@@ -222,6 +222,7 @@
             on_event=self._record_first_event,
             on_progress=self._failover.give_up_other,
             leave_unresponsive=self._leave_unresponsive,
+            has_other=lambda: self._failover.has_other,
         )
 
     def _compute_deadline(self, route: Route) -> float:
@@ -331,18 +332,27 @@
     def _read_head(self, attempt: Attempt) -> AnswerHead:
         """Return the head of the answer; an unresponsive server may be left."""
         while True:
-            attempt_deadline = compute_attempt_deadline(
-                self._route,
-                now=self._clock(),
-                deadline=self._deadline,
-                more_attempts=self._attempts.may_repeat,
-            )
             try:
-                return attempt.read_head(attempt_deadline)
+                return attempt.read_head(self._compute_look_time())
             except OutcomeUnknownError as error:
                 if not error.silent or self._leave_unresponsive():
                     raise
 
+    def _compute_look_time(self) -> float:
+        """Return when a server without a head counts as unresponsive.
+
+        At once beside another server, which may begin: only what has arrived is read.
+        """
+        now = self._clock()
+        if self._failover.has_other:
+            return min(now, self._deadline)
+        return compute_attempt_deadline(
+            self._route,
+            now=now,
+            deadline=self._deadline,
+            more_attempts=self._attempts.may_repeat,
+        )
+
     def _leave_unresponsive(self) -> bool:
         return self._failover.leave(self._current.attempt)
 
--- a/tests/functional/test_two_servers_at_once.py
+++ b/tests/functional/test_two_servers_at_once.py
@@ -1,6 +1,7 @@
 """Requests that two servers have at once, as the first of them is unresponsive."""
 
 import itertools
+import time
 
 import gevent
 import pytest
@@ -23,6 +24,9 @@
 FIRST_S = {"/look/1": 1.1, "/chat/1": 1.5}
 # Time in which a server has to see that its work isn't wanted any more.
 CANCEL_S = 0.5
+# Time for which both servers may work once the second one has begun to answer.
+BOTH_S = 0.4
+HALF_ANSWER = "half_answer"
 PATHS = [*FIRST_S]
 SERVICES = {"/look/1": "plain", "/chat/1": "engines"}
 HEADERS = (
@@ -36,6 +40,7 @@
 
     pauses = ()
     late_faults = ()
+    left_at = None
 
     def _pause(self, connection, run):
         self.pause_s = self.pauses.pop(0)
@@ -46,6 +51,13 @@
             if self._pause(connection, run):
                 return False
             fault = self.late_faults.pop(0)
+            if fault is HALF_ANSWER:
+                connection.sendall(_encode_half_answer(identity, self.path))
+                # Works on until the host leaves it.
+                while connection.recv(1000):
+                    pass
+                self.left_at = time.monotonic()
+                return False
             if fault is Fault.TURN_AWAY:
                 refused = [*identity, (b"x-rosemarystream-not-executed", b"1")]
                 connection.sendall(_encode_refusal(refused))
@@ -53,6 +65,17 @@
         return super()._work(connection, protocol, run, fault, identity)
 
 
+def _encode_half_answer(headers, path):
+    """Return what completes no head, or no event of a stream."""
+    if path == "/look/1":
+        return b"HTTP/1.1 200 OK\r\nX-Half: "
+    headers = [*headers, (b"x-rosemarystream-response-seal", b"seal")]
+    headers.append((b"transfer-encoding", b"chunked"))
+    headers.append((b"content-type", b"text/event-stream"))
+    lines = [b"%s: %s" % pair for pair in headers]
+    return b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b"5", b"id: 1", b""])
+
+
 def _encode_refusal(headers):
     lines = [b"%s: %s" % pair for pair in headers]
     head = [b"HTTP/1.1 503 Busy", b"content-length: 0", *lines, b"", b""]
@@ -92,6 +115,7 @@
             server.faults = self.faults
             server.pauses = pauses
             server.late_faults = late_faults
+            server.path = path
         self.host = self.world.add_host("h1")
         wait_until(lambda: len(self.host.list_servers()) == 2)
         self.retries = self.count_retries()
@@ -112,6 +136,10 @@
         document = make_configuration(next(self._versions), routes or make_routes())
         self.world.store.write("config", "main", document | changes)
 
+    def set_pauses(self, *pauses_s):
+        for server in self.world.servers.values():
+            server.pauses[:] = pauses_s
+
     def call(self):
         return self.host.call(self.path, headers=HEADERS, wait_ms=WAIT_MS)
 
@@ -214,6 +242,25 @@
     assert fleet.count_arrivals() == 2
 
 
+# review/10: bytes that complete nothing kept a host with the first server for as long
+# as it may be silent, while the second one had begun to answer.
+@pytest.mark.parametrize("path", PATHS)
+def test_the_first_is_left_when_the_second_begins_though_it_has_sent_a_little(
+    make_fleet, path
+):
+    fleet = make_fleet(path, first=Fault.PAUSE, late=HALF_ANSWER)
+    fleet.write_configuration(make_routes(**{"gap-aim-ms": 250}))
+    wait_until(lambda: fleet.host.get_version() == 5)
+    fleet.set_pauses(FIRST_S[path] - 0.3, 0.3)
+    call = gevent.spawn(fleet.call)
+    first, _ = fleet.wait_for_both()
+    begins_at = time.monotonic() + 0.3
+    assert is_whole(call.get())
+    assert fleet.count_arrivals() == 2
+    assert fleet.list_problems() == []
+    assert first.left_at <= begins_at + BOTH_S
+
+
 def test_a_stream_that_goes_on_and_is_cut_has_used_its_attempts(make_fleet):
     fleet = make_fleet("/chat/1", first=Fault.PAUSE, late=Fault.CUT)
     reply = fleet.call()
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -189,6 +189,12 @@
     ClientConnection._check_request_sent = lambda self, wait_s: None
 
 
+def take_bytes_for_progress():
+    from rosemarystream._internal.gateway.failover import Failover
+
+    Failover.has_other = property(lambda self: False)
+
+
 def retry_non_idempotent():
     from rosemarystream._internal.models.route import Route
 
@@ -401,6 +407,7 @@
         repeat_without_budget,
         count_heard_hosts_only,
         wait_to_be_contacted,
+        take_bytes_for_progress,
         drop_errors_of_writes,
         watch_without_reserve,
         take_no_keys_for_no_rule,
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -152,6 +152,11 @@
         "drop_errors_of_writes",
         "python -m pytest -x -q tests/functional/test_answers_before_requests.py",
     ),
+    Row(
+        "entry-half-answers",
+        "take_bytes_for_progress",
+        "python -m pytest -x -q tests/functional/test_two_servers_at_once.py -k little",
+    ),
     Row(
         "entry-lost-watch-answers",
         "wait_long_for_servers",
--- a/tests/unit/test_answer_relay.py
+++ b/tests/unit/test_answer_relay.py
@@ -43,6 +43,7 @@
         on_event=lambda: None,
         on_progress=lambda: None,
         leave_unresponsive=lambda: True,
+        has_other=lambda: False,
     )
 
 
