--- a/src/rosemarystream/_internal/decisions/peer_table.py
+++ b/src/rosemarystream/_internal/decisions/peer_table.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from rosemarystream._internal.decisions.live_hosts import (
+    UNCONFIRMED_TTL_S,
     LiveHosts,
     Peer,
     find_live_hosts,
@@ -71,7 +72,7 @@
         self._previous_peak = 0
 
     def add_peer(self, name: str, data_centre: str, ip: str, now: float) -> None:
-        """Add a host that another host or the store has named."""
+        """Add a host that another host has named."""
         known = self._hosts.get(name)
         if name == self._name:
             return
@@ -79,6 +80,21 @@
         known_since = known.known_since if known and known.ip == ip else now
         self._store(Peer(name, data_centre, ip, last_seen_at, known_since))
 
+    def add_recorded(self, name: str, data_centre: str, ip: str, now: float) -> bool:
+        """Add a host of which the store has a record; return whether it was added.
+
+        It may be gone, so it isn't live before a message of it arrives.
+        """
+        if name == self._name or name in self._find_live(now).names:
+            return False
+        known = self._hosts.get(name)
+        if known is not None and known.ip == ip:
+            return False
+        # As if it had been named so long ago that it no longer counts.
+        named_at = now - 2 * UNCONFIRMED_TTL_S
+        self._store(Peer(name, data_centre, ip, 0.0, named_at))
+        return True
+
     def record_alive(
         self, name: str, data_centre: str, ip: str, last_seen_at: float
     ) -> None:
--- a/src/rosemarystream/_internal/gateway/host_records.py
+++ b/src/rosemarystream/_internal/gateway/host_records.py
@@ -3,20 +3,17 @@
 from logbook import Logger
 
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
-from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.models.log_entries.store import HostRecordInvalid
 from rosemarystream._internal.platform.documents import DocumentError
-from rosemarystream._internal.platform.records import decode_host_record
+from rosemarystream._internal.platform.records import HostRecord, decode_host_record
 from rosemarystream._internal.platform.store import HOSTS, Store
 
 log = Logger(__name__)
 
 
-def read_hosts(
-    store: Store, peer_table: PeerTable, ignored: IgnoredObjects, now: float
-) -> None:
-    """Add the hosts in the store to the table; a record that is invalid is logged.
+def read_hosts(store: Store, ignored: IgnoredObjects) -> list[HostRecord]:
+    """Return the valid records of hosts in the store; an invalid one is logged.
 
     Raises
     ------
@@ -25,12 +22,12 @@
     """
     objects = store.list(HOSTS).objects
     ignored.keep_listed(HOSTS, [(item.name, item.revision) for item in objects])
+    records = []
     for item in objects:
         try:
-            host = decode_host_record(item)
+            records.append(decode_host_record(item))
         except DocumentError as error:
             if ignored.add(HOSTS, item.name, item.revision, str(error)):
                 entry = HostRecordInvalid(name=item.name, error=str(error))
                 write_log_entry(log, entry)
-            continue
-        peer_table.add_peer(host.name, host.data_centre, host.ip, now)
+    return records
--- a/src/rosemarystream/_internal/gateway/host_registry.py
+++ b/src/rosemarystream/_internal/gateway/host_registry.py
@@ -1,16 +1,25 @@
-"""Exchange of the known hosts through the platform's store."""
+"""Exchange of the known hosts through the platform's store.
 
-from collections.abc import Callable
+Collectors write a record of themselves, which brings hosts together whose seeds are
+stale. The first collector of a data centre removes the records of departed hosts.
+"""
+
+from collections.abc import Callable, Sequence
 
 import gevent
 from logbook import Logger
 
+from rosemarystream._internal.decisions.departed_hosts import DepartedHosts
 from rosemarystream._internal.decisions.ignored_objects import IgnoredObjects
 from rosemarystream._internal.decisions.peer_table import PeerTable
 from rosemarystream._internal.gateway.host_records import read_hosts
 from rosemarystream._internal.gateway.logs import write_log_entry
 from rosemarystream._internal.models.gossip import HostAddress
-from rosemarystream._internal.models.log_entries.store import HostExchangeFailed
+from rosemarystream._internal.models.log_entries.store import (
+    HostExchangeFailed,
+    HostRecordRemoved,
+)
+from rosemarystream._internal.platform.records import HostRecord
 from rosemarystream._internal.platform.store import HOSTS, Store
 from rosemarystream._internal.platform.store_answers import StoreError
 
@@ -20,6 +29,8 @@
 REGISTER_RETRY_S = 1.0
 # Interval at which the hosts known in the store are read.
 HOSTS_INTERVAL_S = 20.0
+# Records of departed hosts that are removed in one exchange.
+MAX_REMOVALS = 10
 
 
 class HostRegistry:
@@ -33,6 +44,8 @@
         The platform's store; the connection is closed after each exchange.
     ignored : IgnoredObjects
         Records the invalid objects of hosts.
+    contact : callable
+        Called with the IP addresses of hosts that the store has made known.
     """
 
     def __init__(
@@ -43,12 +56,15 @@
         peer_table: PeerTable,
         ignored: IgnoredObjects,
         clock: Callable[[], float],
+        contact: Callable[[Sequence[str]], None],
     ) -> None:
         self._this_host = this_host
         self._store = store
         self._peer_table = peer_table
         self._ignored = ignored
         self._clock = clock
+        self._contact = contact
+        self._departed = DepartedHosts()
         self._is_registered = False
 
     def run(self) -> None:
@@ -65,7 +81,9 @@
             return
         try:
             self._register()
-            read_hosts(self._store, self._peer_table, self._ignored, self._clock())
+            records = read_hosts(self._store, self._ignored)
+            self._accept(records)
+            self._remove_departed(records)
         except StoreError as error:
             write_log_entry(log, HostExchangeFailed(error=str(error)))
 
@@ -76,3 +94,45 @@
         spec = {"data_centre": host.data_centre, "ip": host.ip}
         self._store.put(HOSTS, host.name, spec)
         self._is_registered = True
+
+    def _accept(self, records: Sequence[HostRecord]) -> None:
+        """Make the recorded hosts known, and find out whether this one is recorded."""
+        now, own = self._clock(), self._this_host
+        # Another host may have taken this one for departed.
+        self._is_registered = any(
+            (record.name, record.ip) == (own.name, own.ip) for record in records
+        )
+        added = [
+            record.ip
+            for record in records
+            if self._peer_table.add_recorded(*record, now)
+        ]
+        if added:
+            self._contact(added)
+
+    def _remove_departed(self, records: Sequence[HostRecord]) -> None:
+        now, own = self._clock(), self._this_host
+        live = {host.name for host in self._peer_table.list_live(now)} | {own.name}
+        recorded = {record.name: record for record in records}
+        self._departed.accept_list(recorded, live, now)
+        if self._peer_table.list_collectors(own.data_centre, now)[0] != own.name:
+            return
+        removable = [
+            name
+            for name in self._departed.list_departed(now)
+            if self._is_responsible(recorded[name].data_centre, now)
+        ]
+        for name in removable[:MAX_REMOVALS]:
+            self._store.delete(HOSTS, name)
+            write_log_entry(log, HostRecordRemoved(name=name))
+
+    def _is_responsible(self, data_centre: str, now: float) -> bool:
+        """Return whether this data centre removes the records of one.
+
+        Each its own; those of one without live hosts the first in order.
+        """
+        own, others = self._this_host.data_centre, self._peer_table
+        live = others.list_live_data_centres(now)
+        return data_centre == own or (
+            data_centre not in live and own == min([own, *live])
+        )
--- a/src/rosemarystream/_internal/gateway/peering.py
+++ b/src/rosemarystream/_internal/gateway/peering.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from math import inf
 from typing import NamedTuple
 
@@ -231,6 +231,14 @@
         """Send the versions of newer state without waiting for the next round."""
         self._send_to_all(self._list_collectors(self._clock()), _NO_UPDATES)
 
+    def contact(self, ips: Sequence[str]) -> None:
+        """Contact hosts that may be up; those that are name others in their answers."""
+        message = self._make_message(
+            LoadScope.NONE, self._loads.sum_own(), wants_answer=True
+        )
+        for ip in ips:
+            self._send(ip, message)
+
     # Sending
 
     def _list_collectors(self, now: float) -> list[str]:
@@ -302,27 +310,20 @@
             has_contact and self._rounds > SEED_CONTACT_EVERY_ROUNDS
         ):
             return
-        message = self._make_message(
-            LoadScope.NONE, self._loads.sum_own(), wants_answer=True
-        )
-        for ip in self._seeds if self._rounds <= SEED_CONTACT_ROUNDS else ():
-            self._send(ip, message)
+        if self._rounds <= SEED_CONTACT_ROUNDS:
+            self.contact([*self._seeds])
 
     def _contact_lost_hosts(self) -> None:
         """Contact hosts that are no longer heard, as after a network cut."""
         if self._rounds % RECONTACT_EVERY_ROUNDS:
             return
         now = self._clock()
-        message = self._make_message(
-            LoadScope.NONE, self._loads.sum_own(), wants_answer=True
-        )
         lost: dict[str, list[Peer]] = {}
         for host in self._peer_table.list_unreachable(now):
             lost.setdefault(host.data_centre, []).append(host)
         turn = self._rounds // RECONTACT_EVERY_ROUNDS
         for hosts in lost.values():
-            for host in take_turn(hosts, turn, RECONTACT_HOSTS):
-                self._send(host.ip, message)
+            self.contact([x.ip for x in take_turn(hosts, turn, RECONTACT_HOSTS)])
 
     def _make_message(
         self,
--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -303,6 +303,7 @@
             peer_table=self._peer_table,
             ignored=self._left_out,
             clock=self._clock,
+            contact=self._peering.contact,
         )
         self._probes = ServiceProbes(
             router=self._router, pool=self._pool, clock=self._clock
--- a/src/rosemarystream/_internal/models/log_entries/store.py
+++ b/src/rosemarystream/_internal/models/log_entries/store.py
@@ -34,6 +34,14 @@
     error: str
 
 
+class HostRecordRemoved(LogEntry, frozen=True, kw_only=True):
+    """The record of a host that hasn't been heard for minutes was removed."""
+
+    message = "record of a host removed"
+    level = NOTICE
+    name: str
+
+
 class EvacuationInvalid(LogEntry, frozen=True, kw_only=True):
     """The record of an evacuation in the store has no readable name and is ignored."""
 
