--- a/src/rosemarystream/_internal/decisions/retry_budget.py
+++ b/src/rosemarystream/_internal/decisions/retry_budget.py
@@ -37,6 +37,8 @@
 
     def record_request(self, now: float) -> None:
         """Count a caller's request."""
+        # Nobody else may look at the budget, so that the times would add up.
+        _drop_before(self._requests, now - self._window_s)
         self._requests.append(now)
 
     def measure_request_rate(self, now: float) -> float:
--- a/tests/unit/test_retry_budget.py
+++ b/tests/unit/test_retry_budget.py
@@ -4,6 +4,7 @@
 from collections import deque
 from math import ceil
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -55,3 +56,12 @@
     assert budget.take(0.0, hosts=1)
     assert budget.count_left(0.0, hosts=1) == 4.0
     assert budget.count_left(11.0, hosts=1) == 5.0
+
+
+# The times of all requests of a service were kept as long as nothing was retried there.
+def test_a_budget_that_nobody_looks_at_stays_small():
+    budget = RetryBudget(ratio=0.2, window_s=10.0, slack=5.0)
+    for number in range(50_000):
+        budget.record_request(number * 0.1)
+    assert len(budget._requests) <= 100
+    assert budget.measure_request_rate(5_000.0) == pytest.approx(10.0, rel=0.02)
