--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -27,10 +27,6 @@
     PromptBlocks,
 )
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.decisions.store_freshness import (
-    StoreFreshness,
-    WatchReserve,
-)
 from rosemarystream._internal.exceptions import SettingsError
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.caller_resources import CallerResources
@@ -75,6 +71,10 @@
 from rosemarystream._internal.gateway.unexpected_errors import (
     record_unexpected_error,
 )
+from rosemarystream._internal.gateway.watch_roles import (
+    WATCHED_KINDS,
+    WatchRoles,
+)
 from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.log_entries.process import (
     SettingsReloaded,
@@ -185,19 +185,11 @@
             evacuations=self._router.availability.evacuations,
             cold=self._router.cold,
         )
-        self._watch_makers: dict[str, Callable[..., StoreWatch]] = {
-            CONFIGURATION: ConfigurationWatch,
-            SERVERS: self._make_server_watch,
-            BLOCKED_PARTS: self._make_block_watch,
-            EVACUATIONS: self._make_evacuation_watch,
-        }
-        self._freshness = StoreFreshness(
-            data_centre=host.data_centre, kinds=self._watch_makers
-        )
-        self._reserve = WatchReserve(
-            freshness=self._freshness,
+        self._roles = WatchRoles(
+            data_centre=host.data_centre,
             peer_table=self._peer_table,
-            probe=CONFIGURATION,
+            list_lost_stores=lambda now: self._peering.list_lost_stores(now),
+            clock=self._clock,
         )
         self._gate = LimitGate(
             this_host=self._this_host,
@@ -226,21 +218,27 @@
             metrics=self._metrics,
             supervisor=self._supervisor,
             evacuations=self._router.availability.evacuations,
-            freshness=self._freshness,
+            freshness=self._roles.freshness,
         )
+        watch_makers: dict[str, Callable[..., StoreWatch]] = {
+            CONFIGURATION: ConfigurationWatch,
+            SERVERS: self._make_server_watch,
+            BLOCKED_PARTS: self._make_block_watch,
+            EVACUATIONS: self._make_evacuation_watch,
+        }
         self._watches = [
-            watch(
+            watch_makers[kind](
                 store=self._make_store(),
                 clock=self._clock,
                 replica=self._replica,
-                is_watcher=partial(self._is_watcher, kind),
+                is_watcher=partial(self._roles.is_watcher, kind),
                 on_change=self._announce,
                 supervisor=self._supervisor,
                 ignored=self._left_out,
-                keeps_waits_short=self._keeps_waits_short,
-                on_current=self._record_current,
+                keeps_waits_short=self._roles.keeps_waits_short,
+                on_current=self._roles.record_current,
             )
-            for kind, watch in self._watch_makers.items()
+            for kind in WATCHED_KINDS
         ]
         self._relay = Relay(
             router=self._router,
@@ -317,7 +315,7 @@
             state=self._state,
             peering=self._peering,
             watches=self._watches,
-            reserve=self._reserve,
+            reserve=self._roles.reserve,
             on_expiry=self._announce,
             check_requests=self._check_requests,
         )
@@ -393,20 +391,6 @@
         hosts = self._peer_table.count_live(now)
         return HostTurn(hash_name_32(self._this_host.name), hosts)
 
-    def _is_watcher(self, kind: str) -> bool:
-        now = self._clock()
-        lost = self._peering.list_lost_stores(now)
-        is_regular = self._peer_table.is_watcher(now, lost=lost)
-        return is_regular or self._reserve.is_due(kind, now)
-
-    def _record_current(self, kind: str) -> None:
-        self._freshness.record_answer(kind, self._clock())
-
-    def _keeps_waits_short(self) -> bool:
-        now = self._clock()
-        is_short = self._peer_table.keeps_waits_short(now)
-        return is_short or self._reserve.is_active(now)
-
     def _get_limits(self) -> CallerLimits:
         configuration = self._replica.configuration
         return configuration.limits if configuration else CallerLimits()
--- a/tests/functional/test_answers_before_requests.py
+++ b/tests/functional/test_answers_before_requests.py
@@ -11,6 +11,7 @@
     Caller,
     World,
     make_configuration,
+    make_entry,
     wait_until,
 )
 
@@ -76,17 +77,7 @@
 def server(world):
     ip = f"{world.net}.250"
     created = EarlyServer(ip)
-    entry = {
-        "service": "plain",
-        "address": f"{ip}:{SERVER_PORT}",
-        "zone": "a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "seq": 1,
-        "born": 1_000,
-    }
-    world.store.write("servers", "p1", entry)
+    world.store.write("servers", "p1", make_entry(f"{ip}:{SERVER_PORT}"))
     wait_until(lambda: world.hosts["h1"].list_servers() == ["p1"])
     yield created
     created.stop()
--- a/tests/functional/test_odd_statuses.py
+++ b/tests/functional/test_odd_statuses.py
@@ -6,7 +6,7 @@
 from gevent.server import StreamServer
 
 from rosemarystream._internal.utils.http_exchange import Exchange, ExchangeError
-from tests.lib.entry_world import SERVER_PORT, World, wait_until
+from tests.lib.entry_world import SERVER_PORT, World, make_entry, wait_until
 
 # Statuses that no answer has (RFC 9110, section 15).
 ODD_STATUSES = [b"000", b"099", b"600", b"999", b"20", b"2000", b"+20"]
@@ -59,16 +59,7 @@
 def server(world):
     created = OddServer(f"{world.net}.250")
     for service in ("plain", "engines"):
-        entry = {
-            "service": service,
-            "address": created.address,
-            "zone": "a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "seq": 1,
-            "born": 1_000,
-        }
+        entry = make_entry(created.address, service)
         world.store.write("servers", f"s-{service}", entry)
     wait_until(lambda: len(world.hosts["h1"].list_servers()) == 2)
     yield created
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -79,6 +79,20 @@
     }
 
 
+def make_entry(address, service="plain"):
+    """Return what a server that is ready registers."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+        "born": 1_000,
+    }
+
+
 class World:
     """Object store, backend servers and entry hosts of a small deployment."""
 
--- a/tests/unit/test_store_watches.py
+++ b/tests/unit/test_store_watches.py
@@ -15,6 +15,7 @@
     Changes,
     StoredObject,
 )
+from tests.lib.entry_world import make_entry
 
 # A change has to be in force this long after the store has accepted it.
 IN_FORCE_S = 2.0
@@ -123,17 +124,7 @@
 
 
 def make_change(name, revision, *, deleted=False):
-    entry = {
-        "service": "pool",
-        "address": "127.0.0.1:80",
-        "zone": "a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "seq": 1,
-        "born": 1_000,
-    }
-    spec = b"" if deleted else msgspec.json.encode(entry)
+    spec = b"" if deleted else msgspec.json.encode(make_entry("127.0.0.1:80", "pool"))
     return Change(StoredObject(name, revision, spec), deleted)
 
 
