--- a/tests/prove.py
+++ b/tests/prove.py
@@ -130,7 +130,7 @@
     Row(
         "entry-silent-store",
         "wait_for_overdue_answers",
-        f"{ENTRY}fleet.py -k leaves_its_watchers",
+        f"{UNIT}test_store_watches.py -k no_longer_answers",
     ),
     Row(
         "entry-parted-hosts",
@@ -160,7 +160,7 @@
     Row(
         "entry-lost-watch-answers",
         "wait_long_for_servers",
-        "python -m pytest -x -q tests/functional/test_store_watchers.py -k drain",
+        f"{UNIT}test_store_watches.py -k asked_for_again",
     ),
     Row(
         "entry-pending-removals",
