Few hosts watch in reserve once an outage of the store is over

Cause: every host that had tried during an outage and was served at its end watched for 5 s and two more for each host before it in order; in a fleet of 76 that were up to 43 s.

Change: a host that is served ends its attempt once others know all. Those of one step end one after the other, each later than what the one before knows stays fresh, so that the last goes on alone. The steps are 0.25 s apart, counted after the hosts that watch by themselves. What a collector has heard nearby is passed on to the hosts of other data centres too, so that one host in reserve is enough for the fleet.

Measured: the tests of the reserve, of watchers and of fleets pass, with the bound on how late the fleet knows (1.9 s) as it was.

--- a/src/rosemarystream/_internal/decisions/store_freshness.py
+++ b/src/rosemarystream/_internal/decisions/store_freshness.py
@@ -10,25 +10,31 @@
 from math import inf
 
 from rosemarystream._internal.decisions.bounded_dict import BoundedDict
-from rosemarystream._internal.decisions.peer_table import PeerTable
+from rosemarystream._internal.decisions.peer_table import (
+    COLLECTORS,
+    RESERVE_WATCHERS,
+    PeerTable,
+)
 
 # Hosts whose reports are remembered; a few of each data centre watch the store.
 MAX_REPORTS = 128
 # Age of the fleet's knowledge at which further hosts watch. A regular watcher confirms
 # it every 0.9 s, and its messages reach all hosts through one other.
 STALE_AFTER_S = 1.4
-# Time between the attempts of the first host in order and of the second one; each
+# Time between the attempts of the first host in order and of the next ones; each
 # further step takes twice as long, with twice as many hosts in it.
-STAGGER_S = 0.05
+STAGGER_S = 0.25
 # Time in which a host has to be served by the store, once it has begun to watch.
 ATTEMPT_S = 1.0
+# Time for which one that is served goes on for each host before it in its step: longer
+# than what others know stays fresh, so that of several that are served one is left.
+ATTEMPT_S_PER_PLACE = 1.6
+MAX_PLACE = 3
 # Time from one attempt to the next, at least, and for each host of the fleet.
 RETRY_S = 5.0
 RETRY_S_PER_HOST = 0.1
-# Time for which a host that the store serves goes on, and more for each one before it
-# in order, so that not all end at once.
+# Time for which a host goes on that alone is served.
 TERM_S = 5.0
-TERM_S_PER_POSITION = 2.0
 # Time without a check after which a host has been paused and may have missed reports.
 MAX_CHECK_GAP_S = 1.0
 
@@ -51,6 +57,8 @@
         # By name of the watching host, with its data centre.
         self._heard = BoundedDict[str, tuple[str, float]](most=MAX_REPORTS)
         self._relayed_at = -inf
+        # The same by collectors of other data centres, which is passed on here.
+        self._relayed_far_at = -inf
 
     @property
     def own_at(self) -> float:
@@ -74,10 +82,17 @@
         """Record when some host knew all, as another one has heard from it."""
         self._relayed_at = max(self._relayed_at, known_at)
 
+    def accept_relayed_far(self, known_at: float) -> None:
+        """Record the same as a collector of another data centre has heard nearby."""
+        self._relayed_far_at = max(self._relayed_far_at, known_at)
+
     def find_heard(self, *, but: str) -> float:
-        """Return when a host but one knew all, as it says; minus infinity if never."""
+        """Return when a host but one knew all, as it or its data centre says.
+
+        Minus infinity if none did.
+        """
         times = [at for name, (_, at) in self._heard.items() if name != but]
-        return max(times, default=-inf)
+        return max([*times, self._relayed_far_at])
 
     def find_heard_nearby(self) -> float:
         """Return when a host of this data centre knew all, as it says."""
@@ -113,6 +128,7 @@
         self._attempt_at: float | None = None
         self._until = -inf
         self._retry_at = -inf
+        self._place = 0
 
     def is_active(self, now: float) -> bool:
         """Return whether this host tries to watch, or watches."""
@@ -131,19 +147,23 @@
 
     def _renew(self, now: float) -> None:
         """Begin an attempt or a term where one is due."""
-        was_attempt, self._attempt_at = self._attempt_at is not None, None
-        is_served = self._freshness.own_at >= now - STALE_AFTER_S
         others_at = max(self._freshness.find_others(), self._hears_since)
-        if now < others_at + STALE_AFTER_S and not (was_attempt and is_served):
+        is_served = self._freshness.own_at >= now - STALE_AFTER_S
+        if is_served and self._place:
+            self._until = now + ATTEMPT_S_PER_PLACE * self._place
+            self._place = 0
+            return
+        self._attempt_at = None
+        if now < others_at + STALE_AFTER_S:
             return
-        position = self._peer_table.find_position(now)
         if is_served:
-            self._until = now + TERM_S + TERM_S_PER_POSITION * position
-        elif now >= max(
-            self._retry_at, others_at + STALE_AFTER_S + compute_delay(position)
-        ):
+            self._until = now + TERM_S
+            return
+        step, place = find_turn(self._peer_table.find_position(now))
+        delay_s = STAGGER_S * (2**step - 1)
+        if now >= max(self._retry_at, others_at + STALE_AFTER_S + delay_s):
             hosts = self._peer_table.count_live(now)
-            self._attempt_at = now
+            self._attempt_at, self._place = now, place
             self._until = now + ATTEMPT_S
             self._retry_at = now + max(RETRY_S, RETRY_S_PER_HOST * hosts)
 
@@ -153,7 +173,15 @@
         return attempt_at is None or self._freshness.has_answer(self._probe, attempt_at)
 
 
-def compute_delay(position: int) -> float:
-    """Return how much later than the first host one of a position begins, in s."""
-    step = (position + 1).bit_length() - 1
-    return STAGGER_S * (2**step - 1)
+def find_turn(position: int) -> tuple[int, int]:
+    """Return the step in which a host tries, and its place among those of that step.
+
+    Parameters
+    ----------
+    position : int
+        Number of hosts before it in the order of its data centre. The first ones watch
+        by themselves where others have lost the store.
+    """
+    number = 1 + max(0, position - COLLECTORS - RESERVE_WATCHERS)
+    step = number.bit_length() - 1
+    return step, min(MAX_PLACE, number - 2**step)
--- a/src/rosemarystream/_internal/gateway/gossip_reports.py
+++ b/src/rosemarystream/_internal/gateway/gossip_reports.py
@@ -56,7 +56,10 @@
             self._freshness.accept_report(sender.name, sender.data_centre, known_at)
         if message.heard_store_age_ms != NEVER_MS:
             known_at = now - message.heard_store_age_ms / _MS_PER_S
-            self._freshness.accept_relayed(known_at)
+            if message.scope is LoadScope.DATA_CENTRE:
+                self._freshness.accept_relayed_far(known_at)
+            else:
+                self._freshness.accept_relayed(known_at)
 
     def list_lost_stores(self, now: float) -> set[str]:
         """Return the hosts that have lately reported that they lost the store."""
--- a/tests/properties/test_watch_reserve.py
+++ b/tests/properties/test_watch_reserve.py
@@ -9,6 +9,7 @@
 # The store turns away a third of the hosts at most.
 MOST_AWAY = 3
 SETTLED_S = 3.0
+CALM_S = 10.0
 # Some host knows all this long after a change at most, so that the others have it in
 # time, two seconds after it.
 KNOWN_S = 1.9
@@ -44,3 +45,23 @@
         for _ in range(round(seconds / 0.1)):
             model.run(0.1)
             assert model.measure_age() <= KNOWN_S
+
+
+# All hosts that had tried once during an outage watched for up to a minute after it.
+@given(st.sampled_from([1.6, 2.0, 2.4, 3.0, 9.0]), st.booleans())
+@settings(max_examples=10)
+def test_an_outage_of_the_store_makes_few_hosts_watch_after_it(seconds, is_silent):
+    model = WatchModel(hosts=40, data_centres=2)
+    model.run(5.0)
+    before = model.calls
+    model.run(CALM_S)
+    calm = model.calls - before
+    away = set(model.hosts)
+    model.silent, model.refused = (away, set()) if is_silent else (set(), away)
+    model.run(seconds)
+    model.silent = model.refused = set()
+    # Until attempts that are in progress have ended.
+    model.run(SETTLED_S)
+    before = model.calls
+    model.run(CALM_S)
+    assert model.calls - before <= 3 * calm
