--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,4 +1,8 @@
-"""A prompt part that crashes engines reaches them again a minute after the crashes."""
+"""Sound prompts are refused for minutes beside a prompt part that crashes engines.
+
+Sound prompts have two parts in common with the bad ones. Both are blocked beside the
+bad part, and a request that has two blocked parts is never let through for a trial.
+"""
 
 import itertools
 import time
@@ -8,23 +12,27 @@
 from review import rig3
 from standins.object_store import ObjectStore
 
-HOSTS = 6
-ENGINES = 6
+HOSTS = 3
+ENGINES = 9
 DOWN_S = 3.0
 CRASHES = 5
-# What the rule allows to reach servers later than the time of contact.
-MOST_LATER = 3
-WATCHED_S = 75.0
-SOUND_INTERVAL_S = 15.0
-BAD_INTERVAL_S = 0.5
+# What the rule compares at least.
+LEAST_REQUESTS = 20
+SOUND_INTERVAL_S = 0.25
+BAD_INTERVAL_S = 0.25
+# Pause between two batches of the family's prompts.
+PAUSE_S = 61.0
+# Time from the first bad prompt of the second batch to its first sound one.
+FIRST_SOUND_S = 1.5
 
 
 class Case:
-    """Callers of a bad prompt part beside others."""
+    """A caller of prompts of one family, and others on another route."""
 
     def __init__(self, rig):
         self.rig = rig
         self.crashed_at = []
+        self.sound = []
         self._numbers = itertools.count(1)
 
     def add_engine(self, name, address=None):
@@ -42,41 +50,54 @@
         ip, _, port = engine.address.rpartition(":")
         gevent.spawn_later(DOWN_S, self.add_engine, engine.name, (ip, int(port)))
 
-    def send_prompt(self, host, second):
-        """Send a prompt whose last part is its own."""
-        prompt = f"form:200,{second}:900,{next(self._numbers):x}:50"
+    def send(self, path, *shared):
+        """Send a prompt whose last part is its own; return whether it was served."""
+        parts = [*shared, f"{next(self._numbers):x}"]
+        prompt = ",".join(f"{part}:300" for part in parts)
         headers = [
             ("X-Rosemarystream-Model", "m"),
-            ("X-Rosemarystream-Token-Counts", "1150,32"),
+            ("X-Rosemarystream-Token-Counts", f"{300 * len(parts)},32"),
             ("X-Rosemarystream-Prompt-Prefix", prompt),
         ]
-        self.rig.call(host, "/brief/1", headers=headers)
+        return self.rig.call(self.rig.choose_host(), path, headers=headers)
 
-    def send_lookups(self):
-        """Requests for the plain service, which go on all the time."""
+    def send_others(self):
+        """Prompts of another route that have nothing in common with the family."""
         while True:
-            self.rig.spawn(self.rig.call, self.rig.choose_host(), "/look/1")
-            gevent.sleep(0.2)
+            number = self.rig.random.randrange(4)
+            self.rig.spawn(self.send, "/chat/1", "desk", f"topic{number}")
+            gevent.sleep(0.05)
 
     def send_sound(self):
-        """Sound prompts, each of another caller, so at another host."""
-        for number in itertools.count():
-            host = self.rig.hosts[f"h{number % HOSTS}"]
-            self.rig.spawn(self.send_prompt, host, f"good{number % 3}")
+        """One sound prompt of the family; recorded with its time."""
+        number = self.rig.random.randrange(3)
+        began_at = time.monotonic()
+        reply = self.send("/brief/1", "form", "tool", f"good{number}")
+        self.sound.append((began_at, reply))
+
+    def send_sound_ones(self):
+        while True:
+            self.rig.spawn(self.send_sound)
             gevent.sleep(SOUND_INTERVAL_S)
 
     def send_bad(self):
+        self.rig.spawn(self.send, "/brief/1", "form", "tool", "bad")
+
+    def send_bad_ones(self):
         while True:
-            self.rig.spawn(self.send_prompt, self.rig.choose_host(), "bad")
+            self.send_bad()
             gevent.sleep(BAD_INTERVAL_S)
 
-    def list_bad_runs(self, since):
-        """Return the requests with the bad part that reached servers after a time."""
-        return [
-            run.request_id
-            for at, _, run in self.rig.runs
-            if at > since and "bad" in run.list_shared_parts()
-        ]
+    def find_contact_time(self, trouble_at):
+        """Return the time from which the rule counts sound requests."""
+        crashes = [trouble_at + FIRST_SOUND_S, *self.crashed_at][: CRASHES + 1]
+        return crashes[-1] + 2 * rig3.CONTACT_S
+
+    def count_served(self, begin, end):
+        """Return how many sound requests were sent in a time, and were served."""
+        replies = [reply for at, reply in self.sound if begin <= at < end]
+        served = [x for x in replies if x.status == 200 and x.complete]
+        return len(replies), len(served)
 
 
 def check(rig):
@@ -84,33 +105,43 @@
     once = {"max-attempts": 1}
     routes = [
         rig3.make_route("brief", "streaming", "engines", sticky=True, **once),
-        rig3.make_route("look", "idempotent", "plain"),
+        rig3.make_route("chat", "streaming", "engines", sticky=True, resumable=True),
     ]
     rig.store.write("config", "main", rig3.make_configuration(3, routes))
     for number in range(ENGINES):
         case.add_engine(f"e{number}")
-    for number in range(3):
-        rig.add_server(f"p{number}", "plain", work_s=0.02)
     rig.spawn(rig.beat)
     for number in range(HOSTS):
         rig.add_host(f"h{number}", "abc"[number % 3])
     rig.wait_ready()
     gevent.sleep(rig3.CONTACT_S)
-    for caller in (case.send_lookups, case.send_sound, case.send_bad):
-        rig.spawn(caller)
-    ends_at = time.monotonic() + 15.0
-    while time.monotonic() < ends_at and len(case.crashed_at) < CRASHES:
-        gevent.sleep(0.02)
-    gevent.sleep(rig3.CONTACT_S)
-    # Also those that were sent before and arrive now are left out.
-    since = time.monotonic() + 0.1
+    rig.spawn(case.send_others)
+    calm_at = time.monotonic()
+    first_batch = gevent.spawn(case.send_sound_ones)
+    gevent.sleep((LEAST_REQUESTS + 4) * SOUND_INTERVAL_S)
+    first_batch.kill()
+    gevent.sleep(PAUSE_S)
+    trouble_at = time.monotonic()
+    rig.note("second_batch")
+    rig.spawn(case.send_bad_ones)
+    gevent.sleep(FIRST_SOUND_S)
+    rig.spawn(case.send_sound_ones)
+    while time.monotonic() < case.find_contact_time(trouble_at):
+        gevent.sleep(0.05)
+    later_at = time.monotonic()
     rig.note("contact_is_over", crashes=len(case.crashed_at))
-    gevent.sleep(WATCHED_S)
-    later = case.list_bad_runs(since)
-    rig.note("later", requests=later, crashes=len(case.crashed_at))
-    if len(case.crashed_at) < CRASHES or len(later) <= MOST_LATER:
+    gevent.sleep((LEAST_REQUESTS + 4) * SOUND_INTERVAL_S)
+    ends_at = time.monotonic()
+    gevent.sleep(1.0)
+    calm, calm_served = case.count_served(calm_at, trouble_at)
+    later, later_served = case.count_served(later_at, ends_at)
+    rig.note("sound", calm=f"{calm_served}/{calm}", later=f"{later_served}/{later}")
+    if min(calm, later) < LEAST_REQUESTS or not case.crashed_at:
+        return ""
+    if later_served / later >= 0.5 * calm_served / calm:
         return ""
-    return f"BUDGET: {len(later)} requests with the part reached servers later"
+    shares = f"{later_served} of {later}, before {calm_served} of {calm}"
+    return f"LOST: sound requests served: {shares}"
 
 
 if __name__ == "__main__":
--- a/review/12/run.py
+++ b/review/12/run.py
@@ -53,9 +53,7 @@
 def check(rig):
     case = Case(rig)
     routes = [
-        rig3.make_route(
-            "book", "non_idempotent", "plain", **{"max-attempts": 1}
-        ),
+        rig3.make_route("book", "non_idempotent", "plain", **{"max-attempts": 1}),
         rig3.make_route("look", "idempotent", "plain"),
     ]
     rig.store.write_as_owner("config", "main", rig3.make_configuration(3, routes))
--- a/review/drill_store3.py
+++ b/review/drill_store3.py
@@ -70,8 +70,7 @@
 
         if self._is_away:
             return self._refuse(start)
-        answer = super()._serve(environ, start)
-        return answer
+        return super()._serve(environ, start)
 
     def _refuse(self, start) -> Iterable[bytes]:
         start("503 Service Unavailable", [("Content-Length", "0")])
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -184,14 +184,20 @@
             return Reply(0, {}, b"", False, time.monotonic() - began_at)
         try:
             with_socket.settimeout(wait_ms / 1000 + 1)
-            with_socket.sendall(_encode_request(request, path, key, headers, body,
-                                                wait_ms))
+            with_socket.sendall(
+                _encode_request(request, path, key, headers, body, wait_ms)
+            )
             reply = _read_reply(with_socket, began_at)
         finally:
             with_socket.close()
-        self.note("answer", request=request, status=reply.status,
-                  complete=reply.complete, ms=round(reply.seconds * 1000),
-                  body=reply.body[:60])
+        self.note(
+            "answer",
+            request=request,
+            status=reply.status,
+            complete=reply.complete,
+            ms=round(reply.seconds * 1000),
+            body=reply.body[:60],
+        )
         return reply
 
     def choose_host(self):
