--- a/review/rig3.py
+++ b/review/rig3.py
@@ -119,10 +119,12 @@
 
     # Servers
 
-    def add_server(self, name, service, *, zone="a", address=None, **changes):
-        """Start a server and register it."""
+    def add_server(
+        self, name, service, *, zone="a", address=None, kind=None, **changes
+    ):
+        """Start a server, of a class of its own if need be, and register it."""
         address = address or (f"{self._net}.{next(self._ips)}", SERVER_PORT)
-        server = Server(
+        server = (kind or Server)(
             self,
             name=name,
             service=service,
