--- a/review/12/run.py
+++ b/review/12/run.py
@@ -50,8 +50,8 @@
         ip, _, port = engine.address.rpartition(":")
         gevent.spawn_later(DOWN_S, self.add_engine, engine.name, (ip, int(port)))
 
-    def send(self, path, *shared):
-        """Send a prompt whose last part is its own; return whether it was served."""
+    def send(self, path, *shared, id_=""):
+        """Send a prompt whose last part is its own."""
         parts = [*shared, f"{next(self._numbers):x}"]
         prompt = ",".join(f"{part}:300" for part in parts)
         headers = [
@@ -59,7 +59,7 @@
             ("X-Rosemarystream-Token-Counts", f"{300 * len(parts)},32"),
             ("X-Rosemarystream-Prompt-Prefix", prompt),
         ]
-        return self.rig.call(self.rig.choose_host(), path, headers=headers)
+        self.rig.call(self.rig.choose_host(), path, headers=headers, id_=id_)
 
     def send_others(self):
         """Prompts of another route that have nothing in common with the family."""
@@ -71,9 +71,9 @@
     def send_sound(self):
         """One sound prompt of the family; recorded with its time."""
         number = self.rig.random.randrange(3)
-        began_at = time.monotonic()
-        reply = self.send("/brief/1", "form", "tool", f"good{number}")
-        self.sound.append((began_at, reply))
+        request = f"sound{len(self.sound) + 1}"
+        self.sound.append((time.monotonic(), request))
+        self.send("/brief/1", "form", "tool", f"good{number}", id_=request)
 
     def send_sound_ones(self):
         while True:
@@ -93,11 +93,11 @@
         crashes = [trouble_at + FIRST_SOUND_S, *self.crashed_at][: CRASHES + 1]
         return crashes[-1] + 2 * rig3.CONTACT_S
 
-    def count_served(self, begin, end):
-        """Return how many sound requests were sent in a time, and were served."""
-        replies = [reply for at, reply in self.sound if begin <= at < end]
-        served = [x for x in replies if x.status == 200 and x.complete]
-        return len(replies), len(served)
+    def count_begun(self, begin, end):
+        """Return how many sound requests were sent in a time, and began at a server."""
+        sent = [request for at, request in self.sound if begin <= at < end]
+        ran = {run.request_id for _, _, run in self.rig.runs}
+        return len(sent), len(ran.intersection(sent))
 
 
 def check(rig):
@@ -133,15 +133,15 @@
     gevent.sleep((LEAST_REQUESTS + 4) * SOUND_INTERVAL_S)
     ends_at = time.monotonic()
     gevent.sleep(1.0)
-    calm, calm_served = case.count_served(calm_at, trouble_at)
-    later, later_served = case.count_served(later_at, ends_at)
-    rig.note("sound", calm=f"{calm_served}/{calm}", later=f"{later_served}/{later}")
+    calm, calm_begun = case.count_begun(calm_at, trouble_at)
+    later, later_begun = case.count_begun(later_at, ends_at)
+    rig.note("sound", calm=f"{calm_begun}/{calm}", later=f"{later_begun}/{later}")
     if min(calm, later) < LEAST_REQUESTS or not case.crashed_at:
         return ""
-    if later_served / later >= 0.5 * calm_served / calm:
+    if later_begun / later >= 0.5 * calm_begun / calm:
         return ""
-    shares = f"{later_served} of {later}, before {calm_served} of {calm}"
-    return f"LOST: sound requests served: {shares}"
+    shares = f"{later_begun} of {later}, before {calm_begun} of {calm}"
+    return f"LOST: sound requests that began: {shares}"
 
 
 if __name__ == "__main__":
--- a/review/15/run.py
+++ b/review/15/run.py
@@ -1,5 +1,6 @@
 """A server whose limit has many decimals gets as many requests as the others."""
 
+import itertools
 import os
 import time
 
@@ -14,6 +15,7 @@
 INTERVAL_S = 0.025
 WATCHED_S = 12.0
 WINDOW_S = 4.0
+PASSED_ON_S = 0.5
 
 
 def count_most(times):
@@ -34,9 +36,20 @@
         rig.add_host(f"h{number}", "abc"[number])
     rig.wait_ready()
 
+    numbers = itertools.count(1)
+    hosts = {}
+    passed_on = {}
+
+    def look():
+        host, request = rig.choose_host(), f"l{next(numbers)}"
+        hosts[request] = host.name
+        reply = rig.call(host, "/look/1", id_=request)
+        if b"server-limit" in reply.headers:
+            passed_on.setdefault(host.name, time.monotonic())
+
     def send():
         while True:
-            rig.spawn(rig.call, rig.choose_host(), "/look/1")
+            rig.spawn(look)
             gevent.sleep(INTERVAL_S)
 
     rig.spawn(send)
@@ -48,7 +61,14 @@
     gevent.sleep(rig3.CONTACT_S)
     since = time.monotonic()
     gevent.sleep(WATCHED_S)
-    times = [at for at, server, _ in rig.runs if server is limited and at >= since]
+    # Only those of machines that had passed on the limit half a second before.
+    times = [
+        at
+        for at, server, run in rig.runs
+        if server is limited
+        and at >= since
+        and passed_on.get(hosts[run.request_id], at) <= at - PASSED_ON_S
+    ]
     most = count_most(times)
     allowed = 1.5 * WINDOW_S * float(LIMIT) + 5
     rig.note("most", in_4_s=most, allowed=allowed)
