--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -135,6 +135,8 @@
         Headers that it adds to each answer.
     faults_without_limit : set of Fault
         Faults with which an answer leaves the limit out.
+    errors : dict of Fault to Error
+        The failures that it answers with.
     is_leaving : bool
         Whether it states with each answer that it leaves.
     states_leaving_in_earlier_answers : bool
@@ -178,6 +180,7 @@
         self.limit_per_s: float | None = None
         self.odd_headers: list[tuple[bytes, bytes]] = []
         self.faults_without_limit: set[Fault] = set()
+        self.errors = {**ERRORS}
         self.is_leaving = False
         self.states_leaving_in_earlier_answers = False
         self.retry_after: str | None = None
@@ -300,8 +303,8 @@
             identity.append((b"x-rosemarystream-response-seal", b"seal"))
         identity.append((b"x-rosemarystream-server-load", self.load.encode("latin-1")))
         identity.extend(self.odd_headers)
-        if fault in ERRORS:
-            error = ERRORS[fault]
+        if fault in self.errors:
+            error = self.errors[fault]
             headers = [*identity, *error.headers]
             return _answer(connection, protocol, error.status, headers, error.body)
         if fault is Fault.HALF_HEAD:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -7,7 +7,7 @@
 import json
 from collections.abc import Iterable
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 import gevent
@@ -32,6 +32,15 @@
     UNRESPONSIVE = "silent"
 
 
+class StoreCopy(NamedTuple):
+    """What a store has at a moment."""
+
+    revision: int
+    objects: dict[str, dict[str, _Item]]
+    history: list[tuple[int, str, _Item, bool]]
+    oldest: int
+
+
 class ObjectStore:
     """The object store, kept in memory.
 
@@ -42,6 +51,8 @@
 
     Attributes
     ----------
+    stated_era : int or None
+        The era that all answers state; None if they state none.
     refused, unanswered : set of str
         Addresses of the store at which calls get 503, or no answer; calls that wait
         there already get none either. All callers on loopback have one IP address, so
@@ -52,6 +63,7 @@
         self.address = f"{address[0]}:{address[1]}"
         self.revision = 1
         self.fault = StoreFault.NONE
+        self.stated_era: int | None = None
         self.refused: set[str] = set()
         self.unanswered: set[str] = set()
         self.calls: list[str] = []
@@ -129,6 +141,21 @@
         self.revision += 1
         self._notify_watches()
 
+    def save_copy(self) -> StoreCopy:
+        """Return a copy of all that the store has."""
+        objects = {kind: {**group} for kind, group in self._objects.items()}
+        return StoreCopy(self.revision, objects, [*self._history], self._oldest)
+
+    def load_copy(self, copy: StoreCopy) -> None:
+        """Go back to a copy; what was written since is lost, and the era rises.
+
+        Calls that wait go on to wait, as for changes after their revisions.
+        """
+        self.revision, objects, history, self._oldest = copy
+        self._objects = {kind: {**group} for kind, group in objects.items()}
+        self._history = [*history]
+        self.stated_era = (self.stated_era or 0) + 1
+
     def _record_change(self, kind: str, item: _Item, deleted: bool) -> None:
         self._history.append((self.revision, kind, item, deleted))
         self._notify_watches()
@@ -157,6 +184,8 @@
         data = encode(body)
         headers = [("Content-Type", "application/json")]
         headers.append(("Content-Length", str(len(data))))
+        if self.stated_era is not None:
+            headers.append(("Store-Era", str(self.stated_era)))
         start_response(status, headers)
         return [data]
 
@@ -179,18 +208,22 @@
     ) -> tuple[str, Any]:
         wait_s = min(MAX_WAIT_S, int(query.get("wait-ms", "0")) / 1000)
         with gevent.Timeout(wait_s, False):
-            while True:
-                if revision < self._oldest:
+            while revision >= self._oldest and not self._list_events(kind, revision):
+                if revision > self.revision:
                     return "410 Gone", {}
-                events = [
-                    {"object": item, "deleted": deleted}
-                    for at, changed, item, deleted in self._history
-                    if changed == kind and at > revision
-                ]
-                if events:
-                    return "200 OK", {"events": events, "current-rev": self.revision}
                 self._changed.wait()
-        return "200 OK", {"events": [], "current-rev": self.revision}
+        # A change may have come at the same moment as the end of the wait.
+        if revision < self._oldest:
+            return "410 Gone", {}
+        events = self._list_events(kind, revision)
+        return "200 OK", {"events": events, "current-rev": self.revision}
+
+    def _list_events(self, kind: str, revision: int) -> list[dict[str, Any]]:
+        return [
+            {"object": item, "deleted": deleted}
+            for at, changed, item, deleted in self._history
+            if changed == kind and at > revision
+        ]
 
     def _change(
         self, method: str, path: list[str], body: dict[str, Any]
--- a/tests/functional/test_launch.py
+++ b/tests/functional/test_launch.py
@@ -4,14 +4,19 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
+from rosemarystream._internal.gateway.shutdown import IDLE_CLOSE_S
 from tests.lib.entry_world import World, wait_until
 from tests.lib.host_process import make_single_host
 
 ROOT = Path(__file__).resolve().parents[2]
+# A start that is held up: in so many turns of a few milliseconds it doesn't end, and a
+# planned stop may last as long as the pauses.
+TURNS, TURN_S, PAUSE_S = 10, 0.01, 0.3
 # Runs the launcher without settings, so that it ends once all modules are loaded.
 LAUNCH = """
 import gc, runpy, sys
@@ -76,6 +81,19 @@
     assert starting.process.returncode == 0
 
 
+# test_planned_stops failed beside load: a host that was told to stop while it started
+# counted the time of its stop from the end of its start, and ended too late.
+def test_the_time_of_a_stop_counts_from_its_signal(starting):
+    starting.send(signal.SIGTERM)
+    for _ in range(TURNS):
+        time.sleep(TURN_S)
+        starting.send(signal.SIGSTOP)
+        time.sleep(PAUSE_S)
+        starting.send(signal.SIGCONT)
+    wait_until(lambda: starting.process.poll() is not None, seconds=IDLE_CLOSE_S)
+    assert starting.process.returncode == 0
+
+
 def test_a_host_that_has_started_holds_no_signals(starting):
     wait_until(starting.is_ready, seconds=10.0)
     starting.send(signal.SIGTERM)
--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -172,15 +172,16 @@
         self.store.stop()
 
 
-class Host(NamedTuple):
-    """An entry host, its IP address, and the address at which it calls the store."""
+class HostClient:
+    """What callers and operators ask an entry host, wherever it runs."""
 
     ip: str
-    store_address: str
-    gateway: Gateway
 
     def is_ready(self):
-        return get(self.ip, READY_PORT, "/v1/readyz").status == 200
+        try:
+            return get(self.ip, READY_PORT, "/v1/readyz").status == 200
+        except OSError:
+            return False
 
     def read_state(self):
         return msgspec.json.decode(get(self.ip, METRICS_PORT, "/v1/state").body)
@@ -218,6 +219,15 @@
             caller.close()
 
 
+class Host(HostClient):
+    """An entry host of this process, and the address at which it calls the store."""
+
+    def __init__(self, ip, store_address, gateway):
+        self.ip = ip
+        self.store_address = store_address
+        self.gateway = gateway
+
+
 class Caller:
     """A caller with one connection to an entry host."""
 
--- a/tests/lib/host_process.py
+++ b/tests/lib/host_process.py
@@ -11,14 +11,14 @@
     METRICS_PORT,
     PEER_PORT,
     READY_PORT,
-    get,
+    HostClient,
     wait_until,
 )
 
 ROOT = Path(__file__).parents[2]
 
 
-class HostProcess:
+class HostProcess(HostClient):
     """An entry host in a separate process."""
 
     def __init__(
@@ -72,12 +72,6 @@
         if self.process is ending:
             self.start()
 
-    def is_ready(self):
-        try:
-            return get(self.ip, READY_PORT, "/v1/readyz").status == 200
-        except OSError:
-            return False
-
     def stop(self):
         """Kill the process and wait for its end."""
         self.send(signal.SIGKILL)
