--- a/tests/unit/test_server_speeds.py
+++ b/tests/unit/test_server_speeds.py
@@ -10,6 +10,7 @@
 )
 from rosemarystream._internal.decisions.server_speeds import (
     OBSERVATION_TTL_S,
+    USUAL_SPEED,
     ServerSpeeds,
 )
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
@@ -51,6 +52,18 @@
     assert [*speeds.list_all(10.0)] == [1, 2, 3]
 
 
+# A change of the base class had switched off what this class decides: messages had
+# the speeds of all servers in use, for a second each.
+def test_only_servers_that_are_not_as_usual_are_passed_on_and_not_for_long():
+    speeds = ServerSpeeds()
+    speeds.record(1, SLOW, 10.0)
+    speeds.record(2, USUAL_SPEED, 10.0)
+    speeds.accept_reports({3: (USUAL_SPEED, 0), 4: (SLOW, 0)}, 10.0, nearby=True)
+    assert [*speeds.list_own(10.0)] == [1]
+    assert [*speeds.list_nearby(10.0)] == [1, 4]
+    assert speeds.list_all(10.0 + OBSERVATION_TTL_S) == {}
+
+
 def test_a_departed_server_is_forgotten():
     speeds = ServerSpeeds()
     speeds.record(1, SLOW, 10.0)
--- a/tests/unit/test_state_pulls.py
+++ b/tests/unit/test_state_pulls.py
@@ -13,6 +13,7 @@
 from rosemarystream._internal.gateway.state_pulls import StatePuller
 from rosemarystream._internal.gateway.supervisor import Supervisor
 from rosemarystream._internal.models.endpoint import Endpoint, ServerState
+from rosemarystream._internal.models.position import START, Position
 from rosemarystream._internal.models.route import CallerLimits, FleetConfiguration
 from tests.lib.entry_world import make_configuration
 from tests.lib.networks import take_network
@@ -49,10 +50,10 @@
         state = ServerState.READY
         endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, state, 1, 5)
         replica.accept_endpoint(endpoint)
-        replica.advance(5)
+        replica.advance(Position(0, 5))
     now = time.monotonic()
     source.begin_store_recovery(now)
-    source.accept_listing([], 9, now)
+    source.accept_listing([], Position(0, 9), now)
     pullers = [
         make_puller(SOURCE_IP, source, time.monotonic),
         make_puller(PEER_IP, peer, lambda: time.monotonic() + offset_s),
@@ -60,7 +61,7 @@
     try:
         pullers[1].pull_servers(SOURCE_IP)
         with gevent.Timeout(5.0):
-            while peer.revision != 9:
+            while peer.position != Position(0, 9):
                 gevent.sleep(0.01)
     finally:
         for puller in pullers:
@@ -88,7 +89,7 @@
         FleetConfiguration(7, {}, {}, CallerLimits(), {}), document
     )
     endpoint = Endpoint("s1", "pool", "10.0.0.1:80", "a", 64, ServerState.READY, 1, 5)
-    source.accept_listing([endpoint], 9, time.monotonic())
+    source.accept_listing([endpoint], Position(0, 9), time.monotonic())
     pullers = [
         make_puller(SOURCE_IP, source, time.monotonic),
         make_puller(PEER_IP, peer, time.monotonic),
@@ -96,7 +97,7 @@
     pull = getattr(pullers[1], f"pull_{kind}")
     try:
         with gevent.Timeout(IN_FORCE_S / 2):
-            while not (peer.version if kind == "document" else peer.revision):
+            while not (peer.version if kind == "document" else peer.position > START):
                 pull(suspended)
                 pull(SOURCE_IP)
                 gevent.sleep(ANNOUNCED_EVERY_S)
--- a/tests/unit/test_store_watches.py
+++ b/tests/unit/test_store_watches.py
@@ -9,6 +9,7 @@
 from rosemarystream._internal.gateway.server_watch import ServerWatch
 from rosemarystream._internal.gateway.store_watches import ConfigurationWatch
 from rosemarystream._internal.gateway.supervisor import Supervisor
+from rosemarystream._internal.models.position import START, Position
 from rosemarystream._internal.platform.store import Listing
 from rosemarystream._internal.platform.store_answers import (
     Change,
@@ -29,7 +30,7 @@
     def list(self, kind):
         return Listing([], 1)
 
-    def watch(self, kind, revision, wait_s):
+    def watch(self, kind, position, wait_s):
         gevent.sleep(60.0)
 
     def close(self):
@@ -62,7 +63,7 @@
     def list(self, kind):
         return Listing([], 1)
 
-    def watch(self, kind, revision, wait_s):
+    def watch(self, kind, position, wait_s):
         if not self.answers:
             gevent.sleep(60.0)
         return self.answers.pop(0)
@@ -97,8 +98,8 @@
     names = ["", "o\r\nx: 1", "日", "o" * 300, "gone"]
     removals = [Change(StoredObject(name, 5, b""), True) for name in names]
     replica = follow(ChangingStore(Changes(removals, 6)))
-    assert replica.select_delta(0).removed == {"gone": 6}
-    assert replica.revision == 6
+    assert replica.select_delta(START).removed == {"gone": Position(0, 6)}
+    assert replica.position == Position(0, 6)
 
 
 class LosingStore(ChangingStore):
@@ -108,11 +109,11 @@
         super().__init__(*answers)
         self.has_lost = False
 
-    def watch(self, kind, revision, wait_s):
+    def watch(self, kind, position, wait_s):
         if not self.has_lost:
             self.has_lost = True
             gevent.sleep(60.0)
-        return super().watch(kind, revision, wait_s)
+        return super().watch(kind, position, wait_s)
 
 
 # review/7: a host without another one beside it waited 8 s for an answer that was lost.
@@ -146,7 +147,7 @@
     changes = [make_change("s1", 5), make_change("s1", 5, deleted=True)]
     replica = follow(ChangingStore(Changes(changes, 6)))
     assert replica.list_endpoints() == []
-    assert replica.select_delta(5).removed == {"s1": 6}
+    assert replica.select_delta(Position(0, 5)).removed == {"s1": Position(0, 6)}
 
 
 def test_a_revision_is_not_passed_on_before_all_its_changes_are_applied(monkeypatch):
@@ -154,11 +155,11 @@
     accept = Replica.accept_endpoint
 
     def accept_and_note(replica, endpoint):
-        revisions.append(replica.revision)
+        revisions.append(replica.position.revision)
         return accept(replica, endpoint)
 
     monkeypatch.setattr(Replica, "accept_endpoint", accept_and_note)
     changes = [make_change("s1", 5), make_change("s2", 6)]
     replica = follow(ChangingStore(Changes(changes, 6)))
     assert revisions == [1, 1]
-    assert replica.revision == 6
+    assert replica.position == Position(0, 6)
--- a/tests/unit/test_tracing.py
+++ b/tests/unit/test_tracing.py
@@ -9,14 +9,19 @@
     EndingCause,
     ServerAct,
 )
+from rosemarystream._internal.models.judgements import Judgement
 from rosemarystream._internal.models.log_entries.endings import RequestUnanswered
-from rosemarystream._internal.models.log_entries.process import LogEntriesDropped
+from rosemarystream._internal.models.log_entries.process import (
+    HostDelayed,
+    LogEntriesDropped,
+)
 from rosemarystream._internal.models.log_entries.requests import (
     AttemptBroken,
     AttemptNotRun,
     RequestEnded,
 )
 from rosemarystream._internal.models.log_entries.servers import (
+    JudgementWithheld,
     ServerRemoved,
     ServicesUnreachable,
 )
@@ -81,7 +86,11 @@
     found = trace(
         [format_entry(9, ServicesUnreachable(services=["plain"]), host="h2")],
         [
+            format_entry(7, HostDelayed(late_ms=380.5)),
             format_entry(8, ServicesUnreachable(services=["plain"])),
+            format_entry(
+                8.1, JudgementWithheld(judgement=Judgement.CONNECT, server="p2")
+            ),
             format_entry(8.5, refused),
             format_entry(
                 9, make_end_entry(outcome="no_backend", status=503, server="p2")
@@ -93,9 +102,10 @@
         "has not run and never will",
         "p2 could not be reached (timed out)",
         "h1 could reach no server of plain",
+        "h1 was late by 380.5 ms",
     ):
         assert part in found.summary
-    assert [entry.host for entry in found.context] == ["h1"]
+    assert [entry.host for entry in found.context] == ["h1"] * 3
 
 
 def test_summary_of_an_unknown_outcome_names_the_server_to_check(trace):
