A host that stops takes a new connection for one that is about to be used

Callers that connected while a host closed its idle connections, and sent their request some 0.05 s later, got no answer at all: they can't tell whether it has run. A connection counted as idle until its first byte, and is now left open for its first 0.5 s.

--- a/src/rosemarystream/_internal/gateway/caller_connection.py
+++ b/src/rosemarystream/_internal/gateway/caller_connection.py
@@ -56,6 +56,8 @@
 
 # Requests behind the last one on a connection that are counted when it ends.
 MAX_COUNTED_UNSERVED = 32
+# Time after its begin in which a connection without a request isn't taken for idle.
+FIRST_REQUEST_S = 0.5
 # Time in which what comes after the last answer, as the rest of a refused request, is
 # read and discarded.
 LINGER_TIMEOUT_S = 0.5
@@ -211,7 +213,16 @@
         return not self._reader.has_begun
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a part of a request has arrived."""
+        """Close the connection unless a part of a request has arrived or is expected.
+
+        A caller that has just connected is about to send its request, and couldn't tell
+        whether a host that closes has run it.
+        """
+        first_due_at = self._connected_at + FIRST_REQUEST_S
+        if self._requests or self._clock() >= first_due_at:
+            self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
         if self.is_idle and not self._reader.has_data():
             self._closed = True
             self._socket.close()
@@ -219,7 +230,7 @@
     def close_for_room(self, cause: CloseCause) -> None:
         """Close the connection without waiting, for others that need the room."""
         if cause is CloseCause.IDLE:
-            self.close_if_idle()
+            self._close_if_unused()
             # A request that has arrived is refused, unless many are.
             self._has_no_room = not self._closed and self._resources.begin_refusal()
             if self._has_no_room or self._closed:
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -218,6 +218,31 @@
     stop.wait_gone()
 
 
+@pytest.mark.parametrize("pause_s", [0.02, 0.1, 0.3])
+def test_a_caller_that_pauses_before_its_first_request_is_answered(stop, pause_s):
+    """Guards against closing a connection as idle that has just been accepted."""
+    stop.set_faults(Fault.HANG, 40)
+    lasting = stop.send("/look/1")
+    stop.tell()
+    stop.sleep_until(REFUSING_S)
+    callers = []
+    for _ in range(5):
+        callers.append(Caller(stop.host.ip))
+        gevent.sleep(0.02)
+    gevent.sleep(pause_s)
+    for caller in callers:
+        caller.socket.settimeout(READ_S)
+        caller.send("/look/1")
+    replies = [caller.read() for caller in callers]
+    assert [(reply.status, reply.complete) for reply in replies] == [(503, True)] * 5
+    # One that sends nothing is closed after all.
+    silent = Caller(stop.host.ip)
+    silent.socket.settimeout(1.0)
+    assert silent.socket.recv(1) == b""
+    lasting.close()
+    stop.wait_gone()
+
+
 def test_a_request_that_is_half_read_at_the_end_is_refused(stop):
     caller = Caller(stop.host.ip)
     caller.socket.settimeout(READ_S)
