Log limits count their windows with WindowLimit

LogRateLimiter and WindowLimit both counted per second. Each kind of entry now has a window of its own, which begins with its first entry; the limit within a second is the same. tests/unit/test_log_limits.py passes as it is.

--- a/src/rosemarystream/_internal/decisions/log_limits.py
+++ b/src/rosemarystream/_internal/decisions/log_limits.py
@@ -6,16 +6,15 @@
 
 from collections import Counter
 
-WINDOW_S = 1.0
+from rosemarystream._internal.decisions.window_limit import WindowLimit
 
 
 class LogRateLimiter:
-    """Limits the number of entries of each kind per window of `WINDOW_S`."""
+    """Limits the number of entries of each kind per window of a `WindowLimit`."""
 
     def __init__(self) -> None:
-        self._written: Counter[str] = Counter()
+        self._windows: dict[str, WindowLimit] = {}
         self._dropped: Counter[str] = Counter()
-        self._window_ends_at = 0.0
 
     def allow(self, kind: str, limit: int, now: float) -> bool:
         """Return whether one more entry of a kind may be written.
@@ -23,15 +22,13 @@
         Parameters
         ----------
         limit : int
-            Maximum number of entries of the kind per window.
+            Maximum number of entries of the kind per window; always the same one.
         now : float
             Time of a monotonic clock, in seconds.
         """
-        if now >= self._window_ends_at:
-            self._written.clear()
-            self._window_ends_at = now + WINDOW_S
-        self._written[kind] += 1
-        if self._written[kind] <= limit:
+        if kind not in self._windows:
+            self._windows[kind] = WindowLimit(most=limit)
+        if self._windows[kind].allow(now):
             return True
         self._dropped[kind] += 1
         return False
