process.py: settings reload, store access and operators' listeners are modules

StoreAccess owns the account of eras and counts what can't be one; reload_settings returns the settings in force where a file can't be used, so that nothing changes then, as before. One test asks gateway._stores for a connection in place of _make_store.

--- a/src/rosemarystream/_internal/gateway/process.py
+++ b/src/rosemarystream/_internal/gateway/process.py
@@ -27,7 +27,6 @@
     PromptBlocks,
 )
 from rosemarystream._internal.decisions.replica import Replica
-from rosemarystream._internal.exceptions import SettingsError
 from rosemarystream._internal.gateway.block_records import BlockWatch
 from rosemarystream._internal.gateway.caller_resources import CallerResources
 from rosemarystream._internal.gateway.connection_pool import ConnectionPool
@@ -44,6 +43,7 @@
 )
 from rosemarystream._internal.gateway.metrics import StatsdSender
 from rosemarystream._internal.gateway.operator_answers import OperatorAnswers
+from rosemarystream._internal.gateway.operator_listeners import OperatorListeners
 from rosemarystream._internal.gateway.peering import Peering
 from rosemarystream._internal.gateway.relay import Relay
 from rosemarystream._internal.gateway.request_ledger import RequestLedger
@@ -51,11 +51,10 @@
 from rosemarystream._internal.gateway.server_watch import ServerWatch
 from rosemarystream._internal.gateway.service_probes import ServiceProbes
 from rosemarystream._internal.gateway.settings import (
-    RESTART_SECTIONS,
     GatewaySettings,
-    list_changes,
     load_gateway_settings,
 )
+from rosemarystream._internal.gateway.settings_reload import reload_settings
 from rosemarystream._internal.gateway.shutdown import (
     Shutdown,
     ShutdownPlan,
@@ -63,6 +62,7 @@
 )
 from rosemarystream._internal.gateway.state import StateReport
 from rosemarystream._internal.gateway.state_pulls import StatePuller
+from rosemarystream._internal.gateway.store_access import StoreAccess
 from rosemarystream._internal.gateway.store_watches import (
     ConfigurationWatch,
     StoreWatch,
@@ -77,21 +77,13 @@
 )
 from rosemarystream._internal.models.gossip import HostAddress, QuotaQuestion
 from rosemarystream._internal.models.judgements import Judgement
-from rosemarystream._internal.models.log_entries.process import (
-    SettingsReloaded,
-    SettingsReloadFailed,
-    Started,
-)
-from rosemarystream._internal.models.log_entries.store import EraUnusable
-from rosemarystream._internal.models.ranges import MAX_NAME_CHARS
+from rosemarystream._internal.models.log_entries.process import Started
 from rosemarystream._internal.models.route import CallerLimits
-from rosemarystream._internal.platform.era_tracker import EraFault, EraTracker
 from rosemarystream._internal.platform.store import (
     BLOCKED_PARTS,
     CONFIGURATION,
     EVACUATIONS,
     SERVERS,
-    Store,
 )
 from rosemarystream._internal.utils.address import split_address
 from rosemarystream._internal.utils.clock import Clock
@@ -140,10 +132,6 @@
         self._tasks: list[gevent.Greenlet] = []
         self._statsd: StatsdSender | None = None
         self._replica = Replica()
-        self._eras = EraTracker(
-            on_fault=self._record_era_fault,
-            find_known=lambda: self._replica.era.number,
-        )
         self._peer_table = PeerTable(
             name=host.name,
             data_centre=host.data_centre,
@@ -154,6 +142,12 @@
         self._blocks = PromptBlocks(find_turn=self._find_turn)
         self._supervisor = supervisor or Supervisor(clock=self._clock)
         self._metrics = self._supervisor.metrics
+        self._stores = StoreAccess(
+            address=settings.platform.address,
+            clock=self._clock,
+            metrics=self._metrics,
+            find_known_era=lambda: self._replica.era.number,
+        )
         self._left_out = IgnoredObjects(on_new=self._metrics.count_left_out)
         self._times = HostTimes(clock=self._clock)
         self._ledger = RequestLedger(
@@ -246,7 +240,7 @@
         }
         self._watches = [
             watch_makers[kind](
-                store=self._make_store(),
+                store=self._stores.connect(),
                 clock=self._clock,
                 replica=self._replica,
                 is_watcher=partial(self._roles.is_watcher, kind),
@@ -299,23 +293,15 @@
             is_ready=self._is_ready,
             is_leaving=self._leaving.is_set,
         )
-        self._ready_listener = Listener(
-            address=host.ready_address,
-            handler=self._answers.serve_readiness,
-            get_limits=CallerLimits,
-            record_error=self._record_error,
-            clock=self._clock,
-        )
-        self._metrics_listener = Listener(
-            address=f"{host.ip}:{host.metrics_port}",
-            handler=self._answers.serve_metrics,
-            get_limits=CallerLimits,
+        self._operator_listeners = OperatorListeners(
+            host=host,
+            answers=self._answers,
             record_error=self._record_error,
             clock=self._clock,
         )
         self._registry = HostRegistry(
             this_host=self._this_host,
-            store=self._make_store(),
+            store=self._stores.connect(),
             peer_table=self._peer_table,
             ignored=self._left_out,
             clock=self._clock,
@@ -342,26 +328,15 @@
         return ServerWatch(on_entry=self._router.record_entry, **arguments)
 
     def _make_block_watch(self, **arguments: Any) -> BlockWatch:
-        return BlockWatch(blocks=self._blocks, writer=self._make_store(), **arguments)
+        return BlockWatch(
+            blocks=self._blocks, writer=self._stores.connect(), **arguments
+        )
 
     def _make_evacuation_watch(self, **arguments: Any) -> EvacuationWatch:
         evacuations = self._router.availability.evacuations
         self._evacuation_watch = EvacuationWatch(evacuations=evacuations, **arguments)
         return self._evacuation_watch
 
-    def _make_store(self) -> Store:
-        return Store(
-            address=self._settings.platform.address,
-            clock=self._clock,
-            on_call=lambda result: self._metrics.store_calls.labels(result).inc(),
-            eras=self._eras,
-        )
-
-    def _record_era_fault(self, fault: EraFault, value: bytes) -> None:
-        self._metrics.store_eras_unusable.labels(fault).inc()
-        text = value[:MAX_NAME_CHARS].decode("latin-1")
-        write_log_entry(log, EraUnusable(fault=fault, value=text))
-
     def run(self, *, told_to_stop_at: Sequence[float]) -> int:
         """Serve until SIGTERM; returns the exit code.
 
@@ -389,8 +364,7 @@
         """Begin to serve; ready once configuration and evacuations are known."""
         write_log_entry(log, Started(pid=os.getpid(), incarnation=self._incarnation))
         self._caller_listener.start()
-        self._ready_listener.start()
-        self._metrics_listener.start()
+        self._operator_listeners.start()
         self._puller.start()
         self._peering.start()
         start_loop = self._supervisor.start_loop
@@ -407,12 +381,8 @@
 
     def stop(self) -> None:
         """Stop without finishing requests, as a killed process would."""
-        for listener in (
-            self._caller_listener,
-            self._ready_listener,
-            self._metrics_listener,
-        ):
-            listener.stop()
+        self._caller_listener.stop()
+        self._operator_listeners.stop()
         self._puller.stop()
         self._peering.stop()
         for watch in self._watches:
@@ -492,20 +462,7 @@
         # by the settings in force so far.
         gevent.sleep(0)
         self._times.record_reload()
-        try:
-            settings = load_gateway_settings(self._path)
-        except SettingsError as error:
-            write_log_entry(log, SettingsReloadFailed(error=str(error)))
-            return
-        changes = list_changes(self._settings, settings)
-        needing_restart = [
-            change for change in changes if change.section in RESTART_SECTIONS
-        ]
-        entry = SettingsReloaded(
-            changed=[str(change) for change in changes],
-            at_next_start=[str(change) for change in needing_restart],
-        )
-        write_log_entry(log, entry)
+        settings = reload_settings(self._path, self._settings)
         if settings.bounds != self._settings.bounds:
             self._router.set_bounds(settings.bounds)
         self._settings = settings
--- a/tests/functional/test_block_records.py
+++ b/tests/functional/test_block_records.py
@@ -107,7 +107,7 @@
     world.store.write(HOSTS, "nested", msgspec.Raw(b"[" * 5_000 + b"]" * 5_000))
     world.store.write(HOSTS, "sound", {"ip": "127.8.8.9", "data_centre": "a"})
     gateway = world.hosts["h1"].gateway
-    store = gateway._make_store()
+    store = gateway._stores.connect()
     gateway._registry._accept(read_hosts(store, gateway._left_out))
     store.close()
     known = [host.name for host in gateway._peer_table.list_known()]
