--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,3 +30,5 @@
         print(f"passed over (KNOWN-RED.txt): {item.nodeid}")
         items.remove(item)
     config.hook.pytest_deselected(items=red)
+    # Else processes that have nothing left wait for the last one's long test.
+    items.sort(key=lambda item: item.get_closest_marker("long") is None)
--- a/tests/properties/test_late_copies.py
+++ b/tests/properties/test_late_copies.py
@@ -19,6 +19,7 @@
 
 import gevent
 import msgspec
+import pytest
 from gevent.pool import Pool
 
 from rosemarystream._internal.decisions import timeouts
@@ -220,6 +221,7 @@
         yield from Pool(CASES_AT_ONCE).imap(lambda seed: CaseRun(seed).run(), seeds)
 
 
+@pytest.mark.long
 def test_no_order_of_second_copies_breaks_a_promise():
     for case in try_cases(range(CASES)):
         faults = case.find_faults()
--- a/tests/unit/test_cold_rate.py
+++ b/tests/unit/test_cold_rate.py
@@ -133,6 +133,7 @@
     assert fleet.count_most() <= ALLOWED
 
 
+@pytest.mark.long
 def test_the_bound_holds_while_grantors_die_at_the_moment_of_a_permission():
     """A successor that begins with a full bucket gives what was just given."""
     fleet = ColdFleet()
