A host that starts is told the crashes that others have heard of

Cause: a pull brought the blocks alone; a hold follows from crashes and answers. They now come with the map of cached prompt parts, at most 16,384 parts, the last crashes first.

test_a_host_that_starts_holds_what_the_others_hold; without the evidence such a host holds nothing. test_an_answer_to_a_pull_that_nests_deeply changed the first byte of an answer, which had stopped to be its length with the 16th field: it now adds a field that nests.

--- a/src/rosemarystream/_internal/decisions/crash_evidence.py
+++ b/src/rosemarystream/_internal/decisions/crash_evidence.py
@@ -270,6 +270,25 @@
             return Suspicion.SLIGHT
         return Suspicion.SHARED
 
+    def list_requests(self, now: float, *, most_parts: int) -> list[Crash]:
+        """Return the requests that ran at servers when these crashed, the last first.
+
+        Parameters
+        ----------
+        most_parts : int
+            Most parts of all of them together; further requests are left out.
+        """
+        listed: list[Crash] = []
+        for server, at in reversed([*self._crashes.items()]):
+            if now - at > CRASH_TTL_S:
+                continue
+            for parts in self._requests.get(server, ()):
+                most_parts -= len(parts)
+                if most_parts < 0:
+                    return listed
+                listed.append(Crash(server, parts, at))
+        return listed
+
     def find_last_crash(self, parts: Iterable[int], now: float) -> float:
         """Return the time of the last crash under parts; minus infinity if none is."""
         times = [at for part in parts for at in self._list_crashes(part, now).values()]
--- a/src/rosemarystream/_internal/decisions/prompt_blocks.py
+++ b/src/rosemarystream/_internal/decisions/prompt_blocks.py
@@ -47,6 +47,8 @@
 UPDATES_PER_MESSAGE = 32
 ANSWERS_PER_MESSAGE = 512
 PARTS_PER_MESSAGE = 2_048
+# Most parts of the crashes that a host tells another one that starts.
+PARTS_PER_PULL = 16_384
 MAX_PENDING_UPDATES = 1_000
 MAX_PENDING_ANSWERS = 8_192
 # Parts of a crash in one row of a message; further ones follow in rows of their own, as
@@ -315,17 +317,8 @@
         if repeats_blocks and self._rounds % REPEAT_BLOCKS_EVERY_ROUNDS == 0:
             for part in self._blocks:
                 self._pending_blocks.add(part, rounds=1)
-        crashes = [
-            (crash.server, _to_age_ms(crash.at, now), [*parts])
-            for crash in self._pending_crashes.take()
-            for parts in _split_parts(crash.parts)
-        ]
-        answers = [
-            (part, _to_age_ms(at, now))
-            for part in self._pending_answers.take()
-            if (at := self._evidence.find_answer(part, now, max_age_s=CRASH_TTL_S))
-            is not None
-        ]
+        crashes = _encode_crashes(self._pending_crashes.take(), now)
+        answers = self._list_answers(self._pending_answers.take(), now)
         blocks = self._list_rows(self._pending_blocks.take(), now)
         if not (crashes or answers or blocks):
             return None
@@ -335,6 +328,26 @@
         """Return all blocks, for a host that has just started."""
         return self._list_rows(self._blocks, now)
 
+    def list_evidence(self, now: float) -> CrashUpdates:
+        """Return the crashes and answers from which a host that starts can judge.
+
+        Parts that are held back are not blocked, and follow from these alone.
+        """
+        crashes = self._evidence.list_requests(now, most_parts=PARTS_PER_PULL)
+        parts = dict.fromkeys(part for crash in crashes for part in crash.parts)
+        return CrashUpdates(
+            _encode_crashes(crashes, now), self._list_answers(parts, now)
+        )
+
+    def _list_answers(self, parts: Iterable[int], now: float) -> list[tuple[int, int]]:
+        times = {
+            part: self._evidence.find_answer(part, now, max_age_s=CRASH_TTL_S)
+            for part in parts
+        }
+        return [
+            (part, _to_age_ms(at, now)) for part, at in times.items() if at is not None
+        ]
+
     def _list_rows(
         self, parts: Iterable[int], now: float
     ) -> list[tuple[int, int, int]]:
@@ -346,6 +359,14 @@
         ]
 
 
+def _encode_crashes(crashes: Iterable[Crash], now: float) -> list[CrashRow]:
+    return [
+        (crash.server, _to_age_ms(crash.at, now), [*parts])
+        for crash in crashes
+        for parts in _split_parts(crash.parts)
+    ]
+
+
 def _split_parts(parts: tuple[int, ...]) -> Iterator[tuple[int, ...]]:
     """Yield the parts of a crash by rows of a message, at least one."""
     for start in range(0, max(1, len(parts)), PARTS_PER_ROW):
--- a/src/rosemarystream/_internal/gateway/state_answers.py
+++ b/src/rosemarystream/_internal/gateway/state_answers.py
@@ -96,7 +96,12 @@
                 answer = self._encode_servers(document, START, request.era)
             else:
                 answer = PullAnswer(document, [], {}, 0, **self._encode_cold())
-            return msgspec.structs.replace(answer, contexts=entries, blocks=blocks)
+            return msgspec.structs.replace(
+                answer,
+                contexts=entries,
+                blocks=blocks,
+                crash_evidence=self._blocks.list_evidence(now),
+            )
         if request.revision is None:
             return PullAnswer(document, [], {}, 0)
         position = self._replica.era.locate(request.era, request.revision)
--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -212,6 +212,9 @@
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
+        if answer.crash_evidence is not None:
+            evidence = answer.crash_evidence
+            self._blocks.accept_updates(evidence, self._clock(), is_forwarded=False)
         if answer.blocks:
             updates = CrashUpdates(blocks=answer.blocks)
             self._blocks.accept_updates(updates, self._clock(), is_forwarded=False)
--- a/src/rosemarystream/_internal/models/gossip.py
+++ b/src/rosemarystream/_internal/models/gossip.py
@@ -288,6 +288,9 @@
     removal_eras, lapse_eras, cold_eras : dict
         Eras of the revisions in `removed`, `lapsing` and `cold`, where they aren't
         `era`.
+    crash_evidence : CrashUpdates or None
+        What the sender has heard of crashes under requests, without the blocks. Sent
+        with the map of cached prompt parts.
     """
 
     document: bytes
@@ -307,3 +310,4 @@
     removal_eras: dict[Name, Count] = {}
     lapse_eras: dict[Name, Count] = {}
     cold_eras: dict[Number, Count] = {}
+    crash_evidence: CrashUpdates | None = None
--- a/tests/unit/test_crash_holds.py
+++ b/tests/unit/test_crash_holds.py
@@ -13,7 +13,10 @@
     UNDER_WAY_S,
     HostTurn,
 )
-from rosemarystream._internal.decisions.prompt_blocks import PromptBlocks
+from rosemarystream._internal.decisions.prompt_blocks import (
+    PARTS_PER_PULL,
+    PromptBlocks,
+)
 from tests.lib.block_hosts import exchange_updates
 
 ROOT, BAD, OTHER = 1, 2, 3
@@ -91,6 +94,42 @@
     return fleet
 
 
+def start_host(fleet):
+    """Let a host start, which hears what another one tells it in a pull."""
+    started = PromptBlocks(find_turn=lambda now: HostTurn(0, len(fleet.hosts)))
+    evidence = fleet.hosts[1].list_evidence(fleet.now)
+    fleet.now += STEP_S
+    started.accept_updates(evidence, fleet.now, is_forwarded=False)
+    fleet.hosts[0] = started
+
+
+def test_a_host_that_starts_holds_what_the_others_hold(fleet):
+    """Guards against crashing requests that pass a host in its first second."""
+    start_host(fleet)
+    assert fleet.is_held(ROOT, BAD)
+    assert not fleet.is_held(ROOT, OTHER)
+    fleet.answer(ROOT, OTHER, host=2)
+    assert fleet.is_held(ROOT, BAD)
+    assert fleet.count_let_through(10.0, ROOT, BAD, crashes=True) <= MAX_LATER
+
+
+def test_a_host_that_starts_hears_which_parts_servers_have_answered(fleet):
+    fleet.answer(ROOT, BAD, host=2)
+    start_host(fleet)
+    assert not fleet.is_held(ROOT, BAD)
+
+
+def test_what_a_host_that_starts_hears_is_bounded():
+    fleet = Fleet()
+    for number in range(40):
+        fleet.crash_all(tuple(range(number * 1000, (number + 1) * 1000)), servers=1)
+    evidence = fleet.hosts[0].list_evidence(fleet.now)
+    parts = [part for _, _, row in evidence.crashes for part in row]
+    # The last crashes say most.
+    assert 39_999 in parts
+    assert 15_000 < len(parts) <= PARTS_PER_PULL
+
+
 def test_requests_with_all_that_the_crashes_have_in_common_are_held(fleet):
     for number in range(len(fleet.hosts)):
         assert fleet.is_held(ROOT, BAD, host=number)
--- a/tests/unit/test_odd_gossip.py
+++ b/tests/unit/test_odd_gossip.py
@@ -195,7 +195,7 @@
         return None
 
 
-def encode_answer(endpoints, **changes):
+def encode_answer(endpoints, *further, **changes):
     answer = {
         "document": b"",
         "endpoints": endpoints,
@@ -214,10 +214,11 @@
         "removal_eras": {},
         "lapse_eras": {},
         "cold_eras": {},
+        "crash_evidence": None,
         **changes,
     }
     fields = [answer[name] for name in PullAnswer.__struct_fields__]
-    return msgspec.msgpack.encode(fields)
+    return msgspec.msgpack.encode([*fields, *further])
 
 
 @pytest.mark.parametrize("odd", ODD_ENDPOINTS)
@@ -245,6 +246,8 @@
         {"evacuations": [["d" * 9_000, 5, True, 1]]},
         {"cold": [[1, 1, LARGE, 0]]},
         {"cold": [[1, 1, 0, -1]]},
+        {"crash_evidence": [[[1, LARGE, [1]]]]},
+        {"crash_evidence": [[], [[1, -1]]]},
     ],
 )
 def test_an_answer_to_a_pull_with_a_number_out_of_its_range_is_refused(
@@ -256,9 +259,8 @@
 
 
 def test_an_answer_to_a_pull_that_nests_deeply_is_refused(monkeypatch):
-    answer = bytearray(encode_answer([SOUND]))
-    answer[0] += 1
-    pulls = Pulls(monkeypatch, bytes(answer) + b"\x91" * DEEP + b"\xc0")
+    nested = msgspec.Raw(b"\x91" * DEEP + b"\xc0")
+    pulls = Pulls(monkeypatch, encode_answer([SOUND], nested))
     pulls.pull()
     assert pulls.replica.position.revision == 0
 
