Leases hold through a store that comes back from a copy

A copy has forgotten who took or renewed a lease since: a second host took it while the first one went on (two holders), and fencing numbers, which are part of the ids of orders, were given twice.

Reads and writes tell the era (PlatformClient, by EraTracker). At a new era a lease is void, and nobody writes one for 1.2 times its length. The fencing number rises with the era and with the version that the holder replaced: the search found a late write of the old era that replaces a record of the new one, since its version had been given out again, and then the same number twice; it also found that a holder acted under the number in the record, not its own.

--- a/src/rosemarystream/_internal/decisions/leases.py
+++ b/src/rosemarystream/_internal/decisions/leases.py
@@ -3,6 +3,10 @@
 Hosts compare no clocks. To any other host a lease has expired once it has seen the
 object unchanged for the lease's span on its own clock. The holder counts the span
 from just before it sent the renewal, so its own deadline is the earlier one.
+
+A store that comes back from an older copy begins a new era, and has forgotten who took
+or renewed the lease since. A lease of an era that is over is void, and nobody writes
+one for as long as a holder that hasn't heard of the new era may go on.
 """
 
 from collections.abc import Callable, Iterable
@@ -26,6 +30,8 @@
 # and fraction of the span between renewals.
 MARGIN_FRACTION = 0.2
 RENEW_FRACTION = 1 / 3
+# Fencing numbers of an era, more than it has versions.
+FENCES_PER_ERA = 2**40
 
 
 class LeaseRecord(NamedTuple):
@@ -91,11 +97,17 @@
         self._sent = _NO_LEASE
         self._deadline = 0.0
         self._held_since = 0.0
+        self._held_fence = 0
+        self._era = 0
+        self._free_at = 0.0
 
     @property
     def fence(self) -> int:
-        """Fencing number of the lease as last read or written."""
-        return self._last_record.fence
+        """Fencing number under which this host holds the lease, or last held it.
+
+        Another host's write of an earlier era may replace the record meanwhile.
+        """
+        return self._held_fence
 
     def holds(self, now: float) -> bool:
         """Return whether this host may act under the lease now."""
@@ -122,18 +134,22 @@
         return None if self._has_call else self._due
 
     def _may_write(self, now: float) -> bool:
-        if self._last_version is None:
+        if self._last_version is None or now < self._free_at:
             return False
         if self._last_record.holder in ("", self._holder):
             return True
-        lapse = self._span * (1 + MARGIN_FRACTION)
-        return now >= self._changed_at + lapse
+        return now >= self._changed_at + self._lapse
+
+    @property
+    def _lapse(self) -> float:
+        """Time after which no other host acts under what it last wrote, in seconds."""
+        return self._span * (1 + MARGIN_FRACTION)
 
     def _write(self, now: float) -> WriteObject:
-        is_mine = self._last_record.holder == self._holder
+        expected = self._last_version or 0
         self._sent = LeaseRecord(
             holder=self._holder,
-            fence=self._last_record.fence if is_mine else self._last_record.fence + 1,
+            fence=self._choose_fence(expected),
             renewal=self._last_record.renewal + 1,
         )
         self._sent_at = now
@@ -142,9 +158,21 @@
             kind=LEASES_KIND,
             name=self.lease_name,
             value=_ENCODER.encode(self._sent),
-            expected=self._last_version or 0,
+            expected=expected,
         )
 
+    def _choose_fence(self, replaced: int) -> int:
+        """Return the fencing number of a write that replaces a version of the object.
+
+        The number of a new holder is above all that the store may have forgotten: those
+        of earlier eras, and those of this one that a host overwrote with a write of an
+        earlier era, for a version that has been given out again.
+        """
+        last, first = self._last_record, self._era * FENCES_PER_ERA
+        if last.holder == self._holder and last.fence > first:
+            return last.fence
+        return max(last.fence, first + replaced) + 1
+
     def _read(self) -> ReadObject:
         return ReadObject(tag=self._next_tag(), kind=LEASES_KIND, name=self.lease_name)
 
@@ -159,7 +187,9 @@
         if tag.service != LEASES_KIND or tag.number != self._number:
             return ()
         self._has_call = False
-        if isinstance(event, ObjectRead):
+        if isinstance(event, ObjectRead | ObjectWritten) and event.era > self._era:
+            self._begin_era(event.era, now)
+        elif isinstance(event, ObjectRead):
             self._handle_read(event, now)
         elif isinstance(event, ObjectWritten):
             self._handle_written(event, now)
@@ -169,6 +199,17 @@
             self._due = now if isinstance(event, ObjectConflict) else self._due
         return ()
 
+    def _begin_era(self, era: int, now: float) -> None:
+        """Void what was read and written before, also by the call of this answer.
+
+        A host that starts can't tell how old an era is: it takes the first one that it
+        hears of for a new one.
+        """
+        self._era = era
+        self._free_at = now + self._lapse
+        self._sent = _NO_LEASE
+        self.abandon()
+
     def _handle_read(self, event: ObjectRead, now: float) -> None:
         record = _DECODER.decode(event.value) if event.value else _NO_LEASE
         if event.version != self._last_version or record != self._last_record:
@@ -193,6 +234,7 @@
         if self._sent_at >= self._deadline:
             self._held_since = self._sent_at
         self._deadline = self._sent_at + self._span
+        self._held_fence = self._sent.fence
 
     def abandon(self) -> None:
         """Stop acting under the lease, without writing it; it expires on its own."""
@@ -202,6 +244,7 @@
     def dump(self) -> dict[str, Any]:
         """Return holder and fencing number as last seen, and this host's deadline."""
         return {
+            "era": self._era,
             "holder": self._last_record.holder,
             "fence": self._last_record.fence,
             "deadline": self._deadline,
--- a/src/rosemarystream/_internal/models/events.py
+++ b/src/rosemarystream/_internal/models/events.py
@@ -147,18 +147,23 @@
 
 
 class ObjectRead(NamedTuple):
-    """An object was read; version 0 and an empty value if it does not exist."""
+    """An object was read; version 0 and an empty value if it does not exist.
+
+    `era` is that of the store, 0 if it states none.
+    """
 
     tag: CallTag
     version: int
     value: bytes
+    era: int = 0
 
 
 class ObjectWritten(NamedTuple):
-    """A conditional write took effect."""
+    """A conditional write took effect in an era of the store."""
 
     tag: CallTag
     version: int
+    era: int = 0
 
 
 class ObjectConflict(NamedTuple):
--- a/src/rosemarystream/_internal/platform/call_runner.py
+++ b/src/rosemarystream/_internal/platform/call_runner.py
@@ -64,11 +64,11 @@
         try:
             if isinstance(event, ReadObject):
                 stored = self._client.read(event.kind, event.name)
-                return ObjectRead(event.tag, stored.version, stored.value)
-            version = self._client.write(
+                return ObjectRead(event.tag, *stored)
+            written = self._client.write(
                 event.kind, event.name, event.value, expected=event.expected
             )
-            return ObjectWritten(event.tag, version)
+            return ObjectWritten(event.tag, *written)
         except VersionConflictError:
             return ObjectConflict(event.tag)
         except PlatformError:
--- a/src/rosemarystream/_internal/platform/client.py
+++ b/src/rosemarystream/_internal/platform/client.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple, TypedDict
 
 import msgspec
+from logbook import Logger
 
 from rosemarystream._internal.exceptions import (
     PlatformError,
@@ -18,8 +19,13 @@
     VersionConflictError,
 )
 from rosemarystream._internal.models.server import BackendServer, HostChanges
+from rosemarystream._internal.platform.era_tracker import EraFault, EraTracker
 from rosemarystream._internal.utils.http_exchange import Exchange
 
+log = Logger(__name__)
+
+ERA_HEADER = "Store-Era"
+MAX_LOGGED_BYTES = 100
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
@@ -35,10 +41,28 @@
         Version to pass to a conditional write; 0 if the object does not exist.
     value : bytes
         JSON text; empty if the object does not exist.
+    era : int
+        Era of the store in which it was read; 0 of a store that states none.
     """
 
     version: int
     value: bytes
+    era: int
+
+
+class Written(NamedTuple):
+    """A write that took effect, with the new version and the era of the store."""
+
+    version: int
+    era: int
+
+
+class _Answer(NamedTuple):
+    """Status, body and era of an answer."""
+
+    status: int
+    body: bytes
+    era: int
 
 
 class _ObjectBody(msgspec.Struct):
@@ -91,6 +115,7 @@
         self._address = address
         self._timeout = timeout
         self._clock = clock
+        self._eras = EraTracker(on_fault=_log_era_fault)
         self.calls = 0
 
     def _call(
@@ -101,7 +126,7 @@
         body: bytes = b"",
         version: int | None = None,
         extra_timeout: float = 0.0,
-    ) -> tuple[int, bytes]:
+    ) -> "_Answer":
         self.calls += 1
         deadline = self._clock() + self._timeout + extra_timeout
         headers = {} if version is None else {"If-Match": str(version)}
@@ -111,9 +136,14 @@
                 status = exchange.send(
                     method, path, body=body, headers=headers, deadline=deadline
                 )
-                return status, exchange.read_all(deadline)
+                body = exchange.read_all(deadline)
+                stated = exchange.header(ERA_HEADER)
         except RosemarystreamError as error:
             raise PlatformError(f"{method} {path} failed: {error}") from error
+        era = self._eras.read(None if stated is None else stated.encode("latin-1"))
+        if era is None:
+            raise PlatformError(f"{method} {path}: an answer of an era that is over")
+        return _Answer(status, body, era)
 
     def read(self, kind: str, name: str) -> StoredObject:
         """Read one object.
@@ -123,20 +153,17 @@
         PlatformError
             If the platform does not answer.
         """
-        status, body = self._call("GET", f"/v1/objects/{kind}/{name}")
-        if status == HTTP_NOT_FOUND:
-            return StoredObject(version=ABSENT_VERSION, value=b"")
-        stored = self._decode(status, body, _ObjectBody)
-        return StoredObject(version=stored.version, value=bytes(stored.value))
+        answer = self._call("GET", f"/v1/objects/{kind}/{name}")
+        if answer.status == HTTP_NOT_FOUND:
+            return StoredObject(version=ABSENT_VERSION, value=b"", era=answer.era)
+        stored = self._decode(answer, _ObjectBody)
+        return StoredObject(
+            version=stored.version, value=bytes(stored.value), era=answer.era
+        )
 
-    def write(self, kind: str, name: str, value: bytes, *, expected: int) -> int:
+    def write(self, kind: str, name: str, value: bytes, *, expected: int) -> Written:
         """Write one object if its current version is the expected one.
 
-        Returns
-        -------
-        version : int
-            New version of the object.
-
         Raises
         ------
         VersionConflictError
@@ -144,14 +171,14 @@
         PlatformError
             If the outcome is unknown; the caller has to read the object back.
         """
-        status, body = self._call(
+        answer = self._call(
             "PUT", f"/v1/objects/{kind}/{name}", body=value, version=expected
         )
-        if status == HTTP_CONFLICT:
+        if answer.status == HTTP_CONFLICT:
             raise VersionConflictError(
                 f"{kind}/{name} is not at version {expected} any more; read it again"
             )
-        return self._decode(status, body, _VersionBody)["version"]
+        return Written(self._decode(answer, _VersionBody)["version"], answer.era)
 
     def watch(self, kind: str, *, after: int, wait: float) -> tuple[int, list[str]]:
         """Wait for changes of the objects of a kind (long poll).
@@ -164,25 +191,29 @@
             Names of the objects changed since `after`.
         """
         path = f"/v1/watch/{kind}?after={after}&wait_ms={int(wait * 1000)}"
-        status, body = self._call("GET", path, extra_timeout=wait)
-        answer = self._decode(status, body, _WatchBody)
-        return answer["revision"], answer["names"]
+        answer = self._call("GET", path, extra_timeout=wait)
+        changes = self._decode(answer, _WatchBody)
+        return changes["revision"], changes["names"]
 
     def list_hosts(self, *, after: int) -> HostChanges:
         """Read the changes of the host list since a version."""
-        status, body = self._call("GET", f"/v1/hosts?after={after}")
-        answer = self._decode(status, body, _HostsBody)
+        answer = self._call("GET", f"/v1/hosts?after={after}")
+        hosts = self._decode(answer, _HostsBody)
         return HostChanges(
-            base=answer["base"],
-            version=answer["version"],
-            servers=tuple(BackendServer(**row) for row in answer["servers"]),
-            removed=tuple(answer["removed"]),
+            base=hosts["base"],
+            version=hosts["version"],
+            servers=tuple(BackendServer(**row) for row in hosts["servers"]),
+            removed=tuple(hosts["removed"]),
         )
 
-    def _decode(self, status: int, body: bytes, shape: Any) -> Any:
-        if status != HTTP_OK:
-            raise PlatformError(f"the platform answered with status {status}")
+    def _decode(self, answer: "_Answer", shape: Any) -> Any:
+        if answer.status != HTTP_OK:
+            raise PlatformError(f"the platform answered with status {answer.status}")
         try:
-            return msgspec.json.decode(body, type=shape)
+            return msgspec.json.decode(answer.body, type=shape)
         except msgspec.DecodeError as error:
             raise PlatformError(f"unreadable answer of the platform: {error}") from None
+
+
+def _log_era_fault(fault: EraFault, value: bytes) -> None:
+    log.warning("the platform's era is {}: {!r}", fault, value[:MAX_LOGGED_BYTES])
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,6 +28,8 @@
         self.changed = Event()
         self.hosts: dict[str, Any] = {}
         self.lists: list[dict[str, Any]] = [self.hosts]
+        # States no era if it is 0.
+        self.era = 0
         self.mode = "ok"
         self.delay = 0.0
         self.calls: Counter[str] = Counter()
@@ -82,7 +84,9 @@
     def process_response(
         self, req: falcon.Request, resp: falcon.Response, resource: Any, ok: bool
     ) -> None:
-        """Replace the answer of a write by status 500 under ``lose_answers``."""
+        """State the era; answer writes with status 500 under ``lose_answers``."""
+        if self._store.era:
+            resp.set_header("Store-Era", str(self._store.era))
         if self._store.mode == "lose_answers" and req.method in ("PUT", "DELETE"):
             resp.status = 500
             resp.text = "answer lost"
@@ -198,13 +202,17 @@
         resp.media = dict(self._store.calls)
 
 
-def run(port: int) -> None:
-    """Serve the platform on a loopback port."""
-    store = Store()
+def make_app(store: Store) -> falcon.App:
+    """Return the platform's application."""
     app = falcon.App(middleware=[FaultMiddleware(store)])
     app.add_route("/v1/objects/{kind}/{name}", ObjectResource(store))
     app.add_route("/v1/watch/{kind}", WatchResource(store))
     app.add_route("/v1/hosts", HostsResource(store))
     app.add_route("/hosts", HostsControl(store))
     app.add_route("/faults", FaultsControl(store))
-    serve_app(app, port)
+    return app
+
+
+def run(port: int) -> None:
+    """Serve the platform on a loopback port."""
+    serve_app(make_app(Store()), port)
--- a/tests/lib/store.py
+++ b/tests/lib/store.py
@@ -19,24 +19,34 @@
 
 
 class ModelStore:
-    """Versioned objects with conditional writes."""
+    """Versioned objects with conditional writes; it may come back from a copy."""
 
-    def __init__(self):
+    def __init__(self, era=0):
         self.objects = {}
         self.revision = 0
+        self.era = era
+
+    def save_copy(self):
+        return dict(self.objects), self.revision
+
+    def load_copy(self, copy):
+        """Forget all that was written since; revisions are given out again."""
+        objects, self.revision = copy
+        self.objects = dict(objects)
+        self.era += 1
 
     def take_effect(self, call):
         """Apply a call to the store; its result is kept in the call until delivery."""
         action = call.action
         version, value = self.objects.get((action.kind, action.name), (0, b""))
         if isinstance(action, ReadObject):
-            call.result = ObjectRead(action.tag, version, value)
+            call.result = ObjectRead(action.tag, version, value, self.era)
         elif version != action.expected:
             call.result = ObjectConflict(action.tag)
         else:
             self.revision += 1
             self.objects[action.kind, action.name] = self.revision, action.value
-            call.result = ObjectWritten(action.tag, self.revision)
+            call.result = ObjectWritten(action.tag, self.revision, self.era)
 
     @staticmethod
     def lose(call):
--- a/tests/lib/switches.py
+++ b/tests/lib/switches.py
@@ -231,6 +231,12 @@
     StoreEra.may_be_missing = lambda self, position, now: False
 
 
+def keep_leases_of_copies():
+    from rosemarystream._internal.decisions.leases import Lease
+
+    Lease._begin_era = lambda self, era, now: None
+
+
 def accept_any_answer():
     from rosemarystream._internal.gateway import attempt
 
@@ -436,6 +442,7 @@
         take_statuses_for_statements,
         order_by_revision_alone,
         believe_copies,
+        keep_leases_of_copies,
         accept_any_answer,
         ignore_event_ids,
         ignore_disconnects,
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -65,6 +65,7 @@
         f"{BEHAVE}configuration.feature -n race",
     ),
     Row("orders-once", "act_without_lease", f"{BEHAVE}orders.feature -n pause"),
+    Row("lease-copies", "keep_leases_of_copies", f"{PYTEST}test_leases.py"),
     Row("ranks", "serve_in_arrival_order", f"{PYTEST}test_queueing.py"),
     Row("fair-shares", "ignore_costs", f"{PYTEST}test_queueing.py"),
     Row("entry-load-bound", "ignore_load_bound", f"{UNIT}test_placement.py"),
