A shorter Retry-After lifts no longer one that still holds

A server that answered 503 with Retry-After 30 and then, to a request that was on its way, with 0.5, got requests of that host half a second later.

--- a/src/rosemarystream/_internal/decisions/retry_deadlines.py
+++ b/src/rosemarystream/_internal/decisions/retry_deadlines.py
@@ -33,19 +33,23 @@
         return not self._all
 
     def record(self, endpoint: Endpoint, delay_s: float, now: float) -> None:
-        """Record what a server has stated to this host; it replaces what it did before.
+        """Record what a server has stated to this host.
+
+        Each statement holds to its end: a shorter one that follows lifts no longer one.
 
         Parameters
         ----------
         delay_s : float
             Time for which it accepts no requests; at most `MAX_RETRY_AFTER_S` count.
         """
-        delay_s = min(delay_s, MAX_RETRY_AFTER_S)
+        stated = now + min(delay_s, MAX_RETRY_AFTER_S)
         self._deadlines = {
             key: deadline for key, deadline in self._deadlines.items() if now < deadline
         }
-        self._deadlines[endpoint.number, endpoint.incarnation] = now + delay_s
-        self.observe(endpoint.number, delay_s, now)
+        key = endpoint.number, endpoint.incarnation
+        deadline = max(stated, self._deadlines.get(key, stated))
+        self._deadlines[key] = deadline
+        self.observe(endpoint.number, deadline - now, now)
 
     def find(self, endpoint: Endpoint) -> float:
         """Return the time from which a server accepts requests of this host."""
--- a/tests/functional/test_server_retry_after.py
+++ b/tests/functional/test_server_retry_after.py
@@ -124,7 +124,7 @@
     assert 0 < fleet.read_wait() <= 600
 
 
-def test_a_shorter_time_that_comes_later_replaces_the_first(make_fleet):
+def test_a_shorter_time_that_comes_later_lifts_no_longer_one(make_fleet):
     fleet = make_fleet(servers=1)
     server = fleet.servers[0]
     server.retry_after = "30"
@@ -132,9 +132,14 @@
     calls = [gevent.spawn(fleet.call, 800) for _ in range(2)]
     gevent.sleep(0.25)
     assert fleet.read_wait() > 20
-    server.retry_after = "2"
+    server.retry_after = "0.5"
     gevent.joinall(calls)
-    assert fleet.read_wait() <= 2
+    assert fleet.read_wait() > 20
+    before = server.arrivals
+    server.retry_after = None
+    gevent.sleep(1.0)
+    fleet.call_at_once(wait_ms=100)
+    assert server.arrivals == before
 
 
 def test_requests_wait_for_the_only_server_within_their_deadline(make_fleet):
--- a/tests/unit/test_retry_deadlines.py
+++ b/tests/unit/test_retry_deadlines.py
@@ -60,12 +60,18 @@
     assert not decode_answer(status, [(b"retry-after", b"2")]).asks_to_wait
 
 
-def test_the_last_statement_counts_and_is_bounded():
+def test_each_statement_holds_to_its_end_and_is_bounded():
     retries = RetryDeadlines()
-    retries.record(make_server(), 1e8, 10.0)
-    assert retries.find(make_server()) == 10.0 + MAX_RETRY_AFTER_S
-    retries.record(make_server(), 2.0, 11.0)
+    retries.record(make_server(), 3.0, 10.0)
+    retries.record(make_server(), 1.0, 11.0)
     assert retries.find(make_server()) == 13.0
+    assert retries.is_advised(make_server().number, 12.9)
+    retries.record(make_server(), 1.0, 12.5)
+    assert retries.find(make_server()) == 13.5
+    retries.record(make_server(), 1e8, 13.0)
+    assert retries.find(make_server()) == 13.0 + MAX_RETRY_AFTER_S
+    retries.record(make_server(), 2.0, 14.0)
+    assert retries.find(make_server()) == 13.0 + MAX_RETRY_AFTER_S
 
 
 def test_a_statement_outlasts_the_entry_but_not_the_incarnation():
