--- a/src/rosemarystream/_internal/decisions/leases.py
+++ b/src/rosemarystream/_internal/decisions/leases.py
@@ -242,7 +242,7 @@
         self._last_version = None
 
     def dump(self) -> dict[str, Any]:
-        """Return holder and fencing number as last seen, and this host's deadline."""
+        """Return era, holder and fencing number as last seen, and the own deadline."""
         return {
             "era": self._era,
             "holder": self._last_record.holder,
--- a/src/rosemarystream/_internal/gateway/router.py
+++ b/src/rosemarystream/_internal/gateway/router.py
@@ -174,13 +174,13 @@
             Servers that have been tried already, or don't permit another request.
         may_probe : bool
             Whether one may be chosen that is assumed to be unreachable.
+        ignores_ejections : bool
+            Whether it may be any that is assumed to be unreachable.
 
         Returns
         -------
         Placement or None
             The server with the inputs of the decision; None if no server is left.
-        ignores_ejections : bool
-            Whether it may be any that is assumed to be unreachable.
         """
         now = self._clock()
         ready = self.availability.list_ready(service)
