--- a/src/rosemarystream/_internal/platform/client.py
+++ b/src/rosemarystream/_internal/platform/client.py
@@ -19,12 +19,15 @@
     VersionConflictError,
 )
 from rosemarystream._internal.models.server import BackendServer, HostChanges
-from rosemarystream._internal.platform.era_tracker import EraFault, EraTracker
+from rosemarystream._internal.platform.era_tracker import (
+    ERA,
+    EraFault,
+    EraTracker,
+)
 from rosemarystream._internal.utils.http_exchange import Exchange
 
 log = Logger(__name__)
 
-ERA_HEADER = "Store-Era"
 MAX_LOGGED_BYTES = 100
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -126,7 +129,7 @@
         body: bytes = b"",
         version: int | None = None,
         extra_timeout: float = 0.0,
-    ) -> "_Answer":
+    ) -> _Answer:
         self.calls += 1
         deadline = self._clock() + self._timeout + extra_timeout
         headers = {} if version is None else {"If-Match": str(version)}
@@ -136,14 +139,14 @@
                 status = exchange.send(
                     method, path, body=body, headers=headers, deadline=deadline
                 )
-                body = exchange.read_all(deadline)
-                stated = exchange.header(ERA_HEADER)
+                answer = exchange.read_all(deadline)
+                stated = exchange.header(ERA.decode())
         except RosemarystreamError as error:
             raise PlatformError(f"{method} {path} failed: {error}") from error
         era = self._eras.read(None if stated is None else stated.encode("latin-1"))
         if era is None:
             raise PlatformError(f"{method} {path}: an answer of an era that is over")
-        return _Answer(status, body, era)
+        return _Answer(status, answer, era)
 
     def read(self, kind: str, name: str) -> StoredObject:
         """Read one object.
@@ -206,7 +209,7 @@
             removed=tuple(hosts["removed"]),
         )
 
-    def _decode(self, answer: "_Answer", shape: Any) -> Any:
+    def _decode(self, answer: _Answer, shape: Any) -> Any:
         if answer.status != HTTP_OK:
             raise PlatformError(f"the platform answered with status {answer.status}")
         try:
