--- a/src/rosemarystream/_internal/gateway/state_pulls.py
+++ b/src/rosemarystream/_internal/gateway/state_pulls.py
@@ -212,12 +212,10 @@
         if answer.contexts:
             self._contexts.accept_entries(answer.contexts, self._clock())
             changed.append(f"{len(answer.contexts)} cached parts")
-        if answer.crash_evidence is not None:
-            evidence = answer.crash_evidence
-            self._blocks.accept_updates(evidence, self._clock(), is_forwarded=False)
+        evidence = answer.crash_evidence or CrashUpdates()
+        updates = msgspec.structs.replace(evidence, blocks=answer.blocks)
+        self._blocks.accept_updates(updates, self._clock(), is_forwarded=False)
         if answer.blocks:
-            updates = CrashUpdates(blocks=answer.blocks)
-            self._blocks.accept_updates(updates, self._clock(), is_forwarded=False)
             changed.append(f"{len(answer.blocks)} blocked parts")
         if answer.evacuations is not None and self._evacuations.accept_rows(
             decode_evacuations(answer, era), source=ip, now=now
--- a/tests/unit/test_chunked_body.py
+++ b/tests/unit/test_chunked_body.py
@@ -21,9 +21,9 @@
 garbage = st.sampled_from([b"", b"x", b"\r\n", b";", b"g\r\n", b"1 ;a\r\nx\r\n", b"-1"])
 
 
-def decode(pieces, max_head_bytes=MAX_HEAD_BYTES):
+def decode(pieces):
     """Return the contents, whether the end has come, and what follows it."""
-    decoder = ChunkedDecoder(max_head_bytes=max_head_bytes)
+    decoder = ChunkedDecoder(max_head_bytes=MAX_HEAD_BYTES)
     contents = b""
     waiting = bytearray()
     for piece in pieces:
